--- /dev/null
+++ b/include/gingerdyke/platform/clients.hpp
@@ -0,0 +1,61 @@
+// SPDX-License-Identifier: MIT
+// Clients of the platform's services, over HTTP. Blocking; each is used by one thread at a time.
+#pragma once
+
+#include <gingerdyke/membership/member.hpp>
+#include <gingerdyke/node/settings.hpp>
+#include <gingerdyke/platform/store_types.hpp>
+#include <memory>
+#include <optional>
+
+namespace httplib
+{
+class Client;
+}
+
+namespace gingerdyke::platform
+{
+/// \brief Calls the transactional table service.
+class store_client
+{
+  public:
+	explicit store_client(const node::endpoint& at);
+	~store_client();
+
+	store_client(const store_client&) = delete;
+	store_client& operator=(const store_client&) = delete;
+	store_client(store_client&&) = delete;
+	store_client& operator=(store_client&&) = delete;
+
+	/// \brief Runs a transaction; tells apart what surely had no effect from what may have had one.
+	[[nodiscard]] store::answer run(const store::transaction& transaction);
+
+  private:
+	std::unique_ptr<httplib::Client> client_;
+};
+
+/// \brief Reads the platform's list of VMs.
+class member_client
+{
+  public:
+	explicit member_client(const node::endpoint& at);
+	~member_client();
+
+	member_client(const member_client&) = delete;
+	member_client& operator=(const member_client&) = delete;
+	member_client(member_client&&) = delete;
+	member_client& operator=(member_client&&) = delete;
+
+	/// \brief Reads the list; nothing where it can't be had.
+	[[nodiscard]] std::optional<membership::member_list> fetch();
+
+  private:
+	std::unique_ptr<httplib::Client> client_;
+};
+
+/// \brief A list of VMs on the wire.
+[[nodiscard]] json to_json(const membership::member_list& list);
+
+/// \brief Reads a list of VMs; nothing where it is not one.
+[[nodiscard]] std::optional<membership::member_list> members_from(const json& value);
+} // namespace gingerdyke::platform
--- /dev/null
+++ b/src/base/json_source.cpp
@@ -0,0 +1,287 @@
+// SPDX-License-Identifier: MIT
+// JSON text with lines: a SAX pass over nlohmann's parser, which counts the lines it has read.
+#include <cstddef>
+#include <fstream>
+#include <gingerdyke/base/json_source.hpp>
+#include <iterator>
+#include <sstream>
+#include <valijson/adapters/nlohmann_json_adapter.hpp>
+#include <valijson/schema.hpp>
+#include <valijson/schema_parser.hpp>
+#include <valijson/validation_results.hpp>
+#include <valijson/validator.hpp>
+
+namespace gingerdyke
+{
+namespace
+{
+constexpr std::size_t max_depth = 64;
+
+/// Position shared by all copies of a counting iterator.
+struct read_position
+{
+	unsigned line = 1;
+	bool after_newline = false;
+};
+
+/// Input iterator over characters that counts the lines passed.
+class counting_iterator
+{
+  public:
+	using iterator_category = std::input_iterator_tag;
+	using value_type = char;
+	using difference_type = std::ptrdiff_t;
+	using pointer = const char*;
+	using reference = const char&;
+
+	counting_iterator(const char* at, read_position* position) : at_(at), position_(position) {}
+
+	reference operator*() const { return *at_; }
+
+	counting_iterator& operator++()
+	{
+		position_->after_newline = *at_ == '\n';
+		position_->line += position_->after_newline ? 1 : 0;
+		++at_;
+		return *this;
+	}
+
+	counting_iterator operator++(int)
+	{
+		auto before = *this;
+		++*this;
+		return before;
+	}
+
+	bool operator==(const counting_iterator& other) const { return at_ == other.at_; }
+	bool operator!=(const counting_iterator& other) const { return at_ != other.at_; }
+
+  private:
+	const char* at_;
+	read_position* position_;
+};
+
+/// Builds the value and notes the line of each pointer.
+class line_noter final : public nlohmann::json_sax<json>
+{
+  public:
+	line_noter(const read_position& position, std::map<std::string, unsigned>& lines)
+		: position_(position), lines_(lines)
+	{
+	}
+
+	bool null() override { return put(nullptr); }
+	bool boolean(bool value) override { return put(value); }
+	bool number_integer(number_integer_t value) override { return put(value); }
+	bool number_unsigned(number_unsigned_t value) override { return put(value); }
+	bool number_float(number_float_t value, const string_t& /*text*/) override { return put(value); }
+	bool string(string_t& value) override { return put(value); }
+	bool binary(binary_t& /*value*/) override { return false; }
+
+	bool start_object(std::size_t /*size*/) override { return open(json::object()); }
+	bool start_array(std::size_t /*size*/) override { return open(json::array()); }
+	bool end_object() override { return close(); }
+	bool end_array() override { return close(); }
+
+	bool key(string_t& name) override
+	{
+		auto& frame = stack_.back();
+		const auto pointer = frame.pointer + "/" + pointer_step(name);
+		lines_[pointer] = line();
+		if (frame.value.contains(name))
+		{
+			duplicate = pointer;
+			return false;
+		}
+		frame.key = name;
+		return true;
+	}
+
+	bool parse_error(
+		std::size_t /*at*/, const std::string& /*token*/, const nlohmann::detail::exception& why) override
+	{
+		message = why.what();
+		return false;
+	}
+
+	json root;
+	std::string message;
+	std::string duplicate;
+	bool too_deep = false;
+
+  private:
+	struct frame
+	{
+		json value;
+		std::string pointer;
+		std::string key;
+	};
+
+	[[nodiscard]] unsigned line() const
+	{
+		return position_.after_newline ? position_.line - 1 : position_.line;
+	}
+
+	[[nodiscard]] std::string next_pointer() const
+	{
+		if (stack_.empty())
+		{
+			return "";
+		}
+		const auto& top = stack_.back();
+		const auto step = top.value.is_array() ? std::to_string(top.value.size()) : pointer_step(top.key);
+		return top.pointer + "/" + step;
+	}
+
+	bool put(json value)
+	{
+		lines_.try_emplace(next_pointer(), line());
+		if (stack_.empty())
+		{
+			root = std::move(value);
+			return true;
+		}
+		auto& top = stack_.back();
+		if (top.value.is_array())
+		{
+			top.value.push_back(std::move(value));
+		}
+		else
+		{
+			top.value[top.key] = std::move(value);
+		}
+		return true;
+	}
+
+	bool open(json empty)
+	{
+		too_deep = stack_.size() >= max_depth;
+		auto pointer = next_pointer();
+		lines_.try_emplace(pointer, line());
+		stack_.push_back({std::move(empty), std::move(pointer), {}});
+		return !too_deep;
+	}
+
+	bool close()
+	{
+		auto done = std::move(stack_.back().value);
+		stack_.pop_back();
+		return put(std::move(done));
+	}
+
+	const read_position& position_;
+	std::map<std::string, unsigned>& lines_;
+	std::vector<frame> stack_;
+};
+
+/// Turns valijson's context (`<root>`, `[a]`, `[0]`) into a JSON pointer.
+std::string to_pointer(const std::vector<std::string>& context)
+{
+	std::string pointer;
+	for (const auto& step : context)
+	{
+		if (step.size() >= 2 && step.front() == '[')
+		{
+			pointer += "/" + pointer_step(std::string_view{step}.substr(1, step.size() - 2));
+		}
+	}
+	return pointer;
+}
+} // namespace
+
+checked<json_source> json_source::parse(std::string name, std::string_view text)
+{
+	json_source source;
+	source.name_ = std::move(name);
+	read_position position;
+	line_noter noter{position, source.lines_};
+	const counting_iterator begin{text.data(), &position};
+	const counting_iterator end{text.data() + text.size(), &position};
+	if (json::sax_parse(begin, end, &noter))
+	{
+		source.value_ = std::move(noter.root);
+		return source;
+	}
+	source_region place{source.name_, noter.duplicate, position.line};
+	auto message = noter.message.empty() ? std::string{"not valid JSON"} : noter.message;
+	if (!noter.duplicate.empty())
+	{
+		message = "the key stands twice";
+	}
+	if (noter.too_deep)
+	{
+		message = "nested deeper than " + std::to_string(max_depth) + " levels";
+	}
+	return tl::make_unexpected(findings{{std::move(place), std::move(message)}});
+}
+
+checked<json_source> json_source::load(const std::string& path)
+{
+	std::ifstream file{path, std::ios::binary};
+	if (!file)
+	{
+		return tl::make_unexpected(findings{{{path, "", 0}, "can't be opened for reading"}});
+	}
+	std::ostringstream text;
+	text << file.rdbuf();
+	return parse(path, text.str());
+}
+
+json_source json_source::of_value(std::string name, json value)
+{
+	json_source source;
+	source.name_ = std::move(name);
+	source.value_ = std::move(value);
+	return source;
+}
+
+source_region json_source::at(const std::string& pointer) const
+{
+	auto known = pointer;
+	while (true)
+	{
+		if (const auto line = lines_.find(known); line != lines_.end())
+		{
+			return {name_, pointer, line->second};
+		}
+		const auto slash = known.rfind('/');
+		if (slash == std::string::npos)
+		{
+			return {name_, pointer, 0};
+		}
+		known.resize(slash);
+	}
+}
+
+void json_source::check_schema(const json& schema, const std::string& pointer, findings& into) const
+{
+	valijson::Schema compiled;
+	valijson::SchemaParser parser;
+	const valijson::adapters::NlohmannJsonAdapter schema_adapter{schema};
+	parser.populateSchema(schema_adapter, compiled);
+
+	const auto& part = value_.at(json::json_pointer{pointer});
+	const valijson::adapters::NlohmannJsonAdapter adapter{part};
+	valijson::Validator validator{valijson::Validator::kStrongTypes};
+	valijson::ValidationResults results;
+	if (validator.validate(compiled, adapter, &results))
+	{
+		return;
+	}
+	valijson::ValidationResults::Error error;
+	while (results.popError(error))
+	{
+		into.push_back({at(pointer + to_pointer(error.context)), error.description});
+	}
+}
+
+std::string pointer_step(std::string_view key)
+{
+	std::string step;
+	for (const char c : key)
+	{
+		step += c == '~' ? "~0" : c == '/' ? "~1" : std::string(1, c);
+	}
+	return step;
+}
+} // namespace gingerdyke
--- /dev/null
+++ b/src/cli/main.cpp
@@ -0,0 +1,70 @@
+// SPDX-License-Identifier: MIT
+// The shipped binary: finds the command and runs it.
+#include <exception>
+#include <functional>
+#include <gingerdyke/cli/commands.hpp>
+#include <iostream>
+#include <map>
+
+namespace
+{
+using gingerdyke::cli::arguments;
+using gingerdyke::cli::exit_code;
+
+struct command
+{
+	std::function<exit_code(const arguments&)> run;
+	const char* help;
+};
+
+const std::map<std::string, command>& commands()
+{
+	static const std::map<std::string, command> all{
+		{"serve", {gingerdyke::cli::serve, "run an entry VM"}},
+		{"check", {gingerdyke::cli::check, "check settings and table files"}},
+		{"plan", {gingerdyke::cli::plan, "show what apply would change"}},
+		{"apply", {gingerdyke::cli::apply, "make the table what a file declares"}},
+		{"export", {gingerdyke::cli::export_table, "print the table as declarations"}},
+		{"status", {gingerdyke::cli::status, "print a node's state"}},
+		{"explain", {gingerdyke::cli::explain, "print why a request went where it went"}},
+	};
+	return all;
+}
+
+void print_help(std::ostream& out)
+{
+	out << "usage: gingerdyke COMMAND [OPTION...]\n\ncommands:\n";
+	for (const auto& [name, command] : commands())
+	{
+		out << "  " << name << std::string(10 - name.size(), ' ') << command.help << "\n";
+	}
+	out << "\n`gingerdyke COMMAND --help` tells a command's options.\n"
+		   "exit codes: 0 done; 1 rejected, with findings; 2 usage; 3 unreachable; 4 plan found changes\n";
+}
+} // namespace
+
+int main(int argc, char** argv)
+{
+	const arguments args(argv + 1, argv + argc);
+	if (args.empty() || args.front() == "--help" || args.front() == "-h")
+	{
+		print_help(args.empty() ? std::cerr : std::cout);
+		return static_cast<int>(args.empty() ? exit_code::usage : exit_code::ok);
+	}
+	const auto found = commands().find(args.front());
+	if (found == commands().end())
+	{
+		std::cerr << "gingerdyke: no command is named " << args.front() << "\n";
+		print_help(std::cerr);
+		return static_cast<int>(exit_code::usage);
+	}
+	try
+	{
+		return static_cast<int>(found->second.run({args.begin() + 1, args.end()}));
+	}
+	catch (const std::exception& error)
+	{
+		std::cerr << "gingerdyke: " << error.what() << "\n";
+		return static_cast<int>(exit_code::unreachable);
+	}
+}
--- /dev/null
+++ b/src/membership/live_list.cpp
@@ -0,0 +1,131 @@
+// SPDX-License-Identifier: MIT
+// Who is there: the platform's lagging list, sharpened by what this VM heard itself.
+#include <algorithm>
+#include <gingerdyke/base/crypto.hpp>
+#include <gingerdyke/membership/live_list.hpp>
+
+namespace gingerdyke::membership
+{
+std::uint64_t rendezvous_weight(std::string_view key, const vm_id& vm) noexcept
+{
+	return mix_hash(stable_hash(key), stable_hash(vm.str()));
+}
+
+live_list::live_list(member self, const std::vector<member>& seeds) : self_(std::move(self))
+{
+	list_.members = seeds;
+	index();
+}
+
+bool live_list::apply(const member_list& list)
+{
+	if (list.list_revision <= list_.list_revision)
+	{
+		return false;
+	}
+	list_ = list;
+	index();
+	return true;
+}
+
+void live_list::note_leaving(const vm_id& vm)
+{
+	if (said_leaving_.insert(vm).second)
+	{
+		index();
+	}
+}
+
+void live_list::index()
+{
+	by_id_.clear();
+	live_entries_.clear();
+	for (const auto& one : list_.members)
+	{
+		by_id_[one.vm] = one;
+	}
+	by_id_.try_emplace(self_.vm, self_);
+	for (const auto& [id, one] : by_id_)
+	{
+		const bool live = one.state == member_state::live && !said_leaving_.contains(id);
+		if (one.kind == member_kind::entry && (live || id == self_.vm))
+		{
+			live_entries_[one.failure_domain].push_back(id);
+		}
+	}
+}
+
+std::vector<vm_id> live_list::entries_of(const failure_domain_id& domain) const
+{
+	const auto found = live_entries_.find(domain);
+	return found == live_entries_.end() ? std::vector<vm_id>{} : found->second;
+}
+
+std::vector<vm_id> live_list::entries_outside(const failure_domain_id& domain) const
+{
+	std::vector<vm_id> result;
+	for (const auto& [other, vms] : live_entries_)
+	{
+		if (other != domain)
+		{
+			result.insert(result.end(), vms.begin(), vms.end());
+		}
+	}
+	return result;
+}
+
+std::vector<vm_id> live_list::entries() const
+{
+	return entries_outside(failure_domain_id{});
+}
+
+std::size_t live_list::rank_in_domain(std::string_view key) const
+{
+	const auto own = rendezvous_weight(key, self_.vm);
+	const auto vms = entries_of(self_.failure_domain);
+	return static_cast<std::size_t>(std::count_if(
+		vms.begin(), vms.end(), [&](const vm_id& vm) { return rendezvous_weight(key, vm) > own; }));
+}
+
+vm_id live_list::owner_in(const failure_domain_id& domain, std::string_view key) const
+{
+	const auto vms = entries_of(domain);
+	const auto heavier = [&](const vm_id& a, const vm_id& b)
+	{ return rendezvous_weight(key, a) < rendezvous_weight(key, b); };
+	const auto found = std::max_element(vms.begin(), vms.end(), heavier);
+	return found == vms.end() ? vm_id{} : *found;
+}
+
+std::set<failure_domain_id> live_list::domains() const
+{
+	std::set<failure_domain_id> result;
+	for (const auto& [domain, vms] : live_entries_)
+	{
+		result.insert(domain);
+	}
+	return result;
+}
+
+const member* live_list::find(const vm_id& vm) const
+{
+	const auto found = by_id_.find(vm);
+	return found == by_id_.end() ? nullptr : &found->second;
+}
+
+bool live_list::upstream_leaves(const vm_id& vm) const
+{
+	const auto* known = find(vm);
+	return known != nullptr && known->state != member_state::live;
+}
+
+std::vector<vm_id> pick_some(std::vector<vm_id> from, std::size_t count, const random_source& random)
+{
+	const auto taken = std::min(count, from.size());
+	for (std::size_t i = 0; i < taken; ++i)
+	{
+		std::swap(from[i], from[i + random_below(random, from.size() - i)]);
+	}
+	from.resize(taken);
+	return from;
+}
+} // namespace gingerdyke::membership
--- /dev/null
+++ b/src/node/core.cpp
@@ -0,0 +1,228 @@
+// SPDX-License-Identifier: MIT
+// One entry VM's whole decision making: hands each event to the part it is for, and what comes of it on.
+#include <gingerdyke/node/core.hpp>
+
+namespace gingerdyke::node
+{
+core::core(identity self, const std::vector<membership::member>& seeds, random_source random,
+	const core_tuning& tuning)
+	: self_(self), live_(self.self, seeds), spread_(live_, random, tuning.spread), editor_(spread_),
+	  claims_({self.self.vm, self.incarnation}, tuning.claims), outbox_(live_, tuning.outbox),
+	  journal_(live_, tuning.journal), gate_(live_, tuning.gate), permits_(live_, tuning.permits),
+	  board_(random, tuning.board), cascades_(random, tuning.cascades),
+	  versions_(suspensions_, gate_, random), limiter_(live_),
+	  desk_({live_, spread_, claims_, outbox_, board_, cascades_, versions_, gate_, limiter_}, tuning.desk)
+{
+}
+
+actions core::step(const event& event, instant now)
+{
+	actions out;
+	std::visit([&](const auto& one) { on(one, now, out); }, event);
+	return out;
+}
+
+void core::run(effects effects, actions& out)
+{
+	for (auto& one : effects)
+	{
+		std::visit([&](auto& effect) { out.emplace_back(std::move(effect)); }, one);
+	}
+}
+
+void core::run(claims::claim_step step, instant now, actions& out)
+{
+	run(std::move(step.out), out);
+	if (!step.answers.empty())
+	{
+		run(desk_.on_claims(step.answers, now), now, out);
+	}
+}
+
+void core::run(ledger::outbox_step step, instant now, actions& out)
+{
+	run(std::move(step.out), out);
+	if (!step.ready.empty())
+	{
+		run(desk_.on_journalled(step.ready, now), now, out);
+	}
+}
+
+void core::run(desk_step step, instant /*now*/, actions& out)
+{
+	run(std::move(step.out), out);
+	for (auto& order : step.orders)
+	{
+		out.emplace_back(std::move(order));
+	}
+}
+
+void core::run(table::edit_step step, instant /*now*/, actions& out)
+{
+	run(std::move(step.out), out);
+	for (auto& answer : step.answers)
+	{
+		out.emplace_back(std::move(answer));
+	}
+}
+
+void core::run(rollout::owner_step step, instant now, actions& out)
+{
+	run(std::move(step.out), out);
+	suspend(step.suspended, now, out);
+}
+
+void core::on(const arrival& event, instant now, actions& out)
+{
+	run(desk_.on_arrival(event, now), now, out);
+}
+
+void core::on(const attempt_report& event, instant now, actions& out)
+{
+	run(desk_.on_report(event, now), now, out);
+}
+
+void core::on(const progress_report& event, instant /*now*/, actions& /*out*/)
+{
+	desk_.on_progress(event);
+}
+
+void core::on(const peer_received& event, instant now, actions& out)
+{
+	journal_.on_heard(event.what.from, now);
+	on_message(event.what, event.what.body, now, out);
+}
+
+void core::on_message(const peer::envelope& from, const peer::message& body, instant now, actions& out)
+{
+	const auto& vm = from.from.vm;
+	if (const auto* digest = std::get_if<peer::digest>(&body))
+	{
+		if (digest->leaving)
+		{
+			live_.note_leaving(vm);
+		}
+		suspend(suspensions_.unknown_of(digest->suspensions), now, out);
+		run(spread_.on_digest(from, *digest, now), out);
+	}
+	else if (const auto* pull = std::get_if<peer::table_pull>(&body))
+	{
+		run(spread_.on_pull(vm, *pull), out);
+	}
+	else if (const auto* push = std::get_if<peer::table_push>(&body))
+	{
+		run(spread_.on_push(vm, *push, now), out);
+	}
+	else if (const auto* members = std::get_if<peer::member_push>(&body))
+	{
+		live_.apply(members->list);
+	}
+	else if (const auto* put = std::get_if<peer::journal_put>(&body))
+	{
+		run(journal_.on_put(from.from, *put, now), out);
+	}
+	else if (const auto* ack = std::get_if<peer::journal_ack>(&body))
+	{
+		run(outbox_.on_ack(vm, *ack, now), now, out);
+	}
+	else if (const auto* forget = std::get_if<peer::journal_forget>(&body))
+	{
+		journal_.on_forget(from.from, *forget, now);
+	}
+	else if (const auto* grant = std::get_if<peer::permit_grant>(&body))
+	{
+		gate_.on_grant(*grant, now);
+	}
+	else if (spread_.current() != nullptr)
+	{
+		const auto& table = *spread_.current();
+		if (const auto* request = std::get_if<peer::permit_request>(&body))
+		{
+			run(permits_.on_request(vm, *request, table, now), now, out);
+		}
+		else if (const auto* sum = std::get_if<peer::evidence_sum>(&body))
+		{
+			run(permits_.on_sum(*sum, table, now), now, out);
+		}
+	}
+}
+
+void core::suspend(const std::vector<peer::suspension>& found, instant now, actions& out)
+{
+	bool grew = false;
+	for (const auto& one : found)
+	{
+		grew = suspensions_.add(one) || grew;
+	}
+	if (!grew)
+	{
+		return;
+	}
+	spread_.set_digest_extras(suspensions_.list(), stopping_);
+	run(spread_.announce(now), out);
+}
+
+void core::on(const store_answered& event, instant now, actions& out)
+{
+	switch (event.id.owner)
+	{
+	case call_owner::table_reader:
+		run(spread_.on_answer(event.id.number, event.what, now), out);
+		break;
+	case call_owner::table_editor:
+		run(editor_.on_answer(event.id.number, event.what, now), now, out);
+		break;
+	case call_owner::claims:
+		run(claims_.on_answer(event.id.number, event.what, now), now, out);
+		break;
+	case call_owner::bills:
+		run(outbox_.on_answer(event.id.number, event.what, now), now, out);
+		break;
+	case call_owner::journal:
+		journal_.on_answer(event.id.number, event.what);
+		break;
+	case call_owner::rollout:
+		break;
+	}
+}
+
+void core::on(const members_fetched& event, instant /*now*/, actions& /*out*/)
+{
+	live_.apply(event.list);
+}
+
+void core::on(const edit_wanted& event, instant now, actions& out)
+{
+	run(editor_.start(event.edit, now), now, out);
+}
+
+void core::on(const tick& /*event*/, instant now, actions& out)
+{
+	run(spread_.on_tick(now), out);
+	run(editor_.on_tick(now), now, out);
+	run(claims_.on_tick(now), now, out);
+	run(outbox_.on_tick(now), now, out);
+	run(journal_.on_tick(now), out);
+	run(desk_.on_tick(now), now, out);
+	if (const auto& table = spread_.current())
+	{
+		suspensions_.drop_lifted(*table);
+		spread_.set_digest_extras(suspensions_.list(), stopping_);
+		run(gate_.on_tick(*table, now), out);
+		run(permits_.on_tick(*table, now), now, out);
+	}
+}
+
+void core::on(const stop_wanted& /*event*/, instant now, actions& out)
+{
+	stopping_ = true;
+	spread_.set_digest_extras(suspensions_.list(), true);
+	run(spread_.announce(now), out);
+	run(outbox_.flush_now(now), now, out);
+}
+
+bool core::drained() const
+{
+	return stopping_ && desk_.open() == 0 && outbox_.unconfirmed() == 0;
+}
+} // namespace gingerdyke::node
--- /dev/null
+++ b/tests/main.cpp
@@ -0,0 +1,4 @@
+// SPDX-License-Identifier: MIT
+// Runs all tests.
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
