--- a/include/gingerdyke/ledger/outbox.hpp
+++ b/include/gingerdyke/ledger/outbox.hpp
@@ -98,7 +98,7 @@
 	[[nodiscard]] effects report(instant now);
 	[[nodiscard]] effects journal_with_new_holders();
 	[[nodiscard]] outbox_step journal(entry& entry, instant now);
-	[[nodiscard]] effects forget(std::vector<request_id> requests) const;
+	[[nodiscard]] effects forget(const std::vector<request_id>& requests) const;
 
 	const membership::live_list& live_;
 	outbox_limits limits_;
--- a/include/gingerdyke/node/core.hpp
+++ b/include/gingerdyke/node/core.hpp
@@ -93,7 +93,7 @@
 	/// \param self Who this VM is.
 	/// \param seeds Entry VMs known from the settings.
 	/// \param random Source of all randomness.
-	core(identity self, const std::vector<membership::member>& seeds, random_source random,
+	core(const identity& self, const std::vector<membership::member>& seeds, const random_source& random,
 		const core_tuning& tuning = {});
 
 	/// \brief Takes one event.
@@ -125,6 +125,7 @@
 	void on(const tick& event, instant now, actions& out);
 	void on(const stop_wanted& event, instant now, actions& out);
 
+	void on_resumed(instant now, actions& out);
 	void on_message(const peer::envelope& from, const peer::message& body, instant now, actions& out);
 	void suspend(const std::vector<peer::suspension>& found, instant now, actions& out);
 	void run(claims::claim_step step, instant now, actions& out);
@@ -150,5 +151,6 @@
 	limits::workspace_limiter limiter_;
 	request_desk desk_;
 	bool stopping_ = false;
+	std::optional<instant> last_step_;
 };
 } // namespace gingerdyke::node
--- a/include/gingerdyke/node/request_desk.hpp
+++ b/include/gingerdyke/node/request_desk.hpp
@@ -31,6 +31,9 @@
 	/// Replicas kept of each decision for `explain`.
 	std::size_t explained_replicas = 16;
 
+	/// Longest wait, after this VM was paused, for the table to be confirmed anew before work is dispatched.
+	duration resume_wait = std::chrono::seconds{2};
+
 	/// What callers are told to wait where nothing better is known.
 	duration default_retry_after = std::chrono::seconds{1};
 };
@@ -88,6 +91,10 @@
 	[[nodiscard]] desk_step on_journalled(const std::vector<ledger::journalled>& entries, instant now);
 	[[nodiscard]] desk_step on_tick(instant now);
 
+	/// \brief This VM was paused: what it knows may be long out of date. Dispatch waits until the table is
+	/// confirmed anew, or for a while where nobody can be reached.
+	void on_resumed(instant now);
+
 	/// \brief Requests that are not ended.
 	[[nodiscard]] std::size_t open() const noexcept { return records_.size(); }
 
@@ -178,6 +185,7 @@
 	void open_intent(record& record, instant now, desk_step& step);
 	void dispatch(record& record, instant now, desk_step& step);
 	void refresh_table(record& record);
+	[[nodiscard]] bool must_wait(instant now) const;
 
 	// Ends of attempts and of requests, in request_desk_endings.cpp.
 	void settle_attempt(record& record, const attempt_report& report, instant now);
@@ -200,5 +208,6 @@
 	std::map<request_id, request_ref> refs_;
 	std::map<std::pair<int, request_ref>, record*> queue_;
 	std::deque<request_trace> ended_;
+	std::optional<instant> resumed_at_;
 };
 } // namespace gingerdyke::node
--- a/src/cli/options.cpp
+++ b/src/cli/options.cpp
@@ -31,6 +31,7 @@
 	const std::vector<std::string>& args, int& exit_status)
 {
 	std::vector<option> options;
+	options.reserve(specs.size() + 2);
 	for (const auto& spec : specs)
 	{
 		options.push_back(
--- a/src/http/listener.cpp
+++ b/src/http/listener.cpp
@@ -35,9 +35,9 @@
 {
 	if (port == 0)
 	{
-		port = server_.bind_to_any_port(host.c_str());
+		port = server_.bind_to_any_port(host);
 	}
-	else if (!server_.bind_to_port(host.c_str(), port))
+	else if (!server_.bind_to_port(host, port))
 	{
 		port = -1;
 	}
--- a/src/ledger/outbox.cpp
+++ b/src/ledger/outbox.cpp
@@ -275,11 +275,11 @@
 		}
 		entries_.erase(request);
 	}
-	step.out = forget(std::move(requests));
+	step.out = forget(requests);
 	return step;
 }
 
-effects outbox::forget(std::vector<request_id> requests) const
+effects outbox::forget(const std::vector<request_id>& requests) const
 {
 	effects result;
 	for (const auto& vm : holders_)
--- a/src/node/core.cpp
+++ b/src/node/core.cpp
@@ -4,7 +4,13 @@
 
 namespace gingerdyke::node
 {
-core::core(identity self, const std::vector<membership::member>& seeds, random_source random,
+namespace
+{
+/// A host gives a tick every few milliseconds: a longer silence means that the VM was paused.
+constexpr duration pause_limit = std::chrono::seconds{1};
+} // namespace
+
+core::core(const identity& self, const std::vector<membership::member>& seeds, const random_source& random,
 	const core_tuning& tuning)
 	: self_(self), live_(self.self, seeds), spread_(live_, random, tuning.spread), editor_(spread_),
 	  claims_({self.self.vm, self.incarnation}, tuning.claims), outbox_(live_, tuning.outbox),
@@ -18,10 +24,22 @@
 actions core::step(const event& event, instant now)
 {
 	actions out;
+	if (last_step_ && now - *last_step_ > pause_limit)
+	{
+		on_resumed(now, out);
+	}
+	last_step_ = now;
 	std::visit([&](const auto& one) { on(one, now, out); }, event);
 	return out;
 }
 
+void core::on_resumed(instant now, actions& out)
+{
+	desk_.on_resumed(now);
+	spread_.poll_soon();
+	run(spread_.announce(now), out);
+}
+
 void core::run(effects effects, actions& out)
 {
 	for (auto& one : effects)
--- a/src/node/request_desk.cpp
+++ b/src/node/request_desk.cpp
@@ -105,8 +105,28 @@
 	return {*record.workspace, record.session_version.has_value(), parts_.spread.confirmed_age(now)};
 }
 
+void request_desk::on_resumed(instant now)
+{
+	resumed_at_ = now;
+}
+
+bool request_desk::must_wait(instant now) const
+{
+	if (!resumed_at_ || now >= *resumed_at_ + limits_.resume_wait)
+	{
+		return false;
+	}
+	const auto age = parts_.spread.confirmed_age(now);
+	return !age || now - *age < *resumed_at_;
+}
+
 void request_desk::decide(record& record, instant now, desk_step& step)
 {
+	if (must_wait(now))
+	{
+		enqueue(record, now + queue_pause);
+		return;
+	}
 	refresh_table(record);
 	const bool service_gone = record.in.kind == request_kind::service && record.service == nullptr;
 	if (record.workspace == nullptr || service_gone)
@@ -316,6 +336,11 @@
 
 void request_desk::dispatch(record& record, instant now, desk_step& step)
 {
+	if (must_wait(now))
+	{
+		enqueue(record, now + queue_pause);
+		return;
+	}
 	refresh_table(record);
 	const bool is_chat = record.in.kind == request_kind::chat;
 	const bool still_right = record.replica != nullptr &&
--- a/src/peer/codec.cpp
+++ b/src/peer/codec.cpp
@@ -47,6 +47,7 @@
 std::vector<std::string> to_wire(const std::vector<request_id>& ids)
 {
 	std::vector<std::string> result;
+	result.reserve(ids.size());
 	for (const auto& id : ids)
 	{
 		result.push_back(id.str());
--- a/standin/upstream_roles.cpp
+++ b/standin/upstream_roles.cpp
@@ -139,7 +139,7 @@
 		{
 			const auto first =
 				std::strtoull(request.get_header_value("Engine-Resume-After").c_str(), nullptr, 10);
-			stream(std::move(answer), first, mode, response);
+			stream(answer, first, mode, response);
 			return;
 		}
 		++active;
@@ -149,8 +149,8 @@
 		response.set_content(answer.whole().dump(), "application/json");
 	}
 
-	void stream(
-		engine_answer answer, std::uint64_t first, const std::string& mode, httplib::Response& response)
+	void stream(const engine_answer& answer, std::uint64_t first, const std::string& mode,
+		httplib::Response& response)
 	{
 		++active;
 		const auto next = std::make_shared<std::uint64_t>(first);
