Golden sessions; real processes under failure

Cause: the matrix runs in one process; nothing yet showed the same with kill -9, SIGSTOP and real sockets. An open request's bill now shows what was reported last when its VM is lost (golden: 100 of the tokens of a stream killed after 3 s). Read-only transactions no longer raise the stand-in's commit sequence. A check of the load tool was wrong: it asked a killed engine what it had run. Engines now record that in a file that outlives them, and the check is as strict as before.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BUILD := build/release
 SANITIZE := build/sanitize
 
-.PHONY: all build setup test test-sanitize demo bench lint format thrift clean
+.PHONY: all build setup test test-sanitize test-processes demo bench soak golden fuzz lint format thrift clean
 
 all: build
 
@@ -25,6 +25,22 @@
 	cmake --build $(SANITIZE) --target gingerdyke-tests
 	ctest --test-dir $(SANITIZE) --output-on-failure --no-tests=error -j 4
 
+golden: build
+	GINGERDYKE_WRITE_GOLDEN=1 $(BUILD)/gingerdyke-tests "[golden]"
+	git --no-pager diff --stat -- tests/golden
+
+# Thousands of drawn histories, each with up to three faults.
+soak: build
+	GINGERDYKE_HISTORIES=5000 ctest --test-dir $(BUILD) --output-on-failure -R "faults together" -j 4
+
+test-processes: build
+	tools/process_tests.py
+
+fuzz: setup
+	cmake --preset fuzz
+	cmake --build build/fuzz --target fuzz_peer_frame fuzz_table fuzz_sse
+	tools/fuzz build/fuzz 30
+
 demo: build
 	tools/demo.py --user padana
 	tools/demo.py --user tariq
--- a/load/main.cpp
+++ b/load/main.cpp
@@ -62,6 +62,7 @@
 		{"seed", true, "seed of the arrival times (default 1)"},
 		{"table-service", true, "HOST:PORT, to compare bills"},
 		{"upstreams", true, "HOST:PORT,..., to compare what ran"},
+		{"record", true, "file of ids that ran, of upstreams that may be lost"},
 		{"patience", true, "seconds to wait for bills to settle (default 60)"},
 	};
 	int status = 0;
@@ -89,8 +90,9 @@
 	load::caller caller{split(options->value("nodes")), seed};
 	const auto sent = send_all(caller, plan);
 	const auto patience = std::chrono::seconds{std::atoi(options->value("patience", "60").c_str())};
-	const auto verdict =
-		load::judge(sent, {options->value("table-service"), split(options->value("upstreams"))}, patience);
+	const auto verdict = load::judge(sent,
+		{options->value("table-service"), split(options->value("upstreams")), options->value("record")},
+		patience);
 	load::print(sent, verdict);
 	return verdict.broken_promises.empty() ? 0 : 1;
 }
--- a/load/verdict.cpp
+++ b/load/verdict.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: MIT
 // Compares what callers were told with what upstreams ran and what the ledger bills.
 #include "verdict.hpp"
+#include <fstream>
 #include <gingerdyke/metrics/histogram.hpp>
 #include <gingerdyke/node/settings.hpp>
 #include <iomanip>
@@ -32,9 +33,14 @@
 	return result ? json::parse(result->body, nullptr, false) : json(nullptr);
 }
 
-runs read_runs(const std::vector<std::string>& upstreams)
+runs read_runs(const std::vector<std::string>& upstreams, const std::string& record)
 {
 	runs all;
+	std::ifstream recorded{record};
+	for (std::string id; std::getline(recorded, id);)
+	{
+		++all.by_request[id];
+	}
 	for (const auto& address : upstreams)
 	{
 		const auto counts = get(address, "/runs");
@@ -107,7 +113,7 @@
 	const auto deadline = std::chrono::steady_clock::now() + patience;
 	while (true)
 	{
-		const auto ran = read_runs(sources.upstreams);
+		const auto ran = read_runs(sources.upstreams, sources.record);
 		const auto bills = get(sources.table_service, "/dump?table=bills");
 		result.bills = bills.size();
 		result.requests_run = ran.by_request.size();
--- a/load/verdict.hpp
+++ b/load/verdict.hpp
@@ -13,6 +13,9 @@
 {
 	std::string table_service;
 	std::vector<std::string> upstreams;
+
+	/// File of ids that ran, of upstreams that may be lost before they are asked.
+	std::string record;
 };
 
 /// \brief Counts, and everything that breaks a promise.
--- a/standin/main.cpp
+++ b/standin/main.cpp
@@ -37,6 +37,7 @@
 		{"versions", true, "engine: versions it has loaded, comma-separated"},
 		{"token-us", true, "engine: microseconds a token"},
 		{"tokens", true, "engine: tokens an answer where the caller names none"},
+		{"record", true, "engine: file that the ids of requests are added to as they run"},
 		{"good-share", true, "rating-service: share of answers rated good"},
 	};
 	int status = 0;
--- a/standin/memory_store.cpp
+++ b/standin/memory_store.cpp
@@ -126,14 +126,16 @@
 		}
 		return answer;
 	}
-	const auto at = ++sequence_;
+	const auto reads = [](const store::operation& op)
+	{ return std::holds_alternative<store::read>(op) || std::holds_alternative<store::scan>(op); };
+	const bool only_reads = std::all_of(transaction.begin(), transaction.end(), reads);
+	sequence_ += only_reads ? 0 : 1;
+	const auto at = sequence_;
 	answer.what = store::verdict::committed;
 	answer.sequence = at;
 	for (const auto& operation : transaction)
 	{
-		const bool reads =
-			std::holds_alternative<store::read>(operation) || std::holds_alternative<store::scan>(operation);
-		answer.results.push_back(reads ? look(operation) : apply(operation, at));
+		answer.results.push_back(reads(operation) ? look(operation) : apply(operation, at));
 	}
 	return answer;
 }
--- a/standin/upstream_roles.cpp
+++ b/standin/upstream_roles.cpp
@@ -3,6 +3,7 @@
 #include "faults.hpp"
 #include "roles.hpp"
 #include <atomic>
+#include <fstream>
 #include <gingerdyke/base/crypto.hpp>
 #include <gingerdyke/base/ids.hpp>
 #include <map>
@@ -89,6 +90,9 @@
 	std::chrono::microseconds token_time{};
 	std::uint64_t default_tokens{};
 	std::atomic<int> active{};
+
+	/// Outlives the process: what ran is known even where the engine is lost.
+	std::ofstream record;
 	faults fault;
 	std::mutex mutex;
 	run_counts runs;
@@ -131,6 +135,7 @@
 		{
 			const std::lock_guard lock{mutex};
 			++runs.by_request[answer.id];
+			record << answer.id << std::endl;
 		}
 		response.set_header("Engine-Request-Id", mode == "crossed" ? "another" : answer.id);
 		response.set_header("Engine-Version", mode == "wrong-version" ? "other@v0" : answer.version);
@@ -240,6 +245,10 @@
 	state->token_time =
 		std::chrono::microseconds{std::strtoll(options.value("token-us", "2000").c_str(), nullptr, 10)};
 	state->default_tokens = std::strtoull(options.value("tokens", "20").c_str(), nullptr, 10);
+	if (options.has("record"))
+	{
+		state->record.open(options.value("record"), std::ios::app);
+	}
 	state->fault.attach(server);
 	add_runs(server, state);
 	server.Post("/v1/chat/completions",
--- a/tests/support/world.hpp
+++ b/tests/support/world.hpp
@@ -172,6 +172,7 @@
 	void cut_from_peers(const failure_domain_id& domain, duration length);
 	void set_store(store_mode mode, duration length);
 	void set_upstream(const replica_id& id, upstream_mode mode, duration length);
+	void fail_version(const version_ref& version);
 	void kill_upstream(const replica_id& id);
 	void upstream_leaves(const replica_id& id);
 	void stale_member_list(duration length);
@@ -251,6 +252,7 @@
 	std::map<std::size_t, std::uint64_t> messages_;
 	std::uint64_t next_request_ = 1;
 	std::uint64_t next_change_ = 1;
+	std::set<version_ref> failing_versions_;
 	history history_;
 };
 
--- a/tests/support/world_requests.cpp
+++ b/tests/support/world_requests.cpp
@@ -15,6 +15,9 @@
 constexpr duration late_answer = std::chrono::seconds{4};
 constexpr double load_of_idle = 0;
 
+/// About a second's worth.
+constexpr std::uint64_t chunks_per_progress = 50;
+
 using node::attempt_end;
 } // namespace
 
@@ -197,7 +200,7 @@
 	}
 	auto& request = found->second;
 	note_run(vm, request, order, at, order.resume_after > 0);
-	if (mode == upstream_mode::failing)
+	if (mode == upstream_mode::failing || failing_versions_.contains(order.version))
 	{
 		reports(attempt_end::failed, upstream_latency);
 		return;
@@ -318,6 +321,11 @@
 		take("another-request", offset);
 	}
 	take(request.id.str(), offset);
+	if (request.spec.streamed && (offset + 1) % chunks_per_progress == 0)
+	{
+		step_core(
+			vm, node::progress_report{ref, order.attempt, tokens{static_cast<std::int64_t>(offset + 1)}});
+	}
 	if (offset + 1 == total)
 	{
 		report(vm, ref, order, attempt_end::complete);
@@ -359,6 +367,12 @@
 	one.mode_until = now_ + length;
 }
 
+void world::fail_version(const version_ref& version)
+{
+	note("version " + version.str() + " turns bad");
+	failing_versions_.insert(version);
+}
+
 void world::kill_upstream(const replica_id& id)
 {
 	note("kill upstream " + id.str());
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -58,6 +58,7 @@
 		self.table = json.loads((ROOT / f"examples/{user}-table.json").read_text())
 		self.settings = json.loads((ROOT / f"examples/{user}-settings.json").read_text())
 		self.upstreams = []
+		self.record = self.work / "record"
 		self.vms = []
 
 	def start(self, name, program, *arguments):
@@ -78,7 +79,7 @@
 		ports = free_ports(len(replicas) + len(services))
 		for name, row in replicas.items():
 			row["address"] = f"127.0.0.1:{ports.pop()}"
-			self.start(name.replace("/", "-"), "gingerdyke-standin", "engine", "--listen", row["address"], "--versions", ",".join(row["versions"]))
+			self.start(name.replace("/", "-"), "gingerdyke-standin", "engine", "--listen", row["address"], "--versions", ",".join(row["versions"]), "--record", str(self.record))
 			self.upstreams.append(row["address"])
 		for endpoint in services:
 			endpoint["address"] = f"127.0.0.1:{ports.pop()}"
@@ -168,6 +169,7 @@
 	load = subprocess.Popen([
 		str(cluster.build / "gingerdyke-load"), "--nodes", nodes, "--plan", str(ROOT / f"examples/{cluster.user}-load.json"),
 		"--seconds", str(seconds), "--seed", str(seed), "--table-service", cluster.table_service, "--upstreams", ",".join(cluster.upstreams),
+		"--record", str(cluster.record),
 	])
 	try:
 		time.sleep(seconds / 2)
