Bench of the router's added time; schemas compiled once; frames written by the thread that sends them

Cause: nothing measured the added time. A profile of the entry VM shows no single hot function: waking of threads (futex, scheduler) leads, malloc next. Change: detached node actor; schemas compiled once (they were compiled for every request and every row); a frame goes out on the sender's thread while the socket takes it.

--- a/Makefile
+++ b/Makefile
@@ -41,6 +41,9 @@
 	cmake --build build/fuzz --target fuzz_peer_frame fuzz_table fuzz_sse
 	tools/fuzz build/fuzz 30
 
+bench: build
+	tools/bench.py
+
 demo: build
 	tools/demo.py --user padana
 	tools/demo.py --user tariq
--- a/include/gingerdyke/base/json_source.hpp
+++ b/include/gingerdyke/base/json_source.hpp
@@ -35,12 +35,6 @@
 	/// \brief The place of a value, with the line of its nearest known parent.
 	[[nodiscard]] source_region at(const std::string& pointer) const;
 
-	/// \brief Checks the value against a JSON schema.
-	/// \param schema A JSON schema (draft 7).
-	/// \param pointer The part of the value to check.
-	/// \param into Where findings are added.
-	void check_schema(const json& schema, const std::string& pointer, findings& into) const;
-
   private:
 	std::string name_;
 	json value_;
--- a/load/plan.cpp
+++ b/load/plan.cpp
@@ -3,6 +3,7 @@
 #include "plan.hpp"
 #include <algorithm>
 #include <cmath>
+#include <gingerdyke/base/json_schema.hpp>
 #include <gingerdyke/base/random.hpp>
 
 namespace gingerdyke::load
@@ -34,7 +35,7 @@
 		return tl::make_unexpected(source.error());
 	}
 	findings wrong;
-	source->check_schema(json::parse(schema_text), "", wrong);
+	json_schema{schema_text}.check(*source, "", wrong);
 	if (!wrong.empty())
 	{
 		return tl::make_unexpected(std::move(wrong));
--- /dev/null
+++ b/src/base/json_schema.cpp
@@ -0,0 +1,61 @@
+// SPDX-License-Identifier: MIT
+// A JSON schema, by valijson.
+#include <gingerdyke/base/json_schema.hpp>
+#include <string_view>
+#include <valijson/adapters/nlohmann_json_adapter.hpp>
+#include <valijson/schema.hpp>
+#include <valijson/schema_parser.hpp>
+#include <valijson/validation_results.hpp>
+#include <valijson/validator.hpp>
+#include <vector>
+
+namespace gingerdyke
+{
+namespace
+{
+/// Turns valijson's context (`<root>`, `[a]`, `[0]`) into a JSON pointer.
+std::string to_pointer(const std::vector<std::string>& context)
+{
+	std::string pointer;
+	for (const auto& step : context)
+	{
+		if (step.size() >= 2 && step.front() == '[')
+		{
+			pointer += "/" + pointer_step(std::string_view{step}.substr(1, step.size() - 2));
+		}
+	}
+	return pointer;
+}
+} // namespace
+
+struct json_schema::impl
+{
+	valijson::Schema compiled;
+};
+
+json_schema::json_schema(const json& schema)
+{
+	auto fresh = std::make_shared<impl>();
+	valijson::SchemaParser parser;
+	const valijson::adapters::NlohmannJsonAdapter adapter{schema};
+	parser.populateSchema(adapter, fresh->compiled);
+	impl_ = std::move(fresh);
+}
+
+void json_schema::check(const json_source& source, const std::string& pointer, findings& into) const
+{
+	const auto& part = source.value().at(json::json_pointer{pointer});
+	const valijson::adapters::NlohmannJsonAdapter adapter{part};
+	valijson::Validator validator{valijson::Validator::kStrongTypes};
+	valijson::ValidationResults results;
+	if (validator.validate(impl_->compiled, adapter, &results))
+	{
+		return;
+	}
+	valijson::ValidationResults::Error error;
+	while (results.popError(error))
+	{
+		into.push_back({source.at(pointer + to_pointer(error.context)), error.description});
+	}
+}
+} // namespace gingerdyke
--- a/src/base/json_source.cpp
+++ b/src/base/json_source.cpp
@@ -5,11 +5,6 @@
 #include <gingerdyke/base/json_source.hpp>
 #include <iterator>
 #include <sstream>
-#include <valijson/adapters/nlohmann_json_adapter.hpp>
-#include <valijson/schema.hpp>
-#include <valijson/schema_parser.hpp>
-#include <valijson/validation_results.hpp>
-#include <valijson/validator.hpp>
 
 namespace gingerdyke
 {
@@ -173,20 +168,6 @@
 	std::map<std::string, unsigned>& lines_;
 	std::vector<frame> stack_;
 };
-
-/// Turns valijson's context (`<root>`, `[a]`, `[0]`) into a JSON pointer.
-std::string to_pointer(const std::vector<std::string>& context)
-{
-	std::string pointer;
-	for (const auto& step : context)
-	{
-		if (step.size() >= 2 && step.front() == '[')
-		{
-			pointer += "/" + pointer_step(std::string_view{step}.substr(1, step.size() - 2));
-		}
-	}
-	return pointer;
-}
 } // namespace
 
 checked<json_source> json_source::parse(std::string name, std::string_view text)
@@ -253,28 +234,6 @@
 	}
 }
 
-void json_source::check_schema(const json& schema, const std::string& pointer, findings& into) const
-{
-	valijson::Schema compiled;
-	valijson::SchemaParser parser;
-	const valijson::adapters::NlohmannJsonAdapter schema_adapter{schema};
-	parser.populateSchema(schema_adapter, compiled);
-
-	const auto& part = value_.at(json::json_pointer{pointer});
-	const valijson::adapters::NlohmannJsonAdapter adapter{part};
-	valijson::Validator validator{valijson::Validator::kStrongTypes};
-	valijson::ValidationResults results;
-	if (validator.validate(compiled, adapter, &results))
-	{
-		return;
-	}
-	valijson::ValidationResults::Error error;
-	while (results.popError(error))
-	{
-		into.push_back({at(pointer + to_pointer(error.context)), error.description});
-	}
-}
-
 std::string pointer_step(std::string_view key)
 {
 	std::string step;
--- a/src/http/chat_request.cpp
+++ b/src/http/chat_request.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: MIT
 // Chat requests as callers send them.
 #include <gingerdyke/base/crypto.hpp>
+#include <gingerdyke/base/json_schema.hpp>
 #include <gingerdyke/http/chat_request.hpp>
 
 namespace gingerdyke::http
@@ -25,10 +26,10 @@
 	}
 })json";
 
-const json& schema()
+const json_schema& schema()
 {
-	static const auto parsed = json::parse(schema_text);
-	return parsed;
+	static const json_schema compiled{schema_text};
+	return compiled;
 }
 } // namespace
 
@@ -40,7 +41,7 @@
 		return tl::make_unexpected(std::move(source.error()));
 	}
 	findings wrong;
-	source->check_schema(schema(), "", wrong);
+	schema().check(*source, "", wrong);
 	if (!wrong.empty())
 	{
 		return tl::make_unexpected(std::move(wrong));
--- a/src/http/operator_routes.cpp
+++ b/src/http/operator_routes.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: MIT
 // The operators' calls.
 #include <gingerdyke/base/crypto.hpp>
+#include <gingerdyke/base/json_schema.hpp>
 #include <gingerdyke/http/answers.hpp>
 #include <gingerdyke/http/operator_routes.hpp>
 
@@ -166,13 +167,13 @@
 			return;
 		}
 		findings wrong;
-		static const auto schema =
-			json::parse(R"({"type": "object", "additionalProperties": false, "required": ["rows"],
+		static const json_schema schema{
+			R"({"type": "object", "additionalProperties": false, "required": ["rows"],
 			"properties": {"change_id": {"type": "string", "minLength": 8, "maxLength": 128}, "rows": {"type": "array", "minItems": 1,
 			"items": {"type": "object", "additionalProperties": false, "required": ["id", "expected", "value"],
 			"properties": {"id": {"type": "string"}, "expected": {"type": "integer", "minimum": 0},
-			"value": {"type": ["object", "null"]}}}}}})");
-		body->check_schema(schema, "", wrong);
+			"value": {"type": ["object", "null"]}}}}}})"};
+		schema.check(*body, "", wrong);
 		if (!wrong.empty())
 		{
 			set_findings(response, bad_request, "invalid-request", wrong);
--- a/src/node/host.cpp
+++ b/src/node/host.cpp
@@ -19,7 +19,7 @@
 constexpr std::size_t claim_workers = 2;
 constexpr std::size_t other_workers = 2;
 constexpr auto tick_interval = std::chrono::milliseconds{10};
-constexpr std::size_t actor_threads = 2;
+constexpr std::size_t actor_threads = 1;
 
 /// Seconds of its rate that this VM may call the platform at once.
 constexpr double call_burst_seconds = 1;
@@ -307,7 +307,7 @@
 		{ links_->send(address, envelope); };
 		outside.deliver = [this](request_order order) { mailboxes_.deliver(std::move(order)); };
 		outside.publish = [this](table::table_ptr table) { std::atomic_store(&table_, std::move(table)); };
-		node_ = system_.spawn(run_node, settings, outside);
+		node_ = system_.spawn<caf::detached>(run_node, settings, outside);
 		ready_ = true;
 	}
 
@@ -355,6 +355,9 @@
   private:
 	static caf::actor_system_config& configure(caf::actor_system_config& config)
 	{
+		// The stealing scheduler polls, and sleeps up to 10 ms between polls: both cost more than our few
+		// actors.
+		config.set("scheduler.policy", caf::atom("sharing"));
 		config.set("scheduler.max-threads", actor_threads);
 		return config;
 	}
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: MIT
 // Settings: first the schema, then the meaning.
 #include <charconv>
+#include <gingerdyke/base/json_schema.hpp>
 #include <gingerdyke/node/settings.hpp>
 
 namespace gingerdyke::node
@@ -104,7 +105,7 @@
 checked<settings> read_settings(const json_source& source)
 {
 	findings wrong;
-	source.check_schema(json::parse(schema_text), "", wrong);
+	json_schema{schema_text}.check(source, "", wrong);
 	if (!wrong.empty())
 	{
 		return tl::make_unexpected(std::move(wrong));
--- a/src/peer/link_hub.cpp
+++ b/src/peer/link_hub.cpp
@@ -6,6 +6,8 @@
 #include <gingerdyke/peer/codec.hpp>
 #include <gingerdyke/peer/link_hub.hpp>
 #include <map>
+#include <mutex>
+#include <sys/socket.h>
 #include <thread>
 #include <vector>
 
@@ -23,12 +25,13 @@
 /// Pause after a failed connection before the next try.
 constexpr auto reconnect_pause = std::chrono::milliseconds{250};
 
-/// A link out: connects when there is something to send.
+/// A link out: connects when there is something to send. A frame is written by the thread that sends it while
+/// the socket takes it at once; only what does not fit waits for the hub's thread.
 class out_link : public std::enable_shared_from_this<out_link>
 {
   public:
 	out_link(asio::io_context& context, const std::string& address, link_counts& counts)
-		: socket_(context), counts_(counts)
+		: context_(context), socket_(context), counts_(counts)
 	{
 		const auto colon = address.rfind(':');
 		error_code wrong;
@@ -39,30 +42,35 @@
 
 	void send(std::string frame)
 	{
+		const std::lock_guard lock{mutex_};
 		if (waiting_bytes_ + frame.size() > most_waiting_bytes ||
 			std::chrono::steady_clock::now() < not_before_)
 		{
 			++counts_.undelivered;
 			return;
 		}
+		if (state_ == state::open && waiting_.empty() && !write_now(frame))
+		{
+			return;
+		}
+		if (frame.empty())
+		{
+			return;
+		}
 		waiting_bytes_ += frame.size();
 		waiting_.push_back(std::move(frame));
 		if (state_ == state::closed)
 		{
-			connect();
+			state_ = state::connecting;
+			asio::post(context_, [self = shared_from_this()] { self->connect(); });
 		}
 		else if (state_ == state::open && !writing_)
 		{
-			write();
+			writing_ = true;
+			asio::post(context_, [self = shared_from_this()] { self->write(); });
 		}
 	}
 
-	void close()
-	{
-		error_code ignored;
-		socket_.close(ignored);
-	}
-
   private:
 	enum class state
 	{
@@ -71,12 +79,29 @@
 		open,
 	};
 
+	/// Writes what the socket takes at once and leaves the rest in the frame. False: the link broke.
+	bool write_now(std::string& frame)
+	{
+		const auto sent =
+			::send(socket_.native_handle(), frame.data(), frame.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+		if (sent < 0 && errno != EAGAIN && errno != EWOULDBLOCK)
+		{
+			++counts_.undelivered;
+			return false;
+		}
+		const auto taken = sent < 0 ? 0 : static_cast<std::size_t>(sent);
+		counts_.sent_bytes += taken;
+		counts_.sent += taken == frame.size() ? 1 : 0;
+		frame.erase(0, taken);
+		return true;
+	}
+
 	void connect()
 	{
-		state_ = state::connecting;
 		socket_.async_connect(target_,
 			[self = shared_from_this()](error_code wrong)
 			{
+				const std::lock_guard lock{self->mutex_};
 				if (wrong)
 				{
 					self->fail();
@@ -86,17 +111,19 @@
 				self->socket_.set_option(tcp::no_delay{true}, ignored);
 				self->state_ = state::open;
 				self->watch();
-				self->write();
+				self->writing_ = true;
+				asio::post(self->context_, [self] { self->write(); });
 			});
 	}
 
-	/// A peer sends nothing back on this link: any read that ends means that it closed.
+	/// A peer sends nothing back on this link: a read that ends means that it closed.
 	void watch()
 	{
 		socket_.async_read_some(asio::buffer(unused_),
 			[self = shared_from_this()](error_code wrong, std::size_t)
 			{
-				if (wrong && self->state_ == state::open && !self->writing_)
+				const std::lock_guard lock{self->mutex_};
+				if (wrong && self->state_ == state::open)
 				{
 					self->fail();
 				}
@@ -105,45 +132,46 @@
 
 	void write()
 	{
-		if (waiting_.empty())
+		const std::lock_guard lock{mutex_};
+		if (waiting_.empty() || state_ != state::open)
 		{
+			writing_ = false;
 			return;
 		}
-		writing_ = true;
-		std::vector<asio::const_buffer> buffers;
-		for (const auto& frame : waiting_)
-		{
-			buffers.emplace_back(asio::buffer(frame));
-		}
-		const auto count = waiting_.size();
-		asio::async_write(socket_, buffers,
-			[self = shared_from_this(), count](error_code wrong, std::size_t bytes)
+		asio::async_write(socket_, asio::buffer(waiting_.front()),
+			[self = shared_from_this()](error_code wrong, std::size_t bytes)
 			{
-				self->writing_ = false;
-				if (wrong)
 				{
-					self->fail();
-					return;
+					const std::lock_guard inner{self->mutex_};
+					if (wrong || self->waiting_.empty())
+					{
+						self->fail();
+						return;
+					}
+					++self->counts_.sent;
+					self->counts_.sent_bytes += bytes;
+					self->waiting_bytes_ -= self->waiting_.front().size();
+					self->waiting_.pop_front();
 				}
-				self->counts_.sent += count;
-				self->counts_.sent_bytes += bytes;
-				self->waiting_bytes_ -= bytes;
-				self->waiting_.erase(
-					self->waiting_.begin(), self->waiting_.begin() + static_cast<std::ptrdiff_t>(count));
 				self->write();
 			});
 	}
 
+	/// Called with the mutex held.
 	void fail()
 	{
 		counts_.undelivered += waiting_.size();
 		waiting_.clear();
 		waiting_bytes_ = 0;
+		writing_ = false;
 		state_ = state::closed;
 		not_before_ = std::chrono::steady_clock::now() + reconnect_pause;
-		close();
+		error_code ignored;
+		socket_.close(ignored);
 	}
 
+	asio::io_context& context_;
+	std::mutex mutex_;
 	tcp::socket socket_;
 	tcp::endpoint target_;
 	link_counts& counts_;
@@ -232,16 +260,17 @@
 
 	void send(const std::string& address, std::string frame)
 	{
-		asio::post(context_,
-			[this, address, frame = std::move(frame)]() mutable
+		std::shared_ptr<out_link> link;
+		{
+			const std::lock_guard lock{mutex_};
+			auto& known = links_[address];
+			if (!known)
 			{
-				auto& link = links_[address];
-				if (!link)
-				{
-					link = std::make_shared<out_link>(context_, address, counts_);
-				}
-				link->send(std::move(frame));
-			});
+				known = std::make_shared<out_link>(context_, address, counts_);
+			}
+			link = known;
+		}
+		link->send(std::move(frame));
 	}
 
 	void stop()
@@ -277,6 +306,7 @@
 	tcp::acceptor acceptor_;
 	std::string secret_;
 	receiver receive_;
+	std::mutex mutex_;
 	std::map<std::string, std::shared_ptr<out_link>> links_;
 	int port_{};
 	std::thread thread_;
--- a/src/table/compile.cpp
+++ b/src/table/compile.cpp
@@ -82,7 +82,7 @@
 			return;
 		}
 		const auto before = findings_.size();
-		source_.check_schema(schema->second, pointer_of(id), findings_);
+		schema->second.check(source_, pointer_of(id), findings_);
 		if (findings_.size() == before)
 		{
 			add(kind, id.str().substr(slash + 1), row);
--- a/src/table/schema.cpp
+++ b/src/table/schema.cpp
@@ -104,9 +104,18 @@
 })json";
 } // namespace
 
-const std::map<std::string, json, std::less<>>& row_schemas()
+const std::map<std::string, json_schema, std::less<>>& row_schemas()
 {
-	static const auto schemas = json::parse(schemas_text).get<std::map<std::string, json, std::less<>>>();
+	static const auto schemas = []
+	{
+		std::map<std::string, json_schema, std::less<>> compiled;
+		const auto texts = json::parse(schemas_text);
+		for (const auto& [kind, schema] : texts.items())
+		{
+			compiled.emplace(kind, json_schema{schema});
+		}
+		return compiled;
+	}();
 	return schemas;
 }
 } // namespace gingerdyke::table::impl
--- a/tests/base/json_source.cpp
+++ b/tests/base/json_source.cpp
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: MIT
 // JSON text that remembers lines.
 #include <catch2/catch.hpp>
-#include <gingerdyke/base/json_source.hpp>
+#include <gingerdyke/base/json_schema.hpp>
 
 using namespace gingerdyke;
 
@@ -40,10 +40,9 @@
 {
 	const auto source = json_source::parse("file", "{\n\"a\": \"x\",\n\"b\": \"y\"}");
 	REQUIRE(source);
-	const auto schema =
-		json::parse(R"({"properties": {"a": {"type": "integer"}, "b": {"type": "integer"}}})");
+	const json_schema schema{R"({"properties": {"a": {"type": "integer"}, "b": {"type": "integer"}}})"};
 	findings wrong;
-	source->check_schema(schema, "", wrong);
+	schema.check(*source, "", wrong);
 	const auto has = [&](const std::string& pointer, unsigned line)
 	{
 		return std::any_of(wrong.begin(), wrong.end(),
