--- a/bench/experiment_cascades.cpp
+++ b/bench/experiment_cascades.cpp
@@ -13,7 +13,6 @@
 constexpr std::size_t requests = 40'000;
 constexpr std::size_t window = 1'000;
 constexpr std::size_t rating_lag = 200;
-constexpr double rating_share = 0.05;
 constexpr double cheap_cost = 1;
 constexpr double strong_cost = 10;
 
@@ -49,6 +48,7 @@
 struct tally
 {
 	double cost{};
+	std::size_t ratings{};
 	std::size_t good{};
 	std::size_t in_window{};
 	std::size_t window_good{};
@@ -87,7 +87,6 @@
 tally run_policy(const workload& load, std::uint64_t seed)
 {
 	const random_source world = seeded_random{seed};
-	const random_source sampling = seeded_random{seed + 1000};
 	decision::cascade_policy policy{seeded_random{seed + 2000}};
 	const decision::cascade_scope scope{workspace_id{"w"}, class_id{"c"}, cascade_id{"x"}};
 	const std::vector<decision::cascade_step> steps{
@@ -100,6 +99,7 @@
 		bool good{};
 	};
 	std::deque<rating> late;
+	std::size_t ratings = 0;
 	tally result;
 	for (std::size_t i = 0; i < requests; ++i)
 	{
@@ -119,12 +119,19 @@
 		{
 			policy.note_confidence(scope, steps[0].model, one.confidence);
 		}
-		if (random_unit(sampling) < rating_share)
+		const auto& answering = strong ? steps[1].model : steps[0].model;
+		if (plan.rate_first)
 		{
-			late.push_back({i + rating_lag, strong ? steps[1].model : steps[0].model,
-				strong ? 0.9 : one.confidence, is_good});
+			late.push_back({i + rating_lag, steps[0].model, one.confidence, one.cheap_good});
+			++ratings;
+		}
+		else if (policy.samples_rating())
+		{
+			late.push_back({i + rating_lag, answering, strong ? 0.9 : one.confidence, is_good});
+			++ratings;
 		}
 	}
+	result.ratings = ratings;
 	return result;
 }
 
@@ -209,7 +216,8 @@
 	std::cout << "\n## Cascades\n\nCost a request (cheap model 1, strong 10), share of good answers, share "
 				 "of windows of "
 			  << window << " requests that miss the target by more than chance: median (range) of " << seeds
-			  << " seeds. 5% of answers are rated, 200 requests late.\n\n| workload | rule | cost | good | "
+			  << " seeds. Ratings come 200 requests late; the policy asks for 5% of answers to be "
+				 "rated.\n\n| workload | rule | cost | good | "
 				 "windows missed |\n|---|---|---|---|---|\n";
 	const std::vector<workload> loads{
 		{"confidence tells much", 0.35, 0.65, 0.35, 0.9},
--- a/include/gingerdyke/decision/cascade_policy.hpp
+++ b/include/gingerdyke/decision/cascade_policy.hpp
@@ -17,11 +17,14 @@
 	/// Standard errors that the estimate of quality must lie above the target.
 	double caution = 1.65;
 
-	/// Share of requests that go on exploring each step.
-	double explore = 0.02;
+	/// Share of requests whose cheap answer is asked for only to be rated.
+	double explore = 0.04;
+
+	/// Share of other answers that are rated.
+	double rated_share = 0.01;
 
 	/// Weight that evidence keeps each time another rating comes: about the last 1/(1 - keep) ratings count.
-	double keep = 0.998;
+	double keep = 0.995;
 
 	/// Ratings that the prior quality of a version counts for.
 	double prior_weight = 4;
@@ -43,6 +46,9 @@
 
 	/// An answer with less confidence than this is given up for the last step's; 0: never.
 	double escalate_below{};
+
+	/// The first answer is to be rated.
+	bool rate_first{};
 };
 
 /// \brief Whose evidence is whose: quality differs by workspace and class.
@@ -68,6 +74,9 @@
 	[[nodiscard]] cascade_plan plan(
 		const cascade_scope& scope, const std::vector<cascade_step>& steps, double target, bool may_escalate);
 
+	/// \brief Whether an answer that no plan asks to be rated is rated all the same.
+	[[nodiscard]] bool samples_rating();
+
 	/// \brief Notes how sure a model was of an answer, rated or not.
 	void note_confidence(const cascade_scope& scope, const model_id& model, double confidence);
 
--- a/include/gingerdyke/http/front.hpp
+++ b/include/gingerdyke/http/front.hpp
@@ -52,6 +52,7 @@
 	listener listener_;
 	client_pool pool_;
 	metrics::registry metrics_;
+	platform::rater rater_;
 	runner_parts parts_;
 	httplib::ThreadPool streams_;
 	std::atomic<bool> ready_{true};
--- a/include/gingerdyke/http/request_runner.hpp
+++ b/include/gingerdyke/http/request_runner.hpp
@@ -6,6 +6,7 @@
 #include <gingerdyke/http/upstream.hpp>
 #include <gingerdyke/metrics/registry.hpp>
 #include <gingerdyke/node/host.hpp>
+#include <gingerdyke/platform/rater.hpp>
 #include <memory>
 #include <string>
 #include <vector>
@@ -19,8 +20,8 @@
 	client_pool& pool;
 	metrics::registry& metrics;
 
-	/// Share of whole chat answers that are offered for rating, and where to; none: no rating.
-	std::function<void(const request_id&, const node::request_facts&, const std::string& body)> rate;
+	/// Takes answers that are to be rated.
+	platform::rater& rater;
 };
 
 /// \brief A request as its handler read it.
--- a/include/gingerdyke/node/core.hpp
+++ b/include/gingerdyke/node/core.hpp
@@ -59,8 +59,8 @@
 {
 };
 
-using event = std::variant<arrival, attempt_report, progress_report, peer_received, store_answered,
-	members_fetched, edit_wanted, tick, stop_wanted>;
+using event = std::variant<arrival, attempt_report, progress_report, rating_report, peer_received,
+	store_answered, members_fetched, edit_wanted, tick, stop_wanted>;
 
 using action = std::variant<send_peer, call_store, fetch_members, request_order, table::edit_answer>;
 using actions = std::vector<action>;
@@ -118,6 +118,7 @@
 	void on(const arrival& event, instant now, actions& out);
 	void on(const attempt_report& event, instant now, actions& out);
 	void on(const progress_report& event, instant now, actions& out);
+	void on(const rating_report& event, instant now, actions& out);
 	void on(const peer_received& event, instant now, actions& out);
 	void on(const store_answered& event, instant now, actions& out);
 	void on(const members_fetched& event, instant now, actions& out);
--- a/include/gingerdyke/node/request.hpp
+++ b/include/gingerdyke/node/request.hpp
@@ -137,6 +137,25 @@
 	std::string reason;
 };
 
+/// \brief What a rating is about: whose quality it tells of.
+struct rating_subject
+{
+	workspace_id workspace;
+	class_id request_class;
+	cascade_id cascade;
+	model_id model;
+
+	/// How sure the model said it was, 0 to 1.
+	double confidence{};
+};
+
+/// \brief A rating came from the rating service.
+struct rating_report
+{
+	rating_subject subject;
+	bool good{};
+};
+
 /// \brief Send the request to an upstream.
 struct dispatch_order
 {
@@ -150,8 +169,8 @@
 	/// Chunks that the caller has already; the upstream resumes after them.
 	std::uint64_t resume_after{};
 
-	/// Keep the whole answer back: it may be given up for a stronger model's.
-	bool hold_answer{};
+	/// Offer the answer for rating, as telling of this; nothing: don't.
+	std::optional<rating_subject> rate;
 
 	request_facts facts;
 };
--- a/include/gingerdyke/node/request_desk.hpp
+++ b/include/gingerdyke/node/request_desk.hpp
@@ -87,6 +87,7 @@
 	[[nodiscard]] desk_step on_arrival(arrival request, instant now);
 	[[nodiscard]] desk_step on_report(const attempt_report& report, instant now);
 	void on_progress(const progress_report& report);
+	void on_rating(const rating_report& rating);
 	[[nodiscard]] desk_step on_claims(const std::vector<claims::claim_answer>& answers, instant now);
 	[[nodiscard]] desk_step on_journalled(const std::vector<ledger::journalled>& entries, instant now);
 	[[nodiscard]] desk_step on_tick(instant now);
@@ -186,6 +187,7 @@
 	void dispatch(record& record, instant now, desk_step& step);
 	void send_to_replica(record& record, desk_step& step);
 	void refresh_table(record& record);
+	[[nodiscard]] std::optional<rating_subject> rating_of(const record& record);
 	[[nodiscard]] bool must_wait(instant now) const;
 
 	// Ends of attempts and of requests, in request_desk_endings.cpp.
--- a/include/gingerdyke/node/settings.hpp
+++ b/include/gingerdyke/node/settings.hpp
@@ -65,9 +65,6 @@
 
 	/// Longest wait for open requests at a planned stop.
 	duration stop_limit{};
-
-	/// Share of chat answers sent to the rating service, 0 to 1.
-	double rating_share{};
 };
 
 /// \brief Reads and checks settings.
--- a/src/decision/cascade_policy.cpp
+++ b/src/decision/cascade_policy.cpp
@@ -82,11 +82,14 @@
 cascade_plan cascade_policy::plan(
 	const cascade_scope& scope, const std::vector<cascade_step>& steps, double target, bool may_escalate)
 {
-	if (steps.size() > 1 && random_unit(random_) < tuning_.explore)
+	const bool explores = steps.size() > 1 && random_unit(random_) < tuning_.explore;
+	if (explores)
 	{
-		return {random_below(random_, steps.size()), 0};
+		// The caller is given the last step's answer all the same, where it can be waited for.
+		constexpr double always = 2;
+		return {random_below(random_, steps.size() - 1), may_escalate ? always : 0, true};
 	}
-	cascade_plan best{steps.size() - 1, 0};
+	cascade_plan best{steps.size() - 1, 0, false};
 	auto best_cost = static_cast<double>(steps.back().cost_per_thousand.value());
 	for (std::size_t first = 0; first + 1 < steps.size(); ++first)
 	{
@@ -96,7 +99,7 @@
 			const auto found = weigh(scope, steps, first, threshold);
 			if (found.quality_bound >= target && found.cost < best_cost)
 			{
-				best = {first, static_cast<double>(threshold) / bins};
+				best = {first, static_cast<double>(threshold) / bins, false};
 				best_cost = found.cost;
 			}
 		}
@@ -104,6 +107,11 @@
 	return best;
 }
 
+bool cascade_policy::samples_rating()
+{
+	return random_unit(random_) < tuning_.rated_share;
+}
+
 void cascade_policy::note_confidence(const cascade_scope& scope, const model_id& model, double confidence)
 {
 	auto& evidence = evidence_[{scope, model}];
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -73,7 +73,9 @@
 
 front::front(node::host& node, const node::settings& settings)
 	: node_(node), settings_(settings), listener_({settings.connections, settings.body_bytes, 30}),
-	  pool_(settings.upstream_silence), parts_{node, pool_, metrics_, {}}, streams_(settings.connections)
+	  pool_(settings.upstream_silence),
+	  rater_(settings.rating_service, [&node](const node::rating_report& rating) { node.post(rating); }),
+	  parts_{node, pool_, metrics_, rater_}, streams_(settings.connections)
 {
 	add_caller_routes();
 	add_operator_routes(listener_.server(), node_, settings_, metrics_);
--- a/src/http/request_runner.cpp
+++ b/src/http/request_runner.cpp
@@ -78,7 +78,14 @@
 	const chat_attempt attempt{id, request.chat_body, order, request.unrepeatable};
 	if (!request.arrival.streamed)
 	{
-		return run_whole(parts_.pool, attempt, end.answer);
+		auto report = run_whole(parts_.pool, attempt, end.answer);
+		if (order.rate && report.end == node::attempt_end::complete && report.confidence >= 0)
+		{
+			auto subject = *order.rate;
+			subject.confidence = report.confidence;
+			parts_.rater.submit({std::move(subject), end.answer.body});
+		}
+		return report;
 	}
 	chat_hooks chat;
 	chat.pass = [&](const std::string& data)
@@ -117,11 +124,5 @@
 			{"class", facts.request_class.str()}, {"target", request.arrival.target},
 			{"version", facts.version.str()}, {"outcome", node::name_of(facts.ran)}, {"reason", facts.reason},
 			{"micros", sample_.total.count()}});
-	const bool rateable =
-		ran && request.arrival.kind == node::request_kind::chat && !request.arrival.streamed;
-	if (rateable && parts_.rate)
-	{
-		parts_.rate(request.arrival.id, facts, end.answer.body);
-	}
 }
 } // namespace gingerdyke::http
--- a/src/node/core.cpp
+++ b/src/node/core.cpp
@@ -105,6 +105,11 @@
 	desk_.on_progress(event);
 }
 
+void core::on(const rating_report& event, instant /*now*/, actions& /*out*/)
+{
+	desk_.on_rating(event);
+}
+
 void core::on(const peer_received& event, instant now, actions& out)
 {
 	journal_.on_heard(event.what.from, now);
--- a/src/node/request_desk.cpp
+++ b/src/node/request_desk.cpp
@@ -373,7 +373,7 @@
 		order.session = record.in.session.empty()
 							? session::mint(handle, record.table->settings().session_key)
 							: record.in.session;
-		order.hold_answer = !record.in.streamed;
+		order.rate = rating_of(record);
 	}
 	order.facts = facts_of(record, outcome::unknown, "dispatched");
 	step.orders.push_back({record.in.ref, std::move(order)});
@@ -397,6 +397,30 @@
 	proceed(record, now, step);
 }
 
+std::optional<rating_subject> request_desk::rating_of(const record& record)
+{
+	const bool in_cascade =
+		record.cascade != nullptr && record.step < record.steps.size() && !record.in.streamed;
+	if (!in_cascade)
+	{
+		return std::nullopt;
+	}
+	const bool asked_for = record.plan.rate_first && record.step == record.plan.first;
+	if (!asked_for && !parts_.cascades.samples_rating())
+	{
+		return std::nullopt;
+	}
+	return rating_subject{
+		record.workspace->id, record.request_class, record.cascade->id, record.version.model, 0};
+}
+
+void request_desk::on_rating(const rating_report& rating)
+{
+	const auto& subject = rating.subject;
+	parts_.cascades.note_rating({subject.workspace, subject.request_class, subject.cascade}, subject.model,
+		subject.confidence, rating.good);
+}
+
 desk_step request_desk::on_tick(instant now)
 {
 	desk_step step;
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -40,8 +40,7 @@
 		"body_bytes": {"type": "integer", "minimum": 1024, "maximum": 67108864},
 		"upstream_silence_ms": {"type": "integer", "minimum": 100, "maximum": 600000},
 		"balancer_lag_ms": {"type": "integer", "minimum": 0, "maximum": 600000},
-		"stop_limit_ms": {"type": "integer", "minimum": 0, "maximum": 3600000},
-		"rating_share": {"type": "number", "minimum": 0, "maximum": 1}
+		"stop_limit_ms": {"type": "integer", "minimum": 0, "maximum": 3600000}
 	}
 })json";
 
@@ -51,7 +50,6 @@
 constexpr double default_platform_calls = 50;
 constexpr std::int64_t default_balancer_lag_ms = 5'000;
 constexpr std::int64_t default_stop_limit_ms = 300'000;
-constexpr double default_rating_share = 0.05;
 constexpr int highest_port = 65535;
 
 duration milliseconds_of(const json& value, const char* key, std::int64_t otherwise)
@@ -135,7 +133,6 @@
 	result.upstream_silence = milliseconds_of(value, "upstream_silence_ms", default_silence_ms);
 	result.balancer_lag = milliseconds_of(value, "balancer_lag_ms", default_balancer_lag_ms);
 	result.stop_limit = milliseconds_of(value, "stop_limit_ms", default_stop_limit_ms);
-	result.rating_share = value.value("rating_share", default_rating_share);
 
 	for (const auto* pointer :
 		{"/http", "/peer", "/platform/table_service", "/platform/vm_list", "/platform/rating_service"})
