--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -246,6 +246,7 @@
 	for (const auto size : at)
 	{
 		std::vector<double> values;
+		values.reserve(repeats);
 		for (int i = 0; i < repeats; ++i)
 		{
 			values.push_back(measure_one(size));
--- a/bench/router_overhead.cpp
+++ b/bench/router_overhead.cpp
@@ -103,6 +103,7 @@
 	std::atomic<std::uint64_t> failed{0};
 	const auto end = clock_type::now() + std::chrono::seconds{seconds};
 	std::vector<std::thread> workers;
+	workers.reserve(static_cast<std::size_t>(threads));
 	for (int i = 0; i < threads; ++i)
 	{
 		workers.emplace_back(
--- a/include/gingerdyke/node/core.hpp
+++ b/include/gingerdyke/node/core.hpp
@@ -115,6 +115,8 @@
 	[[nodiscard]] bool drained() const;
 
   private:
+	struct message_taker;
+
 	void on(const arrival& event, instant now, actions& out);
 	void on(const attempt_report& event, instant now, actions& out);
 	void on(const progress_report& event, instant now, actions& out);
@@ -127,7 +129,6 @@
 	void on(const stop_wanted& event, instant now, actions& out);
 
 	void on_resumed(instant now, actions& out);
-	void on_message(const peer::envelope& from, const peer::message& body, instant now, actions& out);
 	void suspend(const std::vector<peer::suspension>& found, instant now, actions& out);
 	void run(claims::claim_step step, instant now, actions& out);
 	void run(ledger::outbox_step step, instant now, actions& out);
--- a/include/gingerdyke/table/spread.hpp
+++ b/include/gingerdyke/table/spread.hpp
@@ -99,6 +99,7 @@
 	[[nodiscard]] bool poll_is_due(instant now) const;
 	[[nodiscard]] effects start_poll(instant now);
 	[[nodiscard]] effects ask_page();
+	[[nodiscard]] std::vector<vm_id> pick_peers(std::size_t inside, std::size_t outside) const;
 	[[nodiscard]] effects send_digests(instant now);
 	[[nodiscard]] peer::digest own_digest(instant now) const;
 	[[nodiscard]] peer::table_push delta_since(revision from) const;
--- a/load/caller.cpp
+++ b/load/caller.cpp
@@ -2,6 +2,7 @@
 // Sends one request and checks the answer against it.
 #include "caller.hpp"
 #include <gingerdyke/base/crypto.hpp>
+#include <gingerdyke/base/http_status.hpp>
 #include <gingerdyke/http/sse_reader.hpp>
 
 namespace gingerdyke::load
@@ -10,7 +11,6 @@
 {
 constexpr auto silence = std::chrono::seconds{60};
 constexpr unsigned most_tries = 3;
-constexpr int first_error = 400;
 constexpr std::uint64_t marks = 100'000;
 
 bool is_chat(request_kind kind)
@@ -152,7 +152,7 @@
 		return result_kind::broken;
 	}
 	const auto outcome = header(answer.headers, "Gingerdyke-Outcome");
-	if (answer.status >= first_error)
+	if (answer.status >= http_status::lowest_error)
 	{
 		return outcome == "not-run" ? result_kind::refused : result_kind::unknown;
 	}
--- a/src/cli/table_commands.cpp
+++ b/src/cli/table_commands.cpp
@@ -3,6 +3,7 @@
 #include <cstdlib>
 #include <fstream>
 #include <gingerdyke/base/crypto.hpp>
+#include <gingerdyke/base/http_status.hpp>
 #include <gingerdyke/cli/commands.hpp>
 #include <gingerdyke/cli/options.hpp>
 #include <gingerdyke/node/settings.hpp>
@@ -14,8 +15,6 @@
 {
 namespace
 {
-constexpr int http_ok = 200;
-constexpr int http_accepted = 202;
 constexpr time_t answer_seconds = 15;
 constexpr std::size_t session_key_bytes = 32;
 constexpr std::size_t change_id_bytes = 16;
@@ -101,7 +100,7 @@
 		std::cerr << "row " << body["error"]["row"] << "\nstands: " << body["error"]["standing"].dump(indent)
 				  << "\nwanted: " << body["error"]["wanted"].dump(indent) << "\n";
 	}
-	return status == http_accepted ? exit_code::unreachable : exit_code::rejected;
+	return status == http_status::accepted ? exit_code::unreachable : exit_code::rejected;
 }
 
 std::vector<planned_change> changes_between(const json& standing, const table::row_set& declared)
@@ -179,7 +178,7 @@
 		return {exit_code::rejected, {}};
 	}
 	const auto answer = node.get("/table");
-	if (answer.first != http_ok)
+	if (answer.first != http_status::ok)
 	{
 		return {report(answer), {}};
 	}
@@ -216,7 +215,7 @@
 {
 	node_caller node{options};
 	const auto answer = node.get(path);
-	if (answer.first != http_ok)
+	if (answer.first != http_status::ok)
 	{
 		return report(answer);
 	}
@@ -314,11 +313,11 @@
 	}
 	// The change id makes a second try harmless, so an unclear answer is asked for once more.
 	auto answer = node.post("/table/apply", body);
-	if (answer.first == 0 || answer.first == http_accepted)
+	if (answer.first == 0 || answer.first == http_status::accepted)
 	{
 		answer = node.post("/table/apply", body);
 	}
-	if (answer.first != http_ok)
+	if (answer.first != http_status::ok)
 	{
 		return report(answer);
 	}
@@ -338,7 +337,7 @@
 	}
 	node_caller node{*options};
 	const auto answer = node.get("/table");
-	if (answer.first != http_ok)
+	if (answer.first != http_status::ok)
 	{
 		return report(answer);
 	}
--- a/src/http/answers.cpp
+++ b/src/http/answers.cpp
@@ -1,18 +1,13 @@
 // SPDX-License-Identifier: MIT
 // Answers to callers and operators.
 #include <gingerdyke/base/crypto.hpp>
+#include <gingerdyke/base/http_status.hpp>
 #include <gingerdyke/http/answers.hpp>
 
 namespace gingerdyke::http
 {
 namespace
 {
-constexpr int bad_request = 400;
-constexpr int unauthorized = 401;
-constexpr int forbidden = 403;
-constexpr int not_found = 404;
-constexpr int too_many_requests = 429;
-constexpr int lowest_server_error = 500;
 constexpr std::int64_t microseconds_per_millisecond = 1000;
 constexpr std::int64_t microseconds_per_second = 1'000'000;
 
@@ -20,16 +15,16 @@
 {
 	switch (status)
 	{
-	case unauthorized:
+	case http_status::unauthorized:
 		return "authentication_error";
-	case forbidden:
+	case http_status::forbidden:
 		return "permission_error";
-	case not_found:
+	case http_status::not_found:
 		return "not_found_error";
-	case too_many_requests:
+	case http_status::too_many_requests:
 		return "rate_limit_error";
 	default:
-		return status >= lowest_server_error ? "server_error" : "invalid_request_error";
+		return status >= http_status::lowest_server_error ? "server_error" : "invalid_request_error";
 	}
 }
 } // namespace
@@ -72,7 +67,7 @@
 		response.set_header("Retry-After", std::to_string(std::max<std::int64_t>(seconds, 1)));
 		response.set_header("Retry-After-Ms", std::to_string(std::max<std::int64_t>(milliseconds, 1)));
 	}
-	const auto status = refusal.status == 0 ? bad_request : refusal.status;
+	const auto status = refusal.status == 0 ? http_status::bad_request : refusal.status;
 	set_error(response, status, refusal.facts.reason, refusal.message);
 }
 
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: MIT
 // What callers reach over HTTP.
 #include <gingerdyke/base/crypto.hpp>
+#include <gingerdyke/base/http_status.hpp>
 #include <gingerdyke/http/answers.hpp>
 #include <gingerdyke/http/chat_request.hpp>
 #include <gingerdyke/http/chunk_queue.hpp>
@@ -11,11 +12,6 @@
 {
 namespace
 {
-constexpr int bad_request = 400;
-constexpr int unauthorized = 401;
-constexpr int not_found = 404;
-constexpr int unavailable = 503;
-constexpr int ok = 200;
 constexpr std::size_t request_id_bytes = 12;
 constexpr std::size_t longest_key = 256;
 
@@ -147,7 +143,8 @@
 	}
 	response.set_header("Retry-After", "1");
 	response.set_header("Gingerdyke-Outcome", node::name_of(node::outcome::not_run));
-	set_error(response, unavailable, "stopping", "this VM is stopping: ask again, another one will answer");
+	set_error(response, http_status::unavailable, "stopping",
+		"this VM is stopping: ask again, another one will answer");
 	return true;
 }
 
@@ -173,14 +170,15 @@
 	auto chat = read_chat_request(request.body);
 	if (!chat)
 	{
-		set_findings(response, bad_request, "invalid-request", chat.error());
+		set_findings(response, http_status::bad_request, "invalid-request", chat.error());
 		return;
 	}
 	running_request running;
 	running.arrival = arrival_of(request);
 	if (running.arrival.key.str().size() > longest_key)
 	{
-		set_error(response, bad_request, "invalid-request", "the Idempotency-Key is longer than 256 bytes");
+		set_error(response, http_status::bad_request, "invalid-request",
+			"the Idempotency-Key is longer than 256 bytes");
 		return;
 	}
 	running.arrival.kind = node::request_kind::chat;
@@ -253,8 +251,8 @@
 	auto first = queue->take();
 	if (auto* end = std::get_if<request_end>(&first))
 	{
-		const bool has_chunks =
-			std::holds_alternative<node::finish_order>(end->last_word) && end->answer.status == ok;
+		const bool has_chunks = std::holds_alternative<node::finish_order>(end->last_word) &&
+								end->answer.status == http_status::ok;
 		if (!has_chunks)
 		{
 			if (end->answer.body.empty() && !end->held.empty())
@@ -297,13 +295,13 @@
 	const auto table = node_.table();
 	if (!table)
 	{
-		set_error(response, unavailable, "no-table", "this VM has not read the table yet");
+		set_error(response, http_status::unavailable, "no-table", "this VM has not read the table yet");
 		return;
 	}
 	const auto* workspace = table->workspace_by_key(bearer_digest(request));
 	if (workspace == nullptr)
 	{
-		set_error(response, unauthorized, "invalid-key", "no workspace has this API key");
+		set_error(response, http_status::unauthorized, "invalid-key", "no workspace has this API key");
 		return;
 	}
 	auto list = json::array();
@@ -329,12 +327,12 @@
 	{
 		add(id.str());
 	}
-	set_json(response, ok, {{"object", "list"}, {"data", list}});
+	set_json(response, http_status::ok, {{"object", "list"}, {"data", list}});
 }
 
 void front::handle_ready(httplib::Response& response)
 {
 	const bool ready = ready_ && node_.table() != nullptr;
-	set_json(response, ready ? ok : unavailable, {{"ready", ready}});
+	set_json(response, ready ? http_status::ok : http_status::unavailable, {{"ready", ready}});
 }
 } // namespace gingerdyke::http
--- a/src/http/operator_routes.cpp
+++ b/src/http/operator_routes.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: MIT
 // The operators' calls.
 #include <gingerdyke/base/crypto.hpp>
+#include <gingerdyke/base/http_status.hpp>
 #include <gingerdyke/base/json_schema.hpp>
 #include <gingerdyke/http/answers.hpp>
 #include <gingerdyke/http/operator_routes.hpp>
@@ -9,16 +10,6 @@
 {
 namespace
 {
-constexpr int ok = 200;
-constexpr int accepted = 202;
-constexpr int bad_request = 400;
-constexpr int unauthorized = 401;
-constexpr int forbidden = 403;
-constexpr int not_found = 404;
-constexpr int conflict = 409;
-constexpr int unprocessable = 422;
-constexpr int precondition_required = 428;
-constexpr int unavailable = 503;
 constexpr std::size_t change_id_bytes = 16;
 
 /// Answers an edit's outcome.
@@ -28,40 +19,40 @@
 
 	void operator()(const table::edit_committed& outcome) const
 	{
-		set_json(response, ok, {{"revision", outcome.at.value()}});
+		set_json(response, http_status::ok, {{"revision", outcome.at.value()}});
 	}
 
 	void operator()(const table::edit_conflict& outcome) const
 	{
-		auto body =
-			error_body(conflict, "edit-conflict", "the row was edited by somebody else: nothing was changed");
+		auto body = error_body(http_status::conflict, "edit-conflict",
+			"the row was edited by somebody else: nothing was changed");
 		const auto shown = [&](const std::optional<json>& value)
 		{ return value ? table::redacted(outcome.row, *value) : json(nullptr); };
 		body["error"]["row"] = outcome.row.str();
 		body["error"]["standing"] = {
 			{"revision", outcome.standing_at.value()}, {"value", shown(outcome.standing)}};
 		body["error"]["wanted"] = shown(outcome.wanted);
-		set_json(response, conflict, body);
+		set_json(response, http_status::conflict, body);
 	}
 
 	void operator()(const table::edit_invalid& outcome) const
 	{
-		set_findings(response, unprocessable, "edit-invalid", outcome.wrong);
+		set_findings(response, http_status::unprocessable, "edit-invalid", outcome.wrong);
 	}
 
 	void operator()(const table::edit_not_made& outcome) const
 	{
 		response.set_header("Retry-After", "2");
-		set_error(response, unavailable, "edit-not-made", outcome.reason);
+		set_error(response, http_status::unavailable, "edit-not-made", outcome.reason);
 	}
 
 	void operator()(const table::edit_unknown& outcome) const
 	{
-		auto body = error_body(accepted, "edit-unknown",
+		auto body = error_body(http_status::accepted, "edit-unknown",
 			"the table service did not answer: the edit may be in force or not; send it again with the same "
 			"change id to find out");
 		body["error"]["change_id"] = outcome.change_id;
-		set_json(response, accepted, body);
+		set_json(response, http_status::accepted, body);
 	}
 };
 
@@ -91,23 +82,24 @@
 		}
 		if (table && table->workspace_by_key(digest) != nullptr)
 		{
-			set_error(response, forbidden, "not-an-operator", "this key is a workspace's, not an operator's");
+			set_error(response, http_status::forbidden, "not-an-operator",
+				"this key is a workspace's, not an operator's");
 		}
 		else
 		{
-			set_error(response, unauthorized, "invalid-key", "no operator has this key");
+			set_error(response, http_status::unauthorized, "invalid-key", "no operator has this key");
 		}
 		return {};
 	}
 
 	void get_table(httplib::Response& response) const
 	{
-		set_json(response, ok, node_.ask(node::query_kind::rows));
+		set_json(response, http_status::ok, node_.ask(node::query_kind::rows));
 	}
 
 	void get_status(httplib::Response& response) const
 	{
-		set_json(response, ok, node_.ask(node::query_kind::status));
+		set_json(response, http_status::ok, node_.ask(node::query_kind::status));
 	}
 
 	void get_metrics(httplib::Response& response) const
@@ -120,11 +112,11 @@
 		const auto explanation = node_.ask(node::query_kind::explain, request.matches[1]);
 		if (explanation.is_null())
 		{
-			set_error(response, not_found, "not-in-memory",
+			set_error(response, http_status::not_found, "not-in-memory",
 				"this VM does not remember the request: ask the one that answered it");
 			return;
 		}
-		set_json(response, ok, explanation);
+		set_json(response, http_status::ok, explanation);
 	}
 
 	/// A merge patch (RFC 7396) of one row, or its removal.
@@ -134,7 +126,7 @@
 		const auto expected = revision_of(request.get_header_value("If-Match"));
 		if (!expected)
 		{
-			set_error(response, precondition_required, "no-if-match",
+			set_error(response, http_status::precondition_required, "no-if-match",
 				"name the row's revision in If-Match (0: the row is not there yet)");
 			return;
 		}
@@ -146,7 +138,8 @@
 			if (!patch || !patch->value().is_object())
 			{
 				const findings not_object{{{"body", "", 0}, "expected an object: the columns to change"}};
-				set_findings(response, bad_request, "invalid-request", patch ? not_object : patch.error());
+				set_findings(response, http_status::bad_request, "invalid-request",
+					patch ? not_object : patch.error());
 				return;
 			}
 			const auto rows = node_.ask(node::query_kind::rows).at("rows");
@@ -163,7 +156,7 @@
 		const auto body = json_source::parse("body", request.body);
 		if (!body)
 		{
-			set_findings(response, bad_request, "invalid-request", body.error());
+			set_findings(response, http_status::bad_request, "invalid-request", body.error());
 			return;
 		}
 		findings wrong;
@@ -176,7 +169,7 @@
 		schema.check(*body, "", wrong);
 		if (!wrong.empty())
 		{
-			set_findings(response, bad_request, "invalid-request", wrong);
+			set_findings(response, http_status::bad_request, "invalid-request", wrong);
 			return;
 		}
 		const auto& value = body->value();
--- a/src/http/request_runner.cpp
+++ b/src/http/request_runner.cpp
@@ -1,5 +1,6 @@
 // SPDX-License-Identifier: MIT
 // Carries out the node's orders for one request.
+#include <gingerdyke/base/http_status.hpp>
 #include <gingerdyke/http/request_runner.hpp>
 #include <gingerdyke/log/log.hpp>
 
@@ -11,7 +12,6 @@
 
 /// Longest wait for the node's next word: far beyond all its own limits, so reached only where it is gone.
 constexpr std::chrono::milliseconds node_limit = std::chrono::minutes{15};
-constexpr int unavailable = 503;
 
 duration since(clock::time_point start)
 {
@@ -21,7 +21,7 @@
 node::order node_is_gone()
 {
 	node::refuse_order order;
-	order.status = unavailable;
+	order.status = http_status::unavailable;
 	order.message = "this VM is stopping";
 	order.facts.ran = node::outcome::unknown;
 	order.facts.reason = "stopping";
--- a/src/http/upstream.cpp
+++ b/src/http/upstream.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: MIT
 // Calls to upstreams. What an engine's answers mean is in docs/API.md, "Towards engines".
 #include <chrono>
+#include <gingerdyke/base/http_status.hpp>
 #include <gingerdyke/http/sse_reader.hpp>
 #include <gingerdyke/http/upstream.hpp>
 
@@ -10,9 +11,6 @@
 {
 constexpr time_t connect_seconds = 1;
 constexpr std::size_t idle_per_address = 64;
-constexpr int lowest_client_error = 400;
-constexpr int lowest_server_error = 500;
-constexpr int service_unavailable = 503;
 constexpr auto progress_interval = std::chrono::seconds{1};
 constexpr const char* done_mark = "[DONE]";
 
@@ -38,12 +36,12 @@
 /// What can be told from an engine's status; complete where its body counts.
 attempt_end end_of(const httplib::Response& response, const chat_attempt& attempt)
 {
-	if (response.status == service_unavailable && response.has_header("Engine-Refusal"))
+	if (response.status == http_status::unavailable && response.has_header("Engine-Refusal"))
 	{
 		const bool leaving = response.get_header_value("Engine-Refusal") == "leaving";
 		return leaving ? attempt_end::leaving : attempt_end::busy;
 	}
-	if (response.status >= lowest_server_error)
+	if (response.status >= http_status::lowest_server_error)
 	{
 		return attempt_end::failed;
 	}
@@ -247,7 +245,7 @@
 		report.status = response.status;
 		report.load = number_in(response, "Engine-Load");
 		const auto end = end_of(response, attempt);
-		if (end != attempt_end::complete || response.status >= lowest_client_error)
+		if (end != attempt_end::complete || response.status >= http_status::lowest_error)
 		{
 			refused = end;
 		}
@@ -306,7 +304,7 @@
 	report.confidence = number_in(*result, "Engine-Confidence");
 	report.end = end_of(*result, attempt);
 	const auto body = json::parse(result->body, nullptr, false);
-	if (report.end == attempt_end::complete && result->status < lowest_client_error)
+	if (report.end == attempt_end::complete && result->status < http_status::lowest_error)
 	{
 		const bool whole =
 			body.is_object() && body.value("id", "") == attempt.id.str() && body.contains("usage");
@@ -348,12 +346,12 @@
 	{
 		report.end = attempt_end::mismatched;
 	}
-	else if (result->status == service_unavailable && result->has_header("Service-Refusal"))
+	else if (result->status == http_status::unavailable && result->has_header("Service-Refusal"))
 	{
 		report.end = result->get_header_value("Service-Refusal") == "leaving" ? attempt_end::leaving
 																			  : attempt_end::busy;
 	}
-	else if (result->status >= lowest_server_error)
+	else if (result->status >= http_status::lowest_server_error)
 	{
 		report.end = attempt_end::failed;
 	}
--- a/src/node/core.cpp
+++ b/src/node/core.cpp
@@ -110,65 +110,75 @@
 	desk_.on_rating(event);
 }
 
-void core::on(const peer_received& event, instant now, actions& out)
+/// Hands a peer's message to the part that it is for.
+struct core::message_taker
 {
-	journal_.on_heard(event.what.from, now);
-	outbox_.on_heard(event.what.from);
-	on_message(event.what, event.what.body, now, out);
-}
+	core& node;
+	const peer::envelope& from;
+	instant now;
+	actions& out;
 
-void core::on_message(const peer::envelope& from, const peer::message& body, instant now, actions& out)
-{
-	const auto& vm = from.from.vm;
-	if (const auto* digest = std::get_if<peer::digest>(&body))
+	void operator()(const peer::digest& body) const
 	{
-		if (digest->leaving)
+		if (body.leaving)
 		{
-			live_.note_leaving(vm);
+			node.live_.note_leaving(from.from.vm);
 		}
-		suspend(suspensions_.unknown_of(digest->suspensions), now, out);
-		run(spread_.on_digest(from, *digest, now), out);
-	}
-	else if (const auto* pull = std::get_if<peer::table_pull>(&body))
-	{
-		run(spread_.on_pull(vm, *pull), out);
+		node.suspend(node.suspensions_.unknown_of(body.suspensions), now, out);
+		run(node.spread_.on_digest(from, body, now), out);
 	}
-	else if (const auto* push = std::get_if<peer::table_push>(&body))
-	{
-		run(spread_.on_push(vm, *push, now), out);
-	}
-	else if (const auto* members = std::get_if<peer::member_push>(&body))
-	{
-		live_.apply(members->list);
-	}
-	else if (const auto* put = std::get_if<peer::journal_put>(&body))
+
+	void operator()(const peer::table_pull& body) const
 	{
-		run(journal_.on_put(from.from, *put, now), out);
+		run(node.spread_.on_pull(from.from.vm, body), out);
 	}
-	else if (const auto* ack = std::get_if<peer::journal_ack>(&body))
+
+	void operator()(const peer::table_push& body) const
 	{
-		run(outbox_.on_ack(vm, *ack, now), now, out);
+		run(node.spread_.on_push(from.from.vm, body, now), out);
 	}
-	else if (const auto* forget = std::get_if<peer::journal_forget>(&body))
+
+	void operator()(const peer::member_push& body) const { node.live_.apply(body.list); }
+
+	void operator()(const peer::journal_put& body) const
 	{
-		journal_.on_forget(from.from, *forget, now);
+		run(node.journal_.on_put(from.from, body, now), out);
 	}
-	else if (const auto* grant = std::get_if<peer::permit_grant>(&body))
+
+	void operator()(const peer::journal_ack& body) const
 	{
-		gate_.on_grant(*grant, now);
+		node.run(node.outbox_.on_ack(from.from.vm, body, now), now, out);
 	}
-	else if (spread_.current() != nullptr)
+
+	void operator()(const peer::journal_forget& body) const { node.journal_.on_forget(from.from, body, now); }
+
+	/// That the sender lives was noted already.
+	void operator()(const peer::heartbeat& /*body*/) const {}
+
+	void operator()(const peer::permit_request& body) const
 	{
-		const auto& table = *spread_.current();
-		if (const auto* request = std::get_if<peer::permit_request>(&body))
+		if (const auto& table = node.spread_.current())
 		{
-			run(permits_.on_request(vm, *request, table, now), now, out);
+			node.run(node.permits_.on_request(from.from.vm, body, *table, now), now, out);
 		}
-		else if (const auto* sum = std::get_if<peer::evidence_sum>(&body))
+	}
+
+	void operator()(const peer::permit_grant& body) const { node.gate_.on_grant(body, now); }
+
+	void operator()(const peer::evidence_sum& body) const
+	{
+		if (const auto& table = node.spread_.current())
 		{
-			run(permits_.on_sum(*sum, table, now), now, out);
+			node.run(node.permits_.on_sum(body, *table, now), now, out);
 		}
 	}
+};
+
+void core::on(const peer_received& event, instant now, actions& out)
+{
+	journal_.on_heard(event.what.from, now);
+	outbox_.on_heard(event.what.from);
+	std::visit(message_taker{*this, event.what, now, out}, event.what.body);
 }
 
 void core::suspend(const std::vector<peer::suspension>& found, instant now, actions& out)
--- a/src/node/request_desk.cpp
+++ b/src/node/request_desk.cpp
@@ -2,6 +2,7 @@
 // Decision and dispatch. The version is checked again at every dispatch, on the newest table.
 #include <algorithm>
 #include <array>
+#include <gingerdyke/base/http_status.hpp>
 #include <gingerdyke/node/request_desk.hpp>
 #include <gingerdyke/session/handle.hpp>
 
@@ -9,10 +10,6 @@
 {
 namespace
 {
-constexpr int conflict = 409;
-constexpr int gone = 410;
-constexpr int unprocessable = 422;
-constexpr int unavailable = 503;
 
 /// Pause before a queued request that found no room is tried again.
 constexpr duration queue_pause = std::chrono::milliseconds{5};
@@ -63,7 +60,7 @@
 		else if (std::holds_alternative<claims::claim_held>(answer.verdict))
 		{
 			end(answer.ref,
-				refuse_order{conflict,
+				refuse_order{http_status::conflict,
 					"another attempt with this Idempotency-Key was made and its outcome is not known",
 					std::nullopt, facts_of(record, outcome::unknown, "claim-held")},
 				step);
@@ -71,15 +68,15 @@
 		else if (std::holds_alternative<claims::claim_mismatch>(answer.verdict))
 		{
 			refuse(record,
-				{unprocessable, "key-reused", "the Idempotency-Key was used for another request",
+				{http_status::unprocessable, "key-reused", "the Idempotency-Key was used for another request",
 					std::nullopt},
 				now, step);
 		}
 		else
 		{
 			refuse(record,
-				{unavailable, "claim-unavailable", "whether this request ran before can't be found out now",
-					limits_.default_retry_after},
+				{http_status::unavailable, "claim-unavailable",
+					"whether this request ran before can't be found out now", limits_.default_retry_after},
 				now, step);
 		}
 	}
@@ -132,8 +129,9 @@
 	if (record.workspace == nullptr || service_gone)
 	{
 		refuse(record,
-			{gone, "row-removed", "the workspace or service was removed from the table", std::nullopt}, now,
-			step);
+			{http_status::gone, "row-removed", "the workspace or service was removed from the table",
+				std::nullopt},
+			now, step);
 		return;
 	}
 	if (record.in.kind == request_kind::chat && !pick_version(record, now, step))
@@ -229,7 +227,7 @@
 	if (session_over)
 	{
 		refuse(record,
-			{gone, "session-ended",
+			{http_status::gone, "session-ended",
 				"the session's version " + record.session_version->str() +
 					" takes no work any more: open a new session",
 				std::nullopt},
@@ -237,7 +235,7 @@
 		return false;
 	}
 	refuse(record,
-		{unavailable, std::string{"no-version-"} + name_of(picked.why),
+		{http_status::unavailable, std::string{"no-version-"} + name_of(picked.why),
 			"no version of " + record.in.target + " may take this request now", limits_.default_retry_after},
 		now, step);
 	return false;
@@ -287,7 +285,7 @@
 	const bool full = std::any_of(choice.weighed.begin(), choice.weighed.end(),
 		[](const auto& one) { return one.why == decision::standing::full; });
 	refuse(record,
-		{unavailable, full ? "no-room" : "no-upstream",
+		{http_status::unavailable, full ? "no-room" : "no-upstream",
 			full ? "all replicas are full" : "no replica can be reached", limits_.default_retry_after},
 		now, step);
 }
--- a/src/node/request_desk_admission.cpp
+++ b/src/node/request_desk_admission.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: MIT
 // Admission: who asks, for what, in which session and class, and whether there is room under its limit.
 #include <algorithm>
+#include <gingerdyke/base/http_status.hpp>
 #include <gingerdyke/node/request_desk.hpp>
 #include <gingerdyke/session/handle.hpp>
 
@@ -8,13 +9,6 @@
 {
 namespace
 {
-constexpr int bad_request = 400;
-constexpr int unauthorized = 401;
-constexpr int forbidden = 403;
-constexpr int not_found = 404;
-constexpr int gone = 410;
-constexpr int too_many_requests = 429;
-constexpr int unavailable = 503;
 
 bool matches(const table::unrepeatable_rule& rule, const arrival& request)
 {
@@ -27,20 +21,22 @@
 	record.table = parts_.spread.current();
 	if (!record.table)
 	{
-		return refusal{
-			unavailable, "no-table", "this VM has not read the table yet", limits_.default_retry_after};
+		return refusal{http_status::unavailable, "no-table", "this VM has not read the table yet",
+			limits_.default_retry_after};
 	}
 	record.workspace = record.table->workspace_by_key(record.in.key_digest);
 	if (record.workspace == nullptr)
 	{
-		return refusal{unauthorized, "invalid-key", "no workspace has this API key", std::nullopt};
+		return refusal{
+			http_status::unauthorized, "invalid-key", "no workspace has this API key", std::nullopt};
 	}
 	const auto wanted =
 		record.in.wanted_class.empty() ? record.workspace->default_class : record.in.wanted_class;
 	const auto* row = record.table->class_of(wanted);
 	if (row == nullptr)
 	{
-		return refusal{bad_request, "unknown-class", "no class is named " + wanted.str(), std::nullopt};
+		return refusal{
+			http_status::bad_request, "unknown-class", "no class is named " + wanted.str(), std::nullopt};
 	}
 	record.request_class = wanted;
 	record.rank = row->rank;
@@ -67,17 +63,18 @@
 	const auto handle = session::verify(record.in.session, record.table->settings().session_key);
 	if (!handle)
 	{
-		return refusal{
-			bad_request, "invalid-session", "the session handle was not minted here", std::nullopt};
+		return refusal{http_status::bad_request, "invalid-session", "the session handle was not minted here",
+			std::nullopt};
 	}
 	if (handle->workspace != record.workspace->id)
 	{
-		return refusal{forbidden, "foreign-session", "the session is another workspace's", std::nullopt};
+		return refusal{
+			http_status::forbidden, "foreign-session", "the session is another workspace's", std::nullopt};
 	}
 	const auto* version = record.table->version(handle->version);
 	if (version == nullptr || version->state == table::version_state::withdrawn)
 	{
-		return refusal{gone, "session-ended",
+		return refusal{http_status::gone, "session-ended",
 			"the session's version " + handle->version.str() + " was withdrawn: open a new session",
 			std::nullopt};
 	}
@@ -93,12 +90,13 @@
 	const auto versions = record.table->versions_of(target.model);
 	if (record.cascade == nullptr && versions.empty())
 	{
-		return refusal{
-			not_found, "model_not_found", "no model or cascade is named " + record.in.target, std::nullopt};
+		return refusal{http_status::not_found, "model_not_found",
+			"no model or cascade is named " + record.in.target, std::nullopt};
 	}
 	if (!target.version.empty() && record.table->version(target) == nullptr)
 	{
-		return refusal{not_found, "model_not_found", "no version is named " + record.in.target, std::nullopt};
+		return refusal{http_status::not_found, "model_not_found", "no version is named " + record.in.target,
+			std::nullopt};
 	}
 	if (record.session_version)
 	{
@@ -109,7 +107,7 @@
 		const bool same_model = held.model == target.model && (target.version.empty() || target == held);
 		if (!in_cascade && !same_model)
 		{
-			return refusal{bad_request, "session-mismatch",
+			return refusal{http_status::bad_request, "session-mismatch",
 				"the session holds " + held.str() + ", not " + record.in.target, std::nullopt};
 		}
 	}
@@ -125,8 +123,8 @@
 													   : record.table->allows(*record.workspace, target);
 	if (!any_allowed)
 	{
-		return refusal{
-			forbidden, "model-not-allowed", "the workspace may not use " + record.in.target, std::nullopt};
+		return refusal{http_status::forbidden, "model-not-allowed",
+			"the workspace may not use " + record.in.target, std::nullopt};
 	}
 	return std::nullopt;
 }
@@ -137,13 +135,14 @@
 	record.service = record.table->service(id);
 	if (record.service == nullptr)
 	{
-		return refusal{not_found, "service_not_found", "no service is named " + id.str(), std::nullopt};
+		return refusal{
+			http_status::not_found, "service_not_found", "no service is named " + id.str(), std::nullopt};
 	}
 	const auto& allowed = record.workspace->services;
 	if (std::find(allowed.begin(), allowed.end(), id) == allowed.end())
 	{
-		return refusal{
-			forbidden, "service-not-allowed", "the workspace may not call " + id.str(), std::nullopt};
+		return refusal{http_status::forbidden, "service-not-allowed",
+			"the workspace may not call " + id.str(), std::nullopt};
 	}
 	const auto& rules = record.service->not_repeatable;
 	const bool ruled =
@@ -159,7 +158,8 @@
 	{
 		return std::nullopt;
 	}
-	return refusal{too_many_requests, "workspace-limit", "the workspace is at its request limit", wait};
+	return refusal{
+		http_status::too_many_requests, "workspace-limit", "the workspace is at its request limit", wait};
 }
 
 desk_step request_desk::on_arrival(arrival request, instant now)
@@ -173,7 +173,7 @@
 	record.in = std::move(request);
 	const auto why = admit(record, now);
 	record.bill.workspace = record.workspace == nullptr ? workspace_id{} : record.workspace->id;
-	const bool limited = why && why->status == too_many_requests && why->retry_after;
+	const bool limited = why && why->status == http_status::too_many_requests && why->retry_after;
 	if (limited && now + *why->retry_after <= record.queue_until)
 	{
 		record.rate_pending = true;
--- a/src/node/request_desk_endings.cpp
+++ b/src/node/request_desk_endings.cpp
@@ -1,14 +1,13 @@
 // SPDX-License-Identifier: MIT
 // Ends of attempts: retried where that can do no harm, else answered at once with what is known.
 #include <algorithm>
+#include <gingerdyke/base/http_status.hpp>
 #include <gingerdyke/node/request_desk.hpp>
 
 namespace gingerdyke::node
 {
 namespace
 {
-constexpr int bad_gateway = 502;
-constexpr int unavailable = 503;
 } // namespace
 
 desk_step request_desk::on_report(const attempt_report& report, instant now)
@@ -140,7 +139,8 @@
 	if (record.attempt >= limits_.attempts || (record.attempt > 1 && !budget_.spend()))
 	{
 		refuse(record,
-			{unavailable, "upstream-refused", "no replica took the request", limits_.default_retry_after},
+			{http_status::unavailable, "upstream-refused", "no replica took the request",
+				limits_.default_retry_after},
 			now, step);
 		return;
 	}
@@ -182,8 +182,8 @@
 		add_line(record, record.used_before + report.used);
 	}
 	close(record,
-		refuse_order{bad_gateway, "the upstream's answer broke off; whether the request ran is not known",
-			std::nullopt,
+		refuse_order{http_status::bad_gateway,
+			"the upstream's answer broke off; whether the request ran is not known", std::nullopt,
 			facts_of(record, outcome::unknown,
 				report.end == attempt_end::failed ? "upstream-failed" : "upstream-lost")},
 		now, step);
--- a/src/platform/clients.cpp
+++ b/src/platform/clients.cpp
@@ -2,6 +2,7 @@
 // Clients of the platform's services, over HTTP.
 #include <algorithm>
 #include <array>
+#include <gingerdyke/base/http_status.hpp>
 #include <gingerdyke/platform/clients.hpp>
 #include <httplib.h>
 
@@ -11,9 +12,6 @@
 {
 constexpr time_t connect_seconds = 1;
 constexpr time_t answer_seconds = 3;
-constexpr int http_ok = 200;
-constexpr int http_too_many = 429;
-constexpr int http_unavailable = 503;
 constexpr std::array state_names{"live", "leaving", "gone"};
 
 std::unique_ptr<httplib::Client> make_client(const node::endpoint& at)
@@ -42,11 +40,11 @@
 							result.error() == httplib::Error::ConnectionTimeout;
 		return {unsent ? store::verdict::refused : store::verdict::no_answer, 0, {}};
 	}
-	if (result->status == http_too_many || result->status == http_unavailable)
+	if (result->status == http_status::too_many_requests || result->status == http_status::unavailable)
 	{
 		return {store::verdict::refused, 0, {}};
 	}
-	if (result->status != http_ok)
+	if (result->status != http_status::ok)
 	{
 		return {};
 	}
@@ -60,7 +58,7 @@
 std::optional<membership::member_list> member_client::fetch()
 {
 	const auto result = client_->Get("/v1/vms");
-	if (!result || result->status != http_ok)
+	if (!result || result->status != http_status::ok)
 	{
 		return std::nullopt;
 	}
--- a/src/platform/rater.cpp
+++ b/src/platform/rater.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: MIT
 // Sends answers to the rating service in the background.
 #include <chrono>
+#include <gingerdyke/base/http_status.hpp>
 #include <gingerdyke/platform/rater.hpp>
 #include <httplib.h>
 
@@ -9,7 +10,6 @@
 namespace
 {
 constexpr std::size_t most_waiting = 64;
-constexpr int http_ok = 200;
 constexpr time_t answer_seconds = 5;
 
 /// Pause after the service refused or could not be reached: it is rate-limited.
@@ -19,7 +19,7 @@
 std::optional<bool> ask(httplib::Client& client, const std::string& answer)
 {
 	const auto result = client.Post("/v1/ratings", answer, "application/json");
-	if (!result || result->status != http_ok)
+	if (!result || result->status != http_status::ok)
 	{
 		return std::nullopt;
 	}
--- a/src/table/spread.cpp
+++ b/src/table/spread.cpp
@@ -171,15 +171,21 @@
 	last_poll_.reset();
 }
 
+std::vector<vm_id> spread::pick_peers(std::size_t inside, std::size_t outside) const
+{
+	const auto& own_domain = live_.self().failure_domain;
+	auto near = live_.entries_of(own_domain);
+	std::erase(near, live_.self().vm);
+	auto picked = membership::pick_some(std::move(near), inside, random_);
+	const auto far = membership::pick_some(live_.entries_outside(own_domain), outside, random_);
+	picked.insert(picked.end(), far.begin(), far.end());
+	return picked;
+}
+
 effects spread::send_digests(instant now)
 {
 	last_digest_ = now;
-	const auto& own_domain = live_.self().failure_domain;
-	auto inside = live_.entries_of(own_domain);
-	std::erase(inside, live_.self().vm);
-	auto targets = membership::pick_some(std::move(inside), pace_.digests_inside, random_);
-	auto outside = membership::pick_some(live_.entries_outside(own_domain), pace_.digests_outside, random_);
-	targets.insert(targets.end(), outside.begin(), outside.end());
+	auto targets = pick_peers(pace_.digests_inside, pace_.digests_outside);
 
 	auto digest = own_digest(now);
 	digest.asked_at = now.time_since_epoch().count();
@@ -275,12 +281,7 @@
 
 effects spread::pass_on(revision from) const
 {
-	const auto& own_domain = live_.self().failure_domain;
-	auto inside = live_.entries_of(own_domain);
-	std::erase(inside, live_.self().vm);
-	auto targets = membership::pick_some(std::move(inside), pace_.push_inside, random_);
-	auto outside = membership::pick_some(live_.entries_outside(own_domain), pace_.push_outside, random_);
-	targets.insert(targets.end(), outside.begin(), outside.end());
+	auto targets = pick_peers(pace_.push_inside, pace_.push_outside);
 
 	effects result;
 	const auto delta = delta_since(from);
--- a/standin/platform_roles.cpp
+++ b/standin/platform_roles.cpp
@@ -4,16 +4,13 @@
 #include "memory_store.hpp"
 #include "roles.hpp"
 #include <gingerdyke/base/crypto.hpp>
+#include <gingerdyke/base/http_status.hpp>
 #include <gingerdyke/platform/clients.hpp>
 
 namespace gingerdyke::standin
 {
 namespace
 {
-constexpr int bad_request = 400;
-constexpr int too_many_requests = 429;
-constexpr int server_error = 500;
-constexpr int unavailable = 503;
 
 struct table_service
 {
@@ -27,13 +24,13 @@
 		const auto mode = fault.next();
 		if (mode == "down" || mode == "limit")
 		{
-			response.status = mode == "down" ? unavailable : too_many_requests;
+			response.status = mode == "down" ? http_status::unavailable : http_status::too_many_requests;
 			return;
 		}
 		const auto transaction = store::transaction_from(json::parse(request.body, nullptr, false));
 		if (!transaction)
 		{
-			response.status = bad_request;
+			response.status = http_status::bad_request;
 			return;
 		}
 		store::answer answer;
@@ -45,7 +42,7 @@
 		if (mode == "lost-answer")
 		{
 			// The effect stands; what comes back tells nothing.
-			response.status = server_error;
+			response.status = http_status::server_error;
 			return;
 		}
 		response.set_content(store::to_json(answer).dump(), "application/json");
@@ -69,7 +66,7 @@
 	{
 		if (fault.next() == "down")
 		{
-			response.status = unavailable;
+			response.status = http_status::unavailable;
 			return;
 		}
 		const std::lock_guard lock{mutex};
@@ -87,7 +84,7 @@
 		auto read = platform::members_from(value);
 		if (!read)
 		{
-			response.status = bad_request;
+			response.status = http_status::bad_request;
 			return;
 		}
 		const std::lock_guard lock{mutex};
@@ -112,7 +109,7 @@
 				return;
 			}
 		}
-		response.status = bad_request;
+		response.status = http_status::bad_request;
 	}
 };
 } // namespace
@@ -158,7 +155,7 @@
 			const auto mode = state->fault.next();
 			if (mode == "down" || mode == "limit")
 			{
-				response.status = mode == "down" ? unavailable : too_many_requests;
+				response.status = mode == "down" ? http_status::unavailable : http_status::too_many_requests;
 				return;
 			}
 			constexpr double scale = 1.0 / 18446744073709551616.0;
--- a/standin/upstream_roles.cpp
+++ b/standin/upstream_roles.cpp
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <fstream>
 #include <gingerdyke/base/crypto.hpp>
+#include <gingerdyke/base/http_status.hpp>
 #include <gingerdyke/base/ids.hpp>
 #include <map>
 #include <set>
@@ -14,10 +15,6 @@
 {
 namespace
 {
-constexpr int bad_request = 400;
-constexpr int not_found = 404;
-constexpr int server_error = 500;
-constexpr int unavailable = 503;
 constexpr std::uint64_t marks = 100'000;
 
 std::set<std::string> split(const std::string& text)
@@ -99,7 +96,7 @@
 
 	void refuse(httplib::Response& response, const char* why) const
 	{
-		response.status = unavailable;
+		response.status = http_status::unavailable;
 		response.set_header("Engine-Refusal", why);
 	}
 
@@ -108,7 +105,7 @@
 		const auto body = json::parse(request.body, nullptr, false);
 		if (!body.is_object() || !body.contains("messages"))
 		{
-			response.status = bad_request;
+			response.status = http_status::bad_request;
 			return;
 		}
 		const auto mode = fault.next();
@@ -119,14 +116,14 @@
 		}
 		if (mode == "down")
 		{
-			response.status = server_error;
+			response.status = http_status::server_error;
 			return;
 		}
 		engine_answer answer;
 		answer.version = body.value("model", "");
 		if (!versions.contains(answer.version))
 		{
-			response.status = not_found;
+			response.status = http_status::not_found;
 			return;
 		}
 		answer.id = request.get_header_value("Engine-Request-Id");
@@ -203,7 +200,7 @@
 		const auto id = request.get_header_value("Service-Request-Id");
 		if (mode == "leaving" || mode == "busy")
 		{
-			response.status = unavailable;
+			response.status = http_status::unavailable;
 			response.set_header("Service-Refusal", mode);
 			return;
 		}
--- a/tests/node/golden_sessions.cpp
+++ b/tests/node/golden_sessions.cpp
@@ -72,20 +72,6 @@
 	return spec;
 }
 
-request_spec order_with(const std::string& key)
-{
-	request_spec spec;
-	spec.kind = node::request_kind::service;
-	spec.target = "s";
-	spec.key = key;
-	return spec;
-}
-
-json version_in(const char* state)
-{
-	return {{"state", state}, {"micro_cost_per_1k_tokens", 1000}, {"quality_prior", 0.8}};
-}
-
 /// A world with its table in force.
 void begin(world& world)
 {
--- a/tests/support/scenario.cpp
+++ b/tests/support/scenario.cpp
@@ -29,15 +29,6 @@
 	return spec;
 }
 
-request_spec order_with(const std::string& key)
-{
-	request_spec spec;
-	spec.kind = node::request_kind::service;
-	spec.target = "s";
-	spec.key = key;
-	return spec;
-}
-
 /// Callers: they send on a schedule, go on in sessions, and repeat keyed orders elsewhere until told an
 /// outcome.
 class callers
@@ -118,11 +109,21 @@
 	std::map<std::string, unsigned> repeats_;
 };
 
+} // namespace
+
+request_spec order_with(const std::string& key)
+{
+	request_spec spec;
+	spec.kind = node::request_kind::service;
+	spec.target = "s";
+	spec.key = key;
+	return spec;
+}
+
 json version_in(const char* state)
 {
 	return {{"state", state}, {"micro_cost_per_1k_tokens", 1000}, {"quality_prior", 0.8}};
 }
-} // namespace
 
 const char* name_of(fault_kind what) noexcept
 {
--- a/tests/support/scenario.hpp
+++ b/tests/support/scenario.hpp
@@ -55,6 +55,12 @@
 /// \brief The word for a fault.
 [[nodiscard]] const char* name_of(fault_kind what) noexcept;
 
+/// \brief An order that may not be repeated, with an idempotency key or, where that is empty, without.
+[[nodiscard]] request_spec order_with(const std::string& key);
+
+/// \brief The row of one of the world's versions in a state.
+[[nodiscard]] json version_in(const char* state);
+
 /// \brief Lets a fault strike at a VM.
 void strike(world& world, fault_kind what, const vm_id& vm);
 
--- a/tests/support/world_impl.hpp
+++ b/tests/support/world_impl.hpp
@@ -6,6 +6,9 @@
 
 namespace gingerdyke::test
 {
+/// \brief Delay of an effect whose answer is lost.
+inline constexpr duration late_effect_after = std::chrono::seconds{5};
+
 /// \brief Something that happens at a moment; ties go in the order in which they were scheduled.
 struct world::timed
 {
@@ -26,7 +29,12 @@
 	request_spec spec;
 	session::stream_check check;
 
-	/// Chunks of the last whole answer, held back until the node says so.
+	/// Chunks of an answer that is not streamed, as they come.
+	std::vector<std::uint64_t> arriving;
+	std::set<std::string> arriving_owners;
+
+	/// Chunks of the last whole answer, held back until the node says so. A later attempt that fails leaves
+	/// them.
 	std::vector<std::uint64_t> held;
 	std::set<std::string> held_owners;
 	unsigned attempt{};
--- a/tests/support/world_requests.cpp
+++ b/tests/support/world_requests.cpp
@@ -57,7 +57,8 @@
 	arrival.streamed = spec.streamed;
 	arrival.method = "POST";
 	arrival.path = spec.path;
-	one.requests.emplace(arrival.ref, open_request{id, spec, session::stream_check{id}, {}, {}, 0, false});
+	one.requests.emplace(
+		arrival.ref, open_request{id, spec, session::stream_check{id}, {}, {}, {}, {}, 0, false});
 	on_vm(vm, one.incarnation, now_,
 		[this, arrival](entry_vm& running)
 		{
@@ -154,8 +155,8 @@
 	if (!request.spec.streamed)
 	{
 		request.check = session::stream_check{request.id};
-		request.held.clear();
-		request.held_owners.clear();
+		request.arriving.clear();
+		request.arriving_owners.clear();
 	}
 	sessions_[request.id] = order.session;
 	const auto name = vm.self.vm;
@@ -308,13 +309,16 @@
 			return;
 		}
 		auto& record = history_.requests.at(request.id);
-		const bool held_back = !request.spec.streamed || number + 1 == total;
-		(held_back ? request.held : record.chunks).push_back(number);
-		(held_back ? request.held_owners : record.chunk_owners).insert(owner);
-		if (request.spec.streamed)
+		if (!request.spec.streamed)
 		{
-			record.chunk_versions.insert(order.version);
+			request.arriving.push_back(number);
+			request.arriving_owners.insert(owner);
+			return;
 		}
+		const bool is_last = number + 1 == total;
+		(is_last ? request.held : record.chunks).push_back(number);
+		(is_last ? request.held_owners : record.chunk_owners).insert(owner);
+		record.chunk_versions.insert(order.version);
 	};
 	if (mode == upstream_mode::crossed && offset == middle)
 	{
@@ -328,6 +332,11 @@
 	}
 	if (offset + 1 == total)
 	{
+		if (!request.spec.streamed)
+		{
+			request.held = std::move(request.arriving);
+			request.held_owners = std::move(request.arriving_owners);
+		}
 		report(vm, ref, order, attempt_end::complete);
 		return;
 	}
