table::compile: its doc comment reads param by param again

Cause: the formatter had run the \returns line into the text of the parameter before it. Change: the comment alone; no code. Ruled out: any effect on the build (the formatter and a syntax check pass).

--- a/include/gingerdyke/table/table.hpp
+++ b/include/gingerdyke/table/table.hpp
@@ -35,9 +35,8 @@
 	/// \brief Reads and checks rows.
 	/// \param rows The stored rows.
 	/// \param at Revision of the set.
-	/// \param trusted Rows written up to this revision were checked against their schemas before; checking
-	/// all rows at every change would cost more than all else. \returns The table, or every finding, with
-	/// pointers such as `/rows/version~1m@v1/state`.
+	/// \param trusted Rows written up to this revision were checked against their schemas before.
+	/// \returns The table, or every finding, with pointers such as `/rows/version~1m@v1/state`.
 	[[nodiscard]] static checked<table> compile(
 		const row_set& rows, revision at, revision trusted = revision{-1});
 
