--- /dev/null
+++ b/include/gingerdyke/control/table_follower.hpp
@@ -0,0 +1,80 @@
+// SPDX-License-Identifier: MIT
+// Keeps up with one table of the registry: reads it whole once, then follows its changes.
+#pragma once
+
+#include <gingerdyke/base/random.hpp>
+#include <gingerdyke/control/row_store.hpp>
+#include <gingerdyke/proxy/asio.hpp>
+#include <memory>
+#include <optional>
+
+namespace gingerdyke::control
+{
+/// \brief Tuning of `table_follower`.
+struct follower_tuning
+{
+	/// How long one call waits for changes. Each call is priced; news comes at once however long this is, but
+	/// the configuration counts as confirmed only when a call was sent.
+	duration wait = std::chrono::milliseconds{1500};
+
+	/// Pause after a call that failed, doubled each time up to the longest; spread at random by half.
+	duration first_pause = std::chrono::milliseconds{100};
+	duration longest_pause = std::chrono::milliseconds{500};
+};
+
+/// \brief What a follower tells.
+struct follower_hooks
+{
+	/// The whole table as it is.
+	std::function<void(const std::vector<row>&)> replaced;
+
+	/// Rows that changed, in order.
+	std::function<void(const std::vector<row>&)> changed;
+
+	/// A call that was sent at a moment was answered: what is known was the newest then.
+	std::function<void(instant sent_at, registry_time at)> confirmed;
+
+	/// A call failed.
+	std::function<void(store_error)> lost;
+};
+
+/// \brief Follows a table. Never takes rows older than those that it has given already.
+class table_follower
+{
+  public:
+	table_follower(proxy::asio::io_context& context, row_store& store, std::string table, random_source random,
+		follower_hooks hooks, follower_tuning tuning = {});
+
+	void start();
+	void stop();
+
+	/// \brief Newest version that is known.
+	[[nodiscard]] row_version known() const noexcept { return known_.value_or(row_version{0}); }
+
+  private:
+	void call();
+	void read_all();
+	void follow();
+	void on_all(store_result<row_batch> result, instant sent_at);
+	void on_changes(store_result<row_batch> result, instant sent_at);
+	void note_success(instant sent_at, registry_time at);
+	void note_failure(store_error error);
+	void pause_then_call();
+
+	row_store& store_;
+	std::string table_;
+	random_source random_;
+	follower_hooks hooks_;
+	follower_tuning tuning_;
+	proxy::asio::steady_timer timer_;
+
+	/// Version that the next call continues from; none: the table has to be read whole.
+	std::optional<row_version> next_;
+
+	/// Newest version ever given: an older table is not taken.
+	std::optional<row_version> known_;
+	duration pause_;
+	bool is_lost_ = false;
+	bool stopped_ = false;
+};
+} // namespace gingerdyke::control
--- a/include/gingerdyke/log/log.hpp
+++ b/include/gingerdyke/log/log.hpp
@@ -16,7 +16,7 @@
 	error,
 };
 
-/// \brief Starts logging to the standard error stream.
+/// \brief Starts logging to standard output.
 /// \param lowest `trace`, `debug`, `info`, `warn` or `error`.
 void start(const std::string& lowest);
 
--- /dev/null
+++ b/include/gingerdyke/proxy/asio.hpp
@@ -0,0 +1,34 @@
+// SPDX-License-Identifier: MIT
+// The one place where Boost.Asio is included: version 1.74 needs <utility> before it under C++20.
+#pragma once
+
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <gingerdyke/base/units.hpp>
+
+namespace gingerdyke::proxy
+{
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using tcp = asio::ip::tcp;
+using error_code = boost::system::error_code;
+
+/// \brief The steady clock's time as the state machines count it.
+[[nodiscard]] inline instant steady_now()
+{
+	const auto since = std::chrono::steady_clock::now().time_since_epoch();
+	return instant{std::chrono::duration_cast<duration>(since)};
+}
+
+/// \brief Sets the options that every connection has: no delay of small writes, and a peer that is silently
+/// gone is noticed within seconds.
+void set_connection_options(tcp::socket& socket);
+} // namespace gingerdyke::proxy
--- /dev/null
+++ b/include/gingerdyke/proxy/caller_link.hpp
@@ -0,0 +1,94 @@
+// SPDX-License-Identifier: MIT
+// One connection of a caller: reads requests, answers them in order, sees the caller leave.
+#pragma once
+
+#include <gingerdyke/proxy/answer_sink.hpp>
+#include <gingerdyke/proxy/asio.hpp>
+#include <gingerdyke/routing/catalog.hpp>
+#include <optional>
+
+namespace gingerdyke::proxy
+{
+/// \brief What connections of callers need from the process that they belong to.
+struct caller_link_host
+{
+	/// Answers a request.
+	request_handler handle;
+
+	/// Bounds in force now.
+	std::function<routing::caller_limits()> limits;
+
+	/// True while the process is being stopped: answers close their connection.
+	std::function<bool()> stopping;
+};
+
+/// \brief One connection of a caller.
+class caller_link : public answer_sink, public std::enable_shared_from_this<caller_link>
+{
+  public:
+	caller_link(tcp::socket socket, std::shared_ptr<const caller_link_host> host);
+
+	/// \brief Begins to read.
+	void start();
+
+	/// \brief Closes the connection if no request is under way or being read.
+	void close_if_idle();
+
+	/// \brief True while a request is being read or answered.
+	[[nodiscard]] bool busy() const noexcept { return state_ != state::idle && state_ != state::closed; }
+
+	void send(whole_answer answer) override;
+	void begin(int status, std::string_view reason, const header_fields& fields) override;
+	void pass(std::string_view bytes) override;
+	void end() override;
+	void break_off() override;
+
+  private:
+	using parser = beast::http::request_parser<beast::http::string_body>;
+
+	enum class state
+	{
+		/// Between requests.
+		idle,
+		reading_head,
+		reading_body,
+		answering,
+		/// The last answer is being written, then the connection closes.
+		finishing,
+		closed,
+	};
+
+	void read();
+	void on_read(const error_code& error, std::size_t size);
+	void advance();
+	[[nodiscard]] bool read_head();
+	[[nodiscard]] bool read_body();
+	void take_request();
+	void refuse(int status, const std::string& why);
+	void write(std::string bytes);
+	void write_next();
+	void on_written(const error_code& error);
+	void finish_answer(bool may_continue);
+	void arm_timer(duration span);
+	void on_timer();
+	void on_gone();
+	void close();
+
+	tcp::socket socket_;
+	std::shared_ptr<const caller_link_host> host_;
+	routing::caller_limits limits_;
+	asio::steady_timer timer_;
+	beast::flat_buffer buffer_;
+	std::optional<parser> parser_;
+	request request_;
+	std::shared_ptr<active_request> active_;
+	std::string writing_;
+	std::string pending_;
+	state state_ = state::idle;
+	bool is_reading_ = false;
+	bool write_under_way_ = false;
+	bool keep_alive_ = true;
+	bool is_chunked_ = false;
+	bool is_head_ = false;
+};
+} // namespace gingerdyke::proxy
--- /dev/null
+++ b/include/gingerdyke/proxy/exchange.hpp
@@ -0,0 +1,113 @@
+// SPDX-License-Identifier: MIT
+// One request from its arrival to its final answer, over all its attempts.
+#pragma once
+
+#include <gingerdyke/proxy/answer_sink.hpp>
+#include <gingerdyke/proxy/event_stream.hpp>
+#include <gingerdyke/proxy/gateway.hpp>
+#include <gingerdyke/proxy/prompt.hpp>
+
+namespace gingerdyke::proxy
+{
+/// \brief One request. Decides where it goes, whether it goes again, and what its caller is told.
+class exchange : public active_request, public std::enable_shared_from_this<exchange>
+{
+  public:
+	exchange(gateway& shared, request what, std::shared_ptr<answer_sink> to);
+
+	/// \brief Admits the request and sends it on, or refuses it.
+	void start();
+
+	void cancel() override;
+
+  private:
+	/// What this VM may tell the caller about the request.
+	enum class trace
+	{
+		/// No replica has run it.
+		not_run,
+		/// A replica ran it or may have.
+		may_have_run,
+	};
+
+	/// One attempt under way.
+	struct attempt
+	{
+		routing::replica_ptr to;
+		std::shared_ptr<upstream_link> link;
+		answer_head head;
+		std::string body;
+		instant sent_at;
+		duration first_byte{};
+		routing::size_step size;
+		bool head_came{};
+		bool is_stream{};
+	};
+
+	// Admission.
+	[[nodiscard]] bool admit();
+	[[nodiscard]] bool admit_key();
+	void read_deadline();
+
+	// Attempts.
+	void dispatch();
+	[[nodiscard]] routing::replica_ptr choose_replica() const;
+	[[nodiscard]] bool has_room(const routing::replica& one) const;
+	[[nodiscard]] header_fields fields_for(const routing::replica& to) const;
+	[[nodiscard]] bool may_try_again() const;
+	void send_to(const routing::replica_ptr& to);
+	void try_again_or(const std::function<void()>& otherwise);
+	void end_attempt(bool answered_whole);
+	void note_result(routing::replica_result result);
+
+	// What the replica does.
+	void on_head(answer_head head);
+	void on_not_run();
+	void on_body(std::string_view bytes);
+	void on_events(std::string_view bytes);
+	void on_end();
+	void on_fault(upstream_fault fault);
+	[[nodiscard]] bool is_foreign(const answer_head& head) const;
+	[[nodiscard]] bool wants_larger_model(const answer_head& head);
+	void pass_on_whole();
+
+	// Time.
+	void arm_attempt_timer(duration span);
+	void on_attempt_timer();
+	void on_deadline();
+	[[nodiscard]] duration time_left() const;
+	[[nodiscard]] duration first_byte_limit() const;
+
+	// Endings; each answers the caller once.
+	void refuse(int status, std::string reason);
+	void give_up(int status, std::string reason);
+	void answer_here(int status, std::string reason, header_fields fields);
+	void finish(request_outcome outcome, int status, std::string reason);
+
+	gateway& shared_;
+	request request_;
+	std::shared_ptr<answer_sink> to_;
+	instant arrived_;
+	instant ends_at_;
+	asio::steady_timer deadline_timer_;
+	asio::steady_timer attempt_timer_;
+	routing::catalog_ptr catalog_;
+	const routing::route* route_ = nullptr;
+	const routing::service* service_ = nullptr;
+	const routing::workspace* workspace_ = nullptr;
+	service_id service_id_;
+	std::string id_;
+	prompt prompt_;
+	std::uint64_t session_point_ = 0;
+	std::vector<replica_id> tried_;
+	std::optional<attempt> attempt_;
+	event_stream events_;
+	routing::size_step size_;
+	std::string last_replica_;
+	trace trace_{trace::not_run};
+	unsigned attempts_ = 0;
+	duration first_byte_{};
+	bool answer_begun_ = false;
+	bool over_ = false;
+};
+} // namespace gingerdyke::proxy
--- /dev/null
+++ b/include/gingerdyke/proxy/gateway.hpp
@@ -0,0 +1,127 @@
+// SPDX-License-Identifier: MIT
+// What all requests of a VM share: the configuration in force, the replicas, the budgets.
+#pragma once
+
+#include <gingerdyke/limits/attempt_budget.hpp>
+#include <gingerdyke/proxy/answer_sink.hpp>
+#include <gingerdyke/proxy/header_names.hpp>
+#include <gingerdyke/proxy/request_log.hpp>
+#include <gingerdyke/proxy/upstream_pool.hpp>
+#include <gingerdyke/rollout/version_shift.hpp>
+#include <gingerdyke/routing/catalog.hpp>
+#include <gingerdyke/routing/replica_selector.hpp>
+#include <gingerdyke/routing/replica_set.hpp>
+#include <gingerdyke/routing/size_policy.hpp>
+#include <map>
+
+namespace gingerdyke::proxy
+{
+/// \brief Tuning of the data path; each figure with its reason.
+struct gateway_tuning
+{
+	/// An attempt that may be repeated is given up without a first byte after this part of the objective: what
+	/// is left must do for another attempt.
+	double first_byte_share = 0.7;
+
+	/// The same for answers that come whole; their times spread up to seven times the mean.
+	double whole_answer_share = 1.7;
+
+	/// A stream that pauses for this multiple of the longest pause in time goes on elsewhere.
+	double pause_share = 1.0;
+
+	/// Shortest of the limits above, for routes with a very short objective.
+	duration shortest_limit = std::chrono::milliseconds{150};
+
+	/// A connection that is not up by then is given up: a thousand times the users' usual time.
+	duration connect_limit = std::chrono::milliseconds{400};
+
+	/// An attempt is not begun with less than this left: it could only end too late.
+	duration least_time = std::chrono::milliseconds{20};
+
+	/// When a refused caller may come back: about the time after which another VM or replica is likely found.
+	duration retry_after = std::chrono::milliseconds{250};
+};
+
+/// \brief Fleet-wide bounds that the deployment states.
+struct fleet_bounds
+{
+	limits::attempt_budget_tuning attempts;
+
+	/// A key that was taken away must not work longer than this, on any VM; none: no such bound.
+	std::optional<duration> revocation_time;
+};
+
+/// \brief Why this VM can't answer requests with keys at the moment, or that it can.
+enum class key_trust
+{
+	trusted,
+	/// The configuration was last confirmed too long ago: a key may have been taken away since.
+	stale,
+};
+
+/// \brief State shared by all requests. Lives on one event loop.
+class gateway
+{
+  public:
+	/// \param log Told how each request ended.
+	gateway(asio::io_context& context, header_names names, fleet_bounds bounds, failure_domain_id own_domain,
+		random_source random, request_log& log, gateway_tuning tuning = {});
+
+	/// \brief Takes a newer configuration; an older one or the same is ignored.
+	/// \returns Whether it was taken.
+	bool take(routing::catalog_ptr next);
+
+	/// \brief Notes that the configuration was the newest when a call to the registry was sent.
+	void confirm(instant sent_at);
+
+	/// \brief How long ago the configuration was last confirmed; none: never.
+	[[nodiscard]] std::optional<duration> confirmed_age(instant now) const;
+
+	/// \brief Whether keys may be trusted now.
+	[[nodiscard]] key_trust trust_in_keys(instant now) const;
+
+	/// \brief True once a configuration and the replicas are known.
+	[[nodiscard]] bool ready() const { return catalog_ != nullptr && replicas_.known(); }
+
+	/// \brief Answers a caller's request.
+	[[nodiscard]] std::shared_ptr<active_request> handle(request what, std::shared_ptr<answer_sink> to);
+
+	/// \brief Sets who is told that there is something to report about a new version.
+	void on_evidence(std::function<void()> hook) { evidence_hook_ = std::move(hook); }
+
+	/// \brief Notes a replica's answer for the shift of its service's version.
+	void note_answer(const routing::replica& from, const std::string& route, bool failed, duration first_byte);
+
+	/// \brief The retry budget of a service.
+	[[nodiscard]] limits::attempt_budget& budget(const service_id& service);
+
+	[[nodiscard]] const routing::catalog_ptr& catalog() const noexcept { return catalog_; }
+	[[nodiscard]] routing::replica_set& replicas() noexcept { return replicas_; }
+	[[nodiscard]] routing::replica_selector& selector() noexcept { return selector_; }
+	[[nodiscard]] upstream_pool& pool() noexcept { return pool_; }
+	[[nodiscard]] rollout::version_shift& versions() noexcept { return versions_; }
+	[[nodiscard]] const routing::size_policy& sizes() const noexcept { return sizes_; }
+	[[nodiscard]] const header_names& names() const noexcept { return names_; }
+	[[nodiscard]] const gateway_tuning& tuning() const noexcept { return tuning_; }
+	[[nodiscard]] asio::io_context& context() noexcept { return context_; }
+	[[nodiscard]] request_log& log() noexcept { return log_; }
+
+  private:
+	void on_replica_change(const routing::replica& one, routing::replica_change change);
+
+	asio::io_context& context_;
+	header_names names_;
+	fleet_bounds bounds_;
+	request_log& log_;
+	gateway_tuning tuning_;
+	routing::catalog_ptr catalog_;
+	routing::replica_set replicas_;
+	routing::replica_selector selector_;
+	upstream_pool pool_;
+	rollout::version_shift versions_;
+	routing::size_policy sizes_;
+	std::map<service_id, limits::attempt_budget> budgets_;
+	std::optional<instant> confirmed_at_;
+	std::function<void()> evidence_hook_;
+};
+} // namespace gingerdyke::proxy
--- /dev/null
+++ b/include/gingerdyke/proxy/listener.hpp
@@ -0,0 +1,45 @@
+// SPDX-License-Identifier: MIT
+// Accepts callers at one address.
+#pragma once
+
+#include <gingerdyke/proxy/caller_link.hpp>
+#include <gingerdyke/routing/address.hpp>
+#include <memory>
+#include <vector>
+
+namespace gingerdyke::proxy
+{
+/// \brief Listens at an address and keeps the connections that come.
+class listener
+{
+  public:
+	listener(asio::io_context& context, std::shared_ptr<const caller_link_host> host);
+
+	/// \brief Begins to listen.
+	/// \returns What stands against it; none where it listens.
+	[[nodiscard]] error_code listen(const routing::address& at);
+
+	/// \brief Address in use; useful after listening at port 0.
+	[[nodiscard]] std::uint16_t port() const;
+
+	/// \brief Closes connections without a request; others close after their answer while the host is stopping.
+	void close_idle();
+
+	/// \brief Stops accepting.
+	void stop();
+
+	/// \brief Connections with a request under way.
+	[[nodiscard]] std::size_t busy() const;
+
+  private:
+	void accept();
+	void sweep();
+
+	asio::io_context& context_;
+	std::shared_ptr<const caller_link_host> host_;
+	tcp::acceptor acceptor_;
+	asio::steady_timer pause_;
+	std::vector<std::weak_ptr<caller_link>> links_;
+	std::size_t sweep_at_;
+};
+} // namespace gingerdyke::proxy
--- /dev/null
+++ b/include/gingerdyke/proxy/request_log.hpp
@@ -0,0 +1,92 @@
+// SPDX-License-Identifier: MIT
+// One line for each request that matters, bounded in volume: failures before successes.
+#pragma once
+
+#include <gingerdyke/base/ids.hpp>
+#include <gingerdyke/base/units.hpp>
+#include <gingerdyke/limits/token_bucket.hpp>
+#include <map>
+#include <string>
+
+namespace gingerdyke::proxy
+{
+/// \brief How a request ended, as far as its caller is concerned.
+enum class request_outcome
+{
+	served,
+	/// Answered by a replica, with a failure.
+	failed_by_replica,
+	/// Refused here; nothing ran.
+	refused,
+	/// Given up here after something may have run.
+	failed,
+	/// A stream that had begun and could not be ended.
+	broken_off,
+	/// The caller left.
+	abandoned,
+};
+
+/// \brief The word for an outcome.
+[[nodiscard]] const char* name_of(request_outcome outcome) noexcept;
+
+/// \brief What a line tells about one request.
+struct request_line
+{
+	std::string id;
+	std::string route;
+	std::string workspace;
+	std::string replica;
+	std::string model;
+	request_outcome outcome{request_outcome::served};
+	int status{};
+
+	/// Why it ended so, in a few words; the same words for the same reason.
+	std::string reason;
+	unsigned attempts{};
+	duration took{};
+
+	/// From arrival to the first byte passed on.
+	duration first_byte{};
+
+	/// Version of the configuration that decided, and how long ago it was confirmed.
+	std::int64_t config{};
+	duration config_age{};
+};
+
+/// \brief Tuning of `request_log`.
+struct request_log_tuning
+{
+	/// One in so many served requests is logged; all others are, within the rate.
+	unsigned served_sample = 20;
+
+	/// Lines a second, and lines at once.
+	double rate = 40;
+	double burst = 80;
+};
+
+/// \brief Counts how requests end, and logs them within a rate.
+class request_log
+{
+  public:
+	explicit request_log(instant now, request_log_tuning tuning = {});
+
+	void note(const request_line& line, instant now);
+
+	/// \brief Requests that ended so.
+	[[nodiscard]] std::uint64_t count(request_outcome outcome) const;
+
+	/// \brief Lines that were left out because of the rate.
+	[[nodiscard]] std::uint64_t left_out() const noexcept { return left_out_; }
+
+	/// \brief Counters in the Prometheus text format.
+	[[nodiscard]] std::string text() const;
+
+  private:
+	request_log_tuning tuning_;
+	limits::token_bucket lines_;
+	std::map<request_outcome, std::uint64_t> outcomes_;
+	std::map<std::string, std::uint64_t> reasons_;
+	std::uint64_t served_ = 0;
+	std::uint64_t left_out_ = 0;
+};
+} // namespace gingerdyke::proxy
--- /dev/null
+++ b/include/gingerdyke/proxy/upstream_pool.hpp
@@ -0,0 +1,68 @@
+// SPDX-License-Identifier: MIT
+// Connections to replicas: kept for reuse, within this VM's share of what each replica accepts.
+#pragma once
+
+#include <gingerdyke/proxy/upstream_link.hpp>
+#include <map>
+#include <vector>
+
+namespace gingerdyke::proxy
+{
+/// \brief Tuning of `upstream_pool`.
+struct pool_tuning
+{
+	/// Part of the time for which a replica says it keeps an idle connection that is used here: whole seconds
+	/// are stated, and a request may be on the way when the time is over.
+	double kept_share = 0.6;
+
+	/// An idle connection older than this carries only requests that may run again: a replica may have
+	/// dropped it silently.
+	duration trusted_idle = std::chrono::seconds{1};
+};
+
+/// \brief Keeps connections by replica.
+class upstream_pool
+{
+  public:
+	/// \param id_field Name of the header in which answers repeat the request's id.
+	upstream_pool(asio::io_context& context, std::string id_field, pool_tuning tuning = {});
+
+	/// \brief A connection to a replica: an idle one, else a new one.
+	/// \param may_run_again The request may be sent again where the connection turns out to be dead.
+	[[nodiscard]] std::shared_ptr<upstream_link> take(
+		const routing::replica_ptr& to, bool may_run_again, instant now);
+
+	/// \brief Takes back a connection whose request is over; keeps it where it may be used again.
+	void give_back(const std::shared_ptr<upstream_link>& link, instant now);
+
+	/// \brief Connections to a replica, idle and in use.
+	[[nodiscard]] unsigned open(const replica_id& id) const;
+
+	/// \brief Idle connections to a replica.
+	[[nodiscard]] std::size_t idle(const replica_id& id) const;
+
+	/// \brief Closes idle connections to a replica that is gone.
+	void drop(const replica_id& id);
+
+  private:
+	struct idle_link
+	{
+		std::shared_ptr<upstream_link> link;
+		instant since;
+	};
+
+	struct entry
+	{
+		std::vector<idle_link> idle;
+		unsigned in_use{};
+	};
+
+	[[nodiscard]] bool fits(const idle_link& one, bool may_run_again, instant now) const;
+	void remove_idle(const replica_id& id, const upstream_link* link);
+
+	asio::io_context& context_;
+	std::string id_field_;
+	pool_tuning tuning_;
+	std::map<replica_id, entry> entries_;
+};
+} // namespace gingerdyke::proxy
--- /dev/null
+++ b/include/gingerdyke/rollout/version_shift.hpp
@@ -0,0 +1,234 @@
+// SPDX-License-Identifier: MIT
+// Moves a service's traffic from one software version to another, over all VMs without a central one: every VM
+// computes the same share from the same plan, and whoever sees that the new version is bad says so to all.
+#pragma once
+
+#include <gingerdyke/base/ids.hpp>
+#include <gingerdyke/base/random.hpp>
+#include <gingerdyke/base/units.hpp>
+#include <gingerdyke/routing/replica_set.hpp>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace gingerdyke::rollout
+{
+/// \brief Time on the registry's steady clock, from its own zero; the same on all VMs.
+using registry_time = std::chrono::microseconds;
+
+/// \brief Position of a row in the registry's history.
+using row_version = quantity<struct row_version_tag>;
+
+/// \brief How far a shift has come.
+enum class shift_state
+{
+	running,
+	completed,
+	rolled_back,
+};
+
+/// \brief The word for a state.
+[[nodiscard]] const char* name_of(shift_state state) noexcept;
+
+/// \brief Reads the word for a state.
+[[nodiscard]] std::optional<shift_state> parse_shift_state(const std::string& word);
+
+/// \brief An operator's order to move a service's traffic.
+struct shift_order
+{
+	service_id service;
+	std::string to_version;
+
+	/// The shift is to be over within this time of the order.
+	duration length{};
+
+	/// Row version of the order: a later order has a higher one.
+	row_version order;
+};
+
+/// \brief What all VMs follow, kept in the registry; each change is made under the condition that the row is
+/// unchanged.
+struct shift_plan
+{
+	service_id service;
+	std::string from_version;
+	std::string to_version;
+	registry_time started{};
+	duration length{};
+	shift_state state{shift_state::running};
+	row_version order;
+
+	/// Row version of the plan itself; 0: not written yet.
+	row_version row;
+};
+
+/// \brief Answers of the new version that were judged, and those among them that were bad.
+struct shift_counts
+{
+	std::uint64_t answers{};
+	std::uint64_t bad{};
+};
+
+/// \brief What one VM saw of a new version, by route.
+struct shift_evidence
+{
+	service_id service;
+	row_version order;
+	std::map<std::string, shift_counts> by_route;
+};
+
+/// \brief Tuning of `version_shift`.
+struct shift_tuning
+{
+	/// Share of sessions on the new version in the first half, when sessions must not change version. The
+	/// users allow 0.15 of all requests for a bad version.
+	double first_share = 0.09;
+
+	/// Parts of the time at which the share begins to grow, and at which it is 1. The users let sessions move
+	/// in the second half; what is left after `full_at` lets streams on the old version end.
+	double grow_at = 0.52;
+	double full_at = 0.74;
+
+	/// Part of the time that is left when the shift is declared completed, and the least of it.
+	double spare_share = 0.06;
+	duration least_spare = std::chrono::milliseconds{1200};
+
+	/// Without news from the registry for this long, the share no longer grows.
+	duration news_limit = std::chrono::milliseconds{2500};
+
+	/// A version is bad where the evidence that it fails more than tolerated passes this logarithm; chance
+	/// alone does so once in ten thousand shifts (see sequential_test.hpp).
+	double verdict = 9.2;
+
+	/// Fewest bad answers for a verdict.
+	std::uint64_t fewest_bad = 3;
+
+	/// Tolerated share of bad answers: this, and this multiple of the old version's.
+	double tolerated = 0.04;
+	double tolerated_multiple = 1.6;
+
+	/// The old version's counts are halved each time they reach this many answers, so that they tell of now.
+	std::uint64_t base_memory = 400;
+
+	/// An answer is bad as well where its first byte took this multiple of the old version's mean.
+	double slow_multiple = 4;
+
+	/// Answers faster than this are never called slow.
+	duration never_slow = std::chrono::milliseconds{80};
+
+	/// Weight of an answer in the old version's mean time.
+	double mean_weight = 0.05;
+
+	/// Least time between two reports of evidence by one VM.
+	duration report_pause = std::chrono::milliseconds{300};
+
+	/// VMs act on the same news at random moments within this time, so that mostly only one has to.
+	duration spread = std::chrono::milliseconds{250};
+};
+
+/// \brief Something to write to the registry.
+struct shift_write
+{
+	/// The plan as it is to be, on the condition that its row is still the one it names.
+	std::optional<shift_plan> plan;
+
+	/// This VM's evidence.
+	std::optional<shift_evidence> evidence;
+};
+
+/// \brief The shifts of all services as this VM knows them.
+class version_shift
+{
+  public:
+	/// \brief Told when a plan is taken, and when the new version is suspended here.
+	using news_hook = std::function<void(const shift_plan&, bool suspended)>;
+
+	version_shift(random_source random, news_hook news, shift_tuning tuning = {});
+
+	void on_order(const shift_order& order, instant now);
+	void on_plan(const shift_plan& plan, instant now);
+
+	/// \brief Takes another VM's evidence; it replaces what that VM reported before.
+	void on_evidence(const std::string& reporter, const shift_evidence& evidence, instant now);
+
+	/// \brief Takes the replicas of a service, to know which version it has without any order.
+	void note_replicas(const service_id& service, const std::vector<routing::replica_ptr>& replicas);
+
+	/// \brief Notes the registry's clock as an answer of it told.
+	void note_registry_time(registry_time then, instant now);
+
+	/// \brief Notes an answer.
+	/// \param failed The replica answered that it failed.
+	/// \param first_byte Time to the first byte of the answer.
+	void note_answer(const service_id& service, const std::string& version, const std::string& route,
+		bool failed, duration first_byte, instant now);
+
+	/// \brief Version that work goes to.
+	/// \param point Hash of the session: the same point stays on the new version once it is there.
+	/// \returns The version, or empty where any will do.
+	[[nodiscard]] std::string version_for(const service_id& service, std::uint64_t point, instant now) const;
+
+	/// \brief Version to use where no replica of `version_for` can be used, or empty.
+	[[nodiscard]] std::string fallback_for(const service_id& service, std::uint64_t point, instant now) const;
+
+	/// \brief What is to be written now. Nothing is given twice until `on_written` or its time has come again.
+	[[nodiscard]] std::vector<shift_write> due(instant now);
+
+	/// \brief When `due` wants to be called next; none: not before the next input.
+	[[nodiscard]] std::optional<instant> next_due() const;
+
+	/// \brief The share of sessions on the new version now; for status and tests.
+	[[nodiscard]] double share(const service_id& service, instant now) const;
+
+	/// \brief Whether this VM has evidence about a service that it has not reported.
+	[[nodiscard]] bool has_evidence(const service_id& service) const;
+
+	/// \brief The plan in force for a service, or null.
+	[[nodiscard]] const shift_plan* plan_of(const service_id& service) const;
+
+  private:
+	struct base_counts
+	{
+		shift_counts counts;
+		double mean_us{};
+	};
+
+	struct service_state
+	{
+		std::string stable_version;
+		std::optional<shift_order> order;
+		std::optional<shift_plan> plan;
+		bool suspended{};
+		std::map<std::string, shift_counts> own;
+		std::map<std::string, std::map<std::string, shift_counts>> others;
+		std::map<std::string, base_counts> base;
+		bool has_news_to_report{};
+		instant reported_at;
+
+		/// When this VM acts on the state of the plan; none: nothing to do.
+		std::optional<instant> act_at;
+	};
+
+	[[nodiscard]] const service_state* find(const service_id& service) const;
+	[[nodiscard]] registry_time registry_now(instant now) const;
+	[[nodiscard]] double share_of(const service_state& state, instant now) const;
+	[[nodiscard]] bool looks_bad(const service_state& state) const;
+	[[nodiscard]] bool is_bad_route(
+		const service_state& state, const std::string& route, const shift_counts& seen) const;
+	[[nodiscard]] std::optional<shift_plan> next_plan(const service_state& state, instant now) const;
+	[[nodiscard]] std::optional<instant> moment_to_act(const service_state& state, instant now) const;
+	void judge(service_state& state, instant now);
+	void schedule(service_state& state, instant now);
+	[[nodiscard]] duration random_delay() const;
+
+	random_source random_;
+	news_hook news_;
+	shift_tuning tuning_;
+	std::map<service_id, service_state> services_;
+
+	/// The registry's clock less ours, by the freshest answer.
+	std::optional<duration> clock_offset_;
+	instant news_at_;
+};
+} // namespace gingerdyke::rollout
--- /dev/null
+++ b/include/gingerdyke/routing/address.hpp
@@ -0,0 +1,26 @@
+// SPDX-License-Identifier: MIT
+// An IP address with a port.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace gingerdyke::routing
+{
+/// \brief An IP address and port.
+struct address
+{
+	std::string ip;
+	std::uint16_t port{};
+
+	/// \brief The written form, `ip:port`.
+	[[nodiscard]] std::string str() const { return ip + ":" + std::to_string(port); }
+
+	/// \brief Reads `ip:port`; none where the text is not of that form.
+	[[nodiscard]] static std::optional<address> parse(const std::string& text);
+
+	auto operator<=>(const address&) const = default;
+};
+} // namespace gingerdyke::routing
--- /dev/null
+++ b/include/gingerdyke/routing/replica_set.hpp
@@ -0,0 +1,118 @@
+// SPDX-License-Identifier: MIT
+// The replicas that discovery names, and when one that disappears is taken as gone.
+#pragma once
+
+#include <functional>
+#include <gingerdyke/base/ids.hpp>
+#include <gingerdyke/base/units.hpp>
+#include <gingerdyke/routing/address.hpp>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace gingerdyke::routing
+{
+/// \brief One replica as discovery describes it.
+struct replica
+{
+	replica_id id;
+	service_id service;
+	address at;
+	failure_domain_id domain;
+
+	/// Version of its software.
+	std::string version;
+
+	/// Requests that it works on at once.
+	unsigned slots{};
+
+	/// It takes no new work: it leaves.
+	bool leaving{};
+
+	auto operator<=>(const replica&) const = default;
+};
+
+using replica_ptr = std::shared_ptr<const replica>;
+
+/// \brief What `replica_set` believes, and what changed it.
+enum class replica_change
+{
+	added,
+	changed,
+	leaving,
+	/// Its entry is missing while the registry is unsound: kept until the registry had time to recover.
+	suspected,
+	gone,
+};
+
+/// \brief The word for a change.
+[[nodiscard]] const char* name_of(replica_change change) noexcept;
+
+/// \brief Tuning of `replica_set`.
+struct replica_set_tuning
+{
+	/// Entries that lapsed during an outage of the registry are back within this time of its return. The
+	/// users state about two seconds.
+	duration return_time = std::chrono::milliseconds{2200};
+};
+
+/// \brief Follows discovery. Entries that vanish while the registry is away say nothing about the replica.
+class replica_set
+{
+  public:
+	using change_hook = std::function<void(const replica&, replica_change)>;
+
+	explicit replica_set(change_hook changed, replica_set_tuning tuning = {});
+
+	/// \brief Takes an entry that was written or changed.
+	void put(replica entry, instant now);
+
+	/// \brief Takes the news that an entry is missing.
+	void remove(const replica_id& id, instant now);
+
+	/// \brief Takes the whole registry; entries that are not in it are missing.
+	void replace_all(std::vector<replica> entries, instant now);
+
+	/// \brief Notes that the registry can't be read.
+	void note_unsound(instant now);
+
+	/// \brief Notes that the registry answers.
+	void note_sound(instant now);
+
+	/// \brief A replica's own word that another one has its address now.
+	void forget(const replica_id& id);
+
+	/// \brief Drops suspected replicas whose time is over.
+	/// \returns When this wants to be called next; none: not before the next change.
+	std::optional<instant> expire(instant now);
+
+	/// \brief Replicas of a service, leaving ones too.
+	[[nodiscard]] const std::vector<replica_ptr>& of(const service_id& service) const;
+
+	/// \brief A replica by its id, or null.
+	[[nodiscard]] replica_ptr find(const replica_id& id) const;
+
+	[[nodiscard]] std::size_t size() const noexcept { return by_id_.size(); }
+
+	/// \brief True once the registry was read for the first time.
+	[[nodiscard]] bool known() const noexcept { return known_; }
+
+  private:
+	[[nodiscard]] bool sound_for_long(instant now) const;
+	void drop(const replica_id& id);
+	void index(const replica_ptr& entry);
+	void unindex(const replica_ptr& entry);
+
+	change_hook changed_;
+	replica_set_tuning tuning_;
+	bool known_ = false;
+	bool sound_ = false;
+	instant sound_since_;
+	std::map<replica_id, replica_ptr> by_id_;
+	std::map<service_id, std::vector<replica_ptr>> by_service_;
+	std::set<replica_id> suspected_;
+};
+} // namespace gingerdyke::routing
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -5,6 +5,7 @@
 #include <gingerdyke/cli/commands.hpp>
 #include <iostream>
 #include <map>
+#include <route.hpp>
 
 namespace
 {
@@ -21,6 +22,7 @@
 {
 	static const std::map<std::string, command> all{
 		{"serve", {gingerdyke::cli::serve, "run an entry VM"}},
+		{"route", {gingerdyke::platform::route, "run a VM on the users' platform"}},
 		{"check", {gingerdyke::cli::check, "check settings and table files"}},
 		{"plan", {gingerdyke::cli::plan, "show what apply would change"}},
 		{"apply", {gingerdyke::cli::apply, "make the table what a file declares"}},
--- /dev/null
+++ b/src/control/coordinator.cpp
@@ -0,0 +1,261 @@
+// SPDX-License-Identifier: MIT
+// Connects the registry to the data path.
+#include <gingerdyke/control/coordinator.hpp>
+#include <gingerdyke/log/log.hpp>
+
+namespace gingerdyke::control
+{
+namespace
+{
+const std::string plan_prefix = "plan/";
+const std::string evidence_prefix = "evidence/";
+
+void log_findings(const char* what, const findings& list)
+{
+	for (const auto& one : list)
+	{
+		log::write(log::level::error, what, {{"finding", one.str()}});
+	}
+}
+} // namespace
+
+coordinator::coordinator(proxy::gateway& gateway, row_store& store, registry_layout layout,
+	std::string reporter, random_source random, follower_tuning tuning)
+	: gateway_(gateway), store_(store), layout_(std::move(layout)), reporter_(std::move(reporter)),
+	  write_timer_(gateway.context()), expire_timer_(gateway.context()),
+	  operators_(gateway.context(), store, layout_.operator_table, random,
+		  {[this](const auto& rows) { on_operator_rows(rows); },
+			  [this](const auto& rows) { on_operator_rows(rows); },
+			  [this](instant sent_at, registry_time at)
+			  {
+				  gateway_.confirm(sent_at);
+				  gateway_.versions().note_registry_time(at, proxy::steady_now());
+			  },
+			  [](store_error) {}},
+		  tuning),
+	  replicas_(gateway.context(), store, layout_.replica_table, random,
+		  {[this](const auto& rows) { on_replicas(rows); }, [this](const auto& rows) { on_replica_rows(rows); },
+			  [this](instant, registry_time)
+			  {
+				  gateway_.replicas().note_sound(proxy::steady_now());
+				  expire_replicas();
+			  },
+			  [this](store_error) { gateway_.replicas().note_unsound(proxy::steady_now()); }},
+		  tuning),
+	  shifts_(gateway.context(), store, layout_.shift_table, random,
+		  {[this](const auto& rows) { on_shift_rows(rows); }, [this](const auto& rows) { on_shift_rows(rows); },
+			  [](instant, registry_time) {}, [](store_error) {}},
+		  tuning)
+{
+}
+
+void coordinator::start()
+{
+	operators_.start();
+	replicas_.start();
+	shifts_.start();
+}
+
+void coordinator::stop()
+{
+	operators_.stop();
+	replicas_.stop();
+	shifts_.stop();
+	write_timer_.cancel();
+	expire_timer_.cancel();
+}
+
+void coordinator::on_operator_rows(const std::vector<row>& rows)
+{
+	for (const auto& one : rows)
+	{
+		if (one.removed)
+		{
+			continue;
+		}
+		const auto news = layout_.read_operator_row(one);
+		if (!news)
+		{
+			log_findings("operator's row not understood", news.error());
+			continue;
+		}
+		if (const auto* catalog = std::get_if<routing::catalog_ptr>(&*news))
+		{
+			take_catalog(*catalog);
+		}
+		if (const auto* order = std::get_if<rollout::shift_order>(&*news))
+		{
+			log::write(log::level::info, "version shift ordered",
+				{{"service", order->service.str()}, {"to", order->to_version},
+					{"order", order->order.value()}});
+			gateway_.versions().on_order(*order, proxy::steady_now());
+		}
+	}
+	arm();
+}
+
+void coordinator::take_catalog(const routing::catalog_ptr& catalog)
+{
+	if (gateway_.take(catalog))
+	{
+		log::write(log::level::info, "configuration in force",
+			{{"version", catalog->version().value()}, {"routes", catalog->route_count()}});
+	}
+}
+
+void coordinator::on_replica_rows(const std::vector<row>& rows)
+{
+	const auto now = proxy::steady_now();
+	for (const auto& one : rows)
+	{
+		if (one.removed)
+		{
+			gateway_.replicas().remove(replica_id{one.key}, now);
+			continue;
+		}
+		auto entry = layout_.read_replica_row(one);
+		if (entry)
+		{
+			gateway_.replicas().put(std::move(*entry), now);
+		}
+		else
+		{
+			log_findings("replica's row not understood", entry.error());
+		}
+	}
+	expire_replicas();
+}
+
+void coordinator::on_replicas(const std::vector<row>& rows)
+{
+	std::vector<routing::replica> entries;
+	for (const auto& one : rows)
+	{
+		auto entry = layout_.read_replica_row(one);
+		if (entry)
+		{
+			entries.push_back(std::move(*entry));
+		}
+		else
+		{
+			log_findings("replica's row not understood", entry.error());
+		}
+	}
+	gateway_.replicas().replace_all(std::move(entries), proxy::steady_now());
+}
+
+void coordinator::on_shift_rows(const std::vector<row>& rows)
+{
+	const auto now = proxy::steady_now();
+	for (const auto& one : rows)
+	{
+		if (one.removed)
+		{
+			continue;
+		}
+		if (one.key.starts_with(plan_prefix))
+		{
+			if (const auto plan = read_plan(one))
+			{
+				gateway_.versions().on_plan(*plan, now);
+			}
+			else
+			{
+				log_findings("plan not understood", plan.error());
+			}
+		}
+		else if (one.key.starts_with(evidence_prefix) && !one.key.ends_with("/" + reporter_))
+		{
+			if (const auto evidence = read_evidence(one))
+			{
+				gateway_.versions().on_evidence(one.key, *evidence, now);
+			}
+			else
+			{
+				log_findings("evidence not understood", evidence.error());
+			}
+		}
+	}
+	arm();
+}
+
+void coordinator::expire_replicas()
+{
+	const auto next = gateway_.replicas().expire(proxy::steady_now());
+	if (!next)
+	{
+		return;
+	}
+	expire_timer_.expires_after(*next - proxy::steady_now());
+	expire_timer_.async_wait(
+		[this](const proxy::error_code& error)
+		{
+			if (!error)
+			{
+				expire_replicas();
+			}
+		});
+}
+
+void coordinator::arm()
+{
+	const auto next = gateway_.versions().next_due();
+	if (!next)
+	{
+		return;
+	}
+	write_timer_.expires_after(std::max(*next - proxy::steady_now(), duration{0}));
+	write_timer_.async_wait(
+		[this](const proxy::error_code& error)
+		{
+			if (!error)
+			{
+				write_due();
+			}
+		});
+}
+
+void coordinator::write_due()
+{
+	for (const auto& one : gateway_.versions().due(proxy::steady_now()))
+	{
+		write(one);
+	}
+	arm();
+}
+
+void coordinator::write(const rollout::shift_write& what)
+{
+	row_change change;
+	if (what.plan)
+	{
+		const auto key = plan_prefix + what.plan->service.str();
+		change.conditions.push_back({layout_.shift_table, key, what.plan->row});
+		change.puts.push_back({layout_.shift_table, key, write_plan(*what.plan)});
+		change.puts.push_back(layout_.status_row(*what.plan));
+		log::write(log::level::info, "version shift written",
+			{{"service", what.plan->service.str()}, {"state", rollout::name_of(what.plan->state)},
+				{"on_row_version", what.plan->row.value()}});
+	}
+	if (what.evidence)
+	{
+		const auto key = evidence_prefix + what.evidence->service.str() + "/" + reporter_;
+		change.puts.push_back({layout_.shift_table, key, write_evidence(*what.evidence)});
+	}
+	store_.change(change, [this](store_result<change_answer> answer) { on_written(std::move(answer)); });
+}
+
+void coordinator::on_written(store_result<change_answer> answer)
+{
+	if (!answer)
+	{
+		log::write(log::level::warn, "write not confirmed", {{"why", name_of(answer.error())}});
+		return;
+	}
+	if (!answer->done)
+	{
+		// Another VM was first: its row is the one that counts.
+		on_shift_rows(answer->rows);
+	}
+}
+} // namespace gingerdyke::control
--- /dev/null
+++ b/src/control/shift_rows.cpp
@@ -0,0 +1,88 @@
+// SPDX-License-Identifier: MIT
+// Rows of the table of version shifts, as JSON.
+#include <gingerdyke/base/json_source.hpp>
+#include <gingerdyke/control/coordinator.hpp>
+
+namespace gingerdyke::control
+{
+namespace
+{
+tl::unexpected<findings> unreadable(const row& from, const std::string& why)
+{
+	return tl::make_unexpected(findings{{{from.table + "/" + from.key, "", 0}, why}});
+}
+
+/// Parses a row and reads it; whatever is missing or of a wrong type becomes a finding.
+template <typename T, typename Read>
+checked<T> read_json(const row& from, const Read& read)
+{
+	try
+	{
+		return read(json::parse(from.value));
+	}
+	catch (const json::exception& error)
+	{
+		return unreadable(from, error.what());
+	}
+}
+} // namespace
+
+std::string write_plan(const rollout::shift_plan& plan)
+{
+	return json{{"service", plan.service.str()}, {"from", plan.from_version}, {"to", plan.to_version},
+		{"started_us", plan.started.count()}, {"length_us", plan.length.count()},
+		{"state", rollout::name_of(plan.state)}, {"order", plan.order.value()}}
+		.dump();
+}
+
+checked<rollout::shift_plan> read_plan(const row& from)
+{
+	return read_json<rollout::shift_plan>(from,
+		[&](const json& value) -> checked<rollout::shift_plan>
+		{
+			rollout::shift_plan plan;
+			plan.service = service_id{value.at("service").get<std::string>()};
+			plan.from_version = value.at("from").get<std::string>();
+			plan.to_version = value.at("to").get<std::string>();
+			plan.started = registry_time{value.at("started_us").get<std::int64_t>()};
+			plan.length = duration{value.at("length_us").get<std::int64_t>()};
+			plan.order = row_version{value.at("order").get<std::int64_t>()};
+			plan.row = from.version;
+			const auto state = rollout::parse_shift_state(value.at("state").get<std::string>());
+			if (!state)
+			{
+				return unreadable(from, "no known state");
+			}
+			plan.state = *state;
+			return plan;
+		});
+}
+
+std::string write_evidence(const rollout::shift_evidence& evidence)
+{
+	json routes = json::array();
+	for (const auto& [route, counts] : evidence.by_route)
+	{
+		routes.push_back({{"route", route}, {"answers", counts.answers}, {"bad", counts.bad}});
+	}
+	return json{{"service", evidence.service.str()}, {"order", evidence.order.value()}, {"routes", routes}}
+		.dump();
+}
+
+checked<rollout::shift_evidence> read_evidence(const row& from)
+{
+	return read_json<rollout::shift_evidence>(from,
+		[](const json& value) -> checked<rollout::shift_evidence>
+		{
+			rollout::shift_evidence evidence;
+			evidence.service = service_id{value.at("service").get<std::string>()};
+			evidence.order = row_version{value.at("order").get<std::int64_t>()};
+			for (const auto& one : value.at("routes"))
+			{
+				evidence.by_route[one.at("route").get<std::string>()] = {
+					one.at("answers").get<std::uint64_t>(), one.at("bad").get<std::uint64_t>()};
+			}
+			return evidence;
+		});
+}
+} // namespace gingerdyke::control
--- /dev/null
+++ b/src/control/table_follower.cpp
@@ -0,0 +1,158 @@
+// SPDX-License-Identifier: MIT
+// Keeps up with one table of the registry.
+#include <algorithm>
+#include <gingerdyke/control/table_follower.hpp>
+#include <gingerdyke/log/log.hpp>
+
+namespace gingerdyke::control
+{
+const char* name_of(store_error error) noexcept
+{
+	switch (error)
+	{
+	case store_error::unreachable:
+		return "unreachable";
+	case store_error::unavailable:
+		return "unavailable";
+	case store_error::history_gone:
+		return "history gone";
+	case store_error::bad_answer:
+		return "bad answer";
+	}
+	return "unknown";
+}
+
+table_follower::table_follower(proxy::asio::io_context& context, row_store& store, std::string table,
+	random_source random, follower_hooks hooks, follower_tuning tuning)
+	: store_(store), table_(std::move(table)), random_(std::move(random)), hooks_(std::move(hooks)),
+	  tuning_(tuning), timer_(context), pause_(tuning.first_pause)
+{
+}
+
+void table_follower::start()
+{
+	call();
+}
+
+void table_follower::stop()
+{
+	stopped_ = true;
+	timer_.cancel();
+}
+
+void table_follower::call()
+{
+	if (next_)
+	{
+		follow();
+	}
+	else
+	{
+		read_all();
+	}
+}
+
+void table_follower::read_all()
+{
+	const auto sent_at = proxy::steady_now();
+	store_.read_all(table_,
+		[this, sent_at](store_result<row_batch> result) { on_all(std::move(result), sent_at); });
+}
+
+void table_follower::follow()
+{
+	const auto sent_at = proxy::steady_now();
+	store_.follow(table_, *next_, tuning_.wait,
+		[this, sent_at](store_result<row_batch> result) { on_changes(std::move(result), sent_at); });
+}
+
+void table_follower::on_all(store_result<row_batch> result, instant sent_at)
+{
+	if (stopped_)
+	{
+		return;
+	}
+	if (!result)
+	{
+		note_failure(result.error());
+		return;
+	}
+	if (known_ && result->newest < *known_)
+	{
+		log::write(log::level::warn, "registry answered from the past",
+			{{"table", table_}, {"newest", result->newest.value()}, {"known", known_->value()}});
+		pause_then_call();
+		return;
+	}
+	next_ = result->newest;
+	known_ = result->newest;
+	hooks_.replaced(result->rows);
+	note_success(sent_at, result->at);
+	follow();
+}
+
+void table_follower::on_changes(store_result<row_batch> result, instant sent_at)
+{
+	if (stopped_)
+	{
+		return;
+	}
+	if (!result)
+	{
+		note_failure(result.error());
+		return;
+	}
+	next_ = std::max(*next_, result->newest);
+	known_ = std::max(*known_, result->newest);
+	if (!result->rows.empty())
+	{
+		hooks_.changed(result->rows);
+	}
+	note_success(sent_at, result->at);
+	follow();
+}
+
+void table_follower::note_success(instant sent_at, registry_time at)
+{
+	pause_ = tuning_.first_pause;
+	if (is_lost_)
+	{
+		is_lost_ = false;
+		log::write(log::level::info, "registry regained", {{"table", table_}});
+	}
+	hooks_.confirmed(sent_at, at);
+}
+
+void table_follower::note_failure(store_error error)
+{
+	if (error == store_error::history_gone)
+	{
+		log::write(log::level::info, "registry forgot its history", {{"table", table_}});
+		next_.reset();
+		pause_then_call();
+		return;
+	}
+	if (!is_lost_)
+	{
+		is_lost_ = true;
+		log::write(log::level::warn, "registry lost", {{"table", table_}, {"why", name_of(error)}});
+	}
+	hooks_.lost(error);
+	pause_then_call();
+}
+
+void table_follower::pause_then_call()
+{
+	const auto spread = 0.5 + random_unit(random_);
+	timer_.expires_after(duration{static_cast<duration::rep>(static_cast<double>(pause_.count()) * spread)});
+	pause_ = std::min<duration>(pause_ * 2, tuning_.longest_pause);
+	timer_.async_wait(
+		[this](const proxy::error_code& error)
+		{
+			if (!error && !stopped_)
+			{
+				call();
+			}
+		});
+}
+} // namespace gingerdyke::control
--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -43,7 +43,7 @@
 void start(const std::string& lowest)
 {
 	initializer() = std::make_unique<log4cplus::Initializer>();
-	const log4cplus::SharedAppenderPtr appender{new log4cplus::ConsoleAppender(true, true)};
+	const log4cplus::SharedAppenderPtr appender{new log4cplus::ConsoleAppender(false, true)};
 	appender->setLayout(std::make_unique<log4cplus::PatternLayout>(LOG4CPLUS_TEXT("%m%n")));
 	auto logger = log4cplus::Logger::getInstance(LOG4CPLUS_TEXT("gingerdyke"));
 	logger.addAppender(appender);
--- /dev/null
+++ b/src/proxy/exchange_answers.cpp
@@ -0,0 +1,253 @@
+// SPDX-License-Identifier: MIT
+// One request: what its replica does, and what is made of it.
+#include <algorithm>
+#include <charconv>
+#include <gingerdyke/proxy/exchange.hpp>
+
+namespace gingerdyke::proxy
+{
+namespace
+{
+constexpr int misdirected = 421;
+constexpr int first_failure = 500;
+constexpr int bad_gateway = 502;
+constexpr int gateway_timeout = 504;
+
+bool is_success(int status) noexcept
+{
+	constexpr int first = 200;
+	constexpr int after = 300;
+	return status >= first && status < after;
+}
+
+duration part_of(duration span, double share)
+{
+	return duration{static_cast<duration::rep>(static_cast<double>(span.count()) * share)};
+}
+} // namespace
+
+void exchange::on_head(answer_head head)
+{
+	const auto& names = shared_.names();
+	attempt_->head_came = true;
+	attempt_->first_byte = steady_now() - attempt_->sent_at;
+	attempt_->head = std::move(head);
+	const auto& came = attempt_->head;
+	if (came.find(names.not_run) != nullptr || came.status == misdirected)
+	{
+		on_not_run();
+		return;
+	}
+	trace_ = trace::may_have_run;
+	if (is_foreign(came))
+	{
+		on_fault(upstream_fault::bad_answer);
+		return;
+	}
+	const bool failed = came.status >= first_failure;
+	shared_.note_answer(*attempt_->to, route_->id.str(), failed, attempt_->first_byte);
+	note_result(failed ? routing::replica_result::failed : routing::replica_result::answered);
+	if (failed && may_try_again() && shared_.budget(service_id_).left(steady_now()) >= 1)
+	{
+		tried_.push_back(attempt_->to->id);
+		end_attempt(false);
+		try_again_or([this] { give_up(bad_gateway, "replica failed"); });
+		return;
+	}
+	if (is_success(came.status) && wants_larger_model(came))
+	{
+		end_attempt(false);
+		try_again_or([this] { give_up(bad_gateway, "no larger model"); });
+		return;
+	}
+	attempt_->is_stream = route_->streams && is_success(came.status);
+	if (!attempt_->is_stream && answer_begun_)
+	{
+		// A stream that had begun can't be continued by another kind of answer.
+		end_attempt(false);
+		give_up(bad_gateway, "stream refused to go on");
+	}
+}
+
+/// Nothing ran there: another replica may, as far as attempts go.
+void exchange::on_not_run()
+{
+	const auto to = attempt_->to;
+	const bool is_other = attempt_->head.status == misdirected;
+	note_result(routing::replica_result::refused);
+	tried_.push_back(to->id);
+	end_attempt(false);
+	if (is_other)
+	{
+		shared_.replicas().forget(to->id);
+	}
+	try_again_or([this] { give_up(bad_gateway, "replica refused"); });
+}
+
+bool exchange::is_foreign(const answer_head& head) const
+{
+	const auto& names = shared_.names();
+	if (head.find(names.request_id) == nullptr || head.find("Content-Encoding") != nullptr)
+	{
+		return true;
+	}
+	return is_success(head.status) && head.find(names.signature) == nullptr;
+}
+
+bool exchange::wants_larger_model(const answer_head& head)
+{
+	const auto* text = head.find(shared_.names().confidence);
+	if (text == nullptr || answer_begun_ || attempt_->size.escalate_below <= 0 || !may_try_again())
+	{
+		return false;
+	}
+	if (shared_.budget(service_id_).left(steady_now()) < 1)
+	{
+		return false;
+	}
+	double confidence = 0;
+	const auto read = std::from_chars(text->data(), text->data() + text->size(), confidence);
+	if (read.ec != std::errc{} || confidence >= attempt_->size.escalate_below)
+	{
+		return false;
+	}
+	const auto larger = shared_.sizes().after(*route_, attempt_->size);
+	if (!larger)
+	{
+		return false;
+	}
+	size_ = *larger;
+	return true;
+}
+
+void exchange::on_body(std::string_view bytes)
+{
+	if (!attempt_)
+	{
+		return;
+	}
+	if (attempt_->is_stream)
+	{
+		on_events(bytes);
+		return;
+	}
+	attempt_->body += bytes;
+}
+
+void exchange::on_events(std::string_view bytes)
+{
+	const auto batch = events_.feed(bytes);
+	for (const auto& event : batch.events)
+	{
+		if (!answer_begun_)
+		{
+			answer_begun_ = true;
+			first_byte_ = steady_now() - arrived_;
+			const auto& head = attempt_->head;
+			to_->begin(head.status, head.reason, end_to_end(head.fields));
+		}
+		to_->pass(event);
+	}
+	if (batch.is_broken)
+	{
+		on_fault(upstream_fault::bad_answer);
+		return;
+	}
+	if (!batch.events.empty() && route_->longest_pause)
+	{
+		arm_attempt_timer(part_of(*route_->longest_pause, shared_.tuning().pause_share));
+	}
+}
+
+void exchange::on_end()
+{
+	if (!attempt_)
+	{
+		return;
+	}
+	if (!attempt_->is_stream)
+	{
+		pass_on_whole();
+		return;
+	}
+	if (!events_.between_events() || !answer_begun_)
+	{
+		on_fault(upstream_fault::cut_answer);
+		return;
+	}
+	end_attempt(true);
+	to_->end();
+	finish(request_outcome::served, 200, {});
+}
+
+void exchange::pass_on_whole()
+{
+	const auto& head = attempt_->head;
+	const auto status = head.status;
+	whole_answer answer{status, head.reason, end_to_end(head.fields), std::move(attempt_->body)};
+	first_byte_ = steady_now() - arrived_;
+	end_attempt(true);
+	const auto sink = to_;
+	const bool failed = status >= first_failure;
+	finish(failed ? request_outcome::failed_by_replica : request_outcome::served, status,
+		failed ? "replica failed" : "");
+	sink->send(std::move(answer));
+}
+
+void exchange::on_fault(upstream_fault fault)
+{
+	if (!attempt_)
+	{
+		return;
+	}
+	if (fault != upstream_fault::not_connected)
+	{
+		trace_ = trace::may_have_run;
+	}
+	// A connection kept too long tells nothing about its replica.
+	const bool is_stale_link = fault == upstream_fault::no_answer && attempt_->link->was_used();
+	if (!is_stale_link)
+	{
+		note_result(routing::replica_result::no_answer);
+		tried_.push_back(attempt_->to->id);
+	}
+	end_attempt(false);
+	try_again_or([this, fault] { give_up(bad_gateway, name_of(fault)); });
+}
+
+duration exchange::first_byte_limit() const
+{
+	const auto& tuning = shared_.tuning();
+	const auto share = route_->streams ? tuning.first_byte_share : tuning.whole_answer_share;
+	return std::max(tuning.shortest_limit, part_of(route_->objective, share));
+}
+
+void exchange::arm_attempt_timer(duration span)
+{
+	attempt_timer_.expires_after(span);
+	attempt_timer_.async_wait(
+		[self = shared_from_this()](const error_code& error)
+		{
+			// A timer that was set anew may have been due already.
+			const bool is_due = self->attempt_timer_.expiry() <= std::chrono::steady_clock::now();
+			if (!error && !self->over_ && self->attempt_ && is_due)
+			{
+				self->on_attempt_timer();
+			}
+		});
+}
+
+void exchange::on_attempt_timer()
+{
+	// Where nothing else can be tried, what is under way may still come.
+	if (!may_try_again() || !route_->may_run_again() || shared_.budget(service_id_).left(steady_now()) < 1)
+	{
+		return;
+	}
+	trace_ = trace::may_have_run;
+	note_result(routing::replica_result::no_answer);
+	tried_.push_back(attempt_->to->id);
+	end_attempt(false);
+	try_again_or([this] { give_up(gateway_timeout, "replica silent"); });
+}
+} // namespace gingerdyke::proxy
--- /dev/null
+++ b/src/proxy/gateway.cpp
@@ -0,0 +1,107 @@
+// SPDX-License-Identifier: MIT
+// What all requests of a VM share.
+#include <gingerdyke/log/log.hpp>
+#include <gingerdyke/proxy/exchange.hpp>
+#include <gingerdyke/proxy/gateway.hpp>
+
+namespace gingerdyke::proxy
+{
+namespace
+{
+double milliseconds_of(duration span)
+{
+	return std::chrono::duration<double, std::milli>(span).count();
+}
+
+void log_ejection(const replica_id& id, double rate, duration span)
+{
+	log::write(log::level::info, "replica ejected",
+		{{"replica", id.str()}, {"failure_rate", rate}, {"for_ms", milliseconds_of(span)}});
+}
+void log_shift(const rollout::shift_plan& plan, bool suspended)
+{
+	log::write(suspended ? log::level::warn : log::level::info,
+		suspended ? "version suspended" : "version shift",
+		{{"service", plan.service.str()}, {"from", plan.from_version}, {"to", plan.to_version},
+			{"state", rollout::name_of(plan.state)}, {"row_version", plan.row.value()}});
+}
+} // namespace
+
+gateway::gateway(asio::io_context& context, header_names names, fleet_bounds bounds,
+	failure_domain_id own_domain, random_source random, request_log& log, gateway_tuning tuning)
+	: context_(context), names_(std::move(names)), bounds_(bounds), log_(log), tuning_(tuning),
+	  replicas_([this](const routing::replica& one, routing::replica_change change)
+		  { on_replica_change(one, change); }),
+	  selector_(replicas_, std::move(own_domain), random, log_ejection),
+	  pool_(context, names_.request_id), versions_(std::move(random), log_shift)
+{
+}
+
+bool gateway::take(routing::catalog_ptr next)
+{
+	if (catalog_ && next->version() <= catalog_->version())
+	{
+		return false;
+	}
+	catalog_ = std::move(next);
+	return true;
+}
+
+void gateway::confirm(instant sent_at)
+{
+	if (!confirmed_at_ || *confirmed_at_ < sent_at)
+	{
+		confirmed_at_ = sent_at;
+	}
+}
+
+std::optional<duration> gateway::confirmed_age(instant now) const
+{
+	return confirmed_at_ ? std::optional{now - *confirmed_at_} : std::nullopt;
+}
+
+key_trust gateway::trust_in_keys(instant now) const
+{
+	if (!bounds_.revocation_time)
+	{
+		return key_trust::trusted;
+	}
+	const auto age = confirmed_age(now);
+	return age && *age < *bounds_.revocation_time ? key_trust::trusted : key_trust::stale;
+}
+
+std::shared_ptr<active_request> gateway::handle(request what, std::shared_ptr<answer_sink> to)
+{
+	const auto made = std::make_shared<exchange>(*this, std::move(what), std::move(to));
+	made->start();
+	return made;
+}
+
+limits::attempt_budget& gateway::budget(const service_id& service)
+{
+	return budgets_.try_emplace(service, bounds_.attempts).first->second;
+}
+
+void gateway::note_answer(
+	const routing::replica& from, const std::string& route, bool failed, duration first_byte)
+{
+	versions_.note_answer(from.service, from.version, route, failed, first_byte, steady_now());
+	if (evidence_hook_ && versions_.has_evidence(from.service))
+	{
+		evidence_hook_();
+	}
+}
+
+void gateway::on_replica_change(const routing::replica& one, routing::replica_change change)
+{
+	log::write(log::level::info, "replica",
+		{{"replica", one.id.str()}, {"service", one.service.str()}, {"address", one.at.str()},
+			{"version", one.version}, {"change", routing::name_of(change)}});
+	if (change == routing::replica_change::gone)
+	{
+		pool_.drop(one.id);
+		selector_.forget(one.id);
+	}
+	versions_.note_replicas(one.service, replicas_.of(one.service));
+}
+} // namespace gingerdyke::proxy
--- /dev/null
+++ b/src/proxy/message.cpp
@@ -0,0 +1,265 @@
+// SPDX-License-Identifier: MIT
+// Header fields, their filtering, and the writing of messages.
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <gingerdyke/proxy/message.hpp>
+#include <ostream>
+
+#include <boost/beast/http/status.hpp>
+
+namespace gingerdyke::proxy
+{
+namespace
+{
+constexpr std::string_view line_end = "\r\n";
+
+/// Fields that concern one connection only, and those that frame the body.
+constexpr std::array<std::string_view, 10> single_hop{"Connection", "Keep-Alive", "Proxy-Connection",
+	"Proxy-Authenticate", "Proxy-Authorization", "TE", "Trailer", "Transfer-Encoding", "Upgrade",
+	"Content-Length"};
+
+char lower(char c) noexcept
+{
+	return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+}
+
+std::string_view trim(std::string_view text) noexcept
+{
+	const auto first = text.find_first_not_of(" \t");
+	if (first == std::string_view::npos)
+	{
+		return {};
+	}
+	return text.substr(first, text.find_last_not_of(" \t") - first + 1);
+}
+
+bool is_single_hop(std::string_view name) noexcept
+{
+	return std::any_of(single_hop.begin(), single_hop.end(),
+		[name](std::string_view one) { return same_name(one, name); });
+}
+
+void append_fields(std::string& out, const header_fields& fields)
+{
+	for (const auto& [name, value] : fields)
+	{
+		out += name;
+		out += ": ";
+		out += value;
+		out += line_end;
+	}
+}
+
+/// What is wrong with one line of a header block, its end left off; the request line is the first.
+std::optional<std::string> find_line_fault(std::string_view line, bool is_first)
+{
+	const auto is_stray = [](char c)
+	{
+		const auto byte = static_cast<unsigned char>(c);
+		return (byte < ' ' && c != '\t') || byte == 0x7f;
+	};
+	if (std::any_of(line.begin(), line.end(), is_stray))
+	{
+		return "control byte in the header";
+	}
+	if (is_first)
+	{
+		return std::nullopt;
+	}
+	if (line.front() == ' ' || line.front() == '\t')
+	{
+		return "folded header line";
+	}
+	const auto colon = line.find(':');
+	if (colon == std::string_view::npos || colon == 0)
+	{
+		return "header line without a name";
+	}
+	if (line.substr(0, colon).find_first_of(" \t") != std::string_view::npos)
+	{
+		return "blank in a header name";
+	}
+	return std::nullopt;
+}
+
+/// Counts of the fields that decide where a message ends and whom it is for.
+struct framing_count
+{
+	unsigned lengths{};
+	unsigned encodings{};
+	unsigned hosts{};
+	bool plain_chunked{true};
+};
+
+void count_framing(std::string_view line, framing_count& into)
+{
+	const auto colon = line.find(':');
+	const auto name = line.substr(0, colon);
+	if (same_name(name, "Content-Length"))
+	{
+		++into.lengths;
+	}
+	if (same_name(name, "Host"))
+	{
+		++into.hosts;
+	}
+	if (same_name(name, "Transfer-Encoding"))
+	{
+		++into.encodings;
+		into.plain_chunked = same_name(trim(line.substr(colon + 1)), "chunked");
+	}
+}
+
+std::optional<std::string> find_framing_fault(const framing_count& count)
+{
+	if (count.lengths > 1)
+	{
+		return "two lengths";
+	}
+	if (count.lengths + count.encodings > 1)
+	{
+		return "length and transfer encoding";
+	}
+	if (!count.plain_chunked)
+	{
+		return "transfer encoding other than chunked";
+	}
+	if (count.hosts != 1)
+	{
+		return "not exactly one host";
+	}
+	return std::nullopt;
+}
+} // namespace
+
+bool same_name(std::string_view a, std::string_view b) noexcept
+{
+	return std::equal(
+		a.begin(), a.end(), b.begin(), b.end(), [](char x, char y) { return lower(x) == lower(y); });
+}
+
+const std::string* find_field(const header_fields& fields, std::string_view name) noexcept
+{
+	const auto found = std::find_if(
+		fields.begin(), fields.end(), [name](const header_field& one) { return same_name(one.name, name); });
+	return found == fields.end() ? nullptr : &found->value;
+}
+
+bool has_token(std::string_view list, std::string_view token) noexcept
+{
+	while (!list.empty())
+	{
+		const auto comma = list.find(',');
+		if (same_name(trim(list.substr(0, comma)), token))
+		{
+			return true;
+		}
+		list = comma == std::string_view::npos ? std::string_view{} : list.substr(comma + 1);
+	}
+	return false;
+}
+
+header_fields end_to_end(const header_fields& fields)
+{
+	std::string named;
+	for (const auto& [name, value] : fields)
+	{
+		if (same_name(name, "Connection"))
+		{
+			named += value + ",";
+		}
+	}
+	header_fields kept;
+	for (const auto& one : fields)
+	{
+		if (!is_single_hop(one.name) && !has_token(named, one.name))
+		{
+			kept.push_back(one);
+		}
+	}
+	return kept;
+}
+
+std::string_view request::path() const noexcept
+{
+	const std::string_view whole = target;
+	return whole.substr(0, whole.find('?'));
+}
+
+std::optional<std::string> find_ambiguity(std::string_view block)
+{
+	framing_count count;
+	bool is_first = true;
+	while (!block.empty())
+	{
+		const auto end = block.find('\n');
+		if (end == std::string_view::npos || end == 0 || block[end - 1] != '\r')
+		{
+			return "line that does not end with carriage return and line feed";
+		}
+		const auto line = block.substr(0, end - 1);
+		block.remove_prefix(end + 1);
+		if (line.empty())
+		{
+			break;
+		}
+		if (auto fault = find_line_fault(line, is_first))
+		{
+			return fault;
+		}
+		if (!is_first)
+		{
+			count_framing(line, count);
+		}
+		is_first = false;
+	}
+	return find_framing_fault(count);
+}
+
+std::string write_request(const request& what, const header_fields& fields)
+{
+	std::string out;
+	out.reserve(512 + what.body.size());
+	out += what.method + " " + what.target + " HTTP/1.1\r\n";
+	append_fields(out, fields);
+	const bool may_be_empty = what.method == "GET" || what.method == "HEAD" || what.method == "DELETE";
+	if (!what.body.empty() || !may_be_empty)
+	{
+		out += "Content-Length: " + std::to_string(what.body.size()) + "\r\n";
+	}
+	out += line_end;
+	out += what.body;
+	return out;
+}
+
+std::string write_head(
+	int status, std::string_view reason, const header_fields& fields, const header_fields& framing)
+{
+	std::string out = "HTTP/1.1 " + std::to_string(status) + " ";
+	out += reason;
+	out += line_end;
+	append_fields(out, fields);
+	append_fields(out, framing);
+	out += line_end;
+	return out;
+}
+
+std::string write_chunk(std::string_view bytes)
+{
+	constexpr int hexadecimal = 16;
+	std::array<char, 16> size{};
+	const auto written = std::to_chars(size.data(), size.data() + size.size(), bytes.size(), hexadecimal);
+	std::string out{size.data(), written.ptr};
+	out += line_end;
+	out += bytes;
+	out += line_end;
+	return out;
+}
+
+std::string_view reason_of(int status) noexcept
+{
+	const auto text = boost::beast::http::obsolete_reason(static_cast<boost::beast::http::status>(status));
+	return {text.data(), text.size()};
+}
+} // namespace gingerdyke::proxy
--- /dev/null
+++ b/src/proxy/prompt.cpp
@@ -0,0 +1,42 @@
+// SPDX-License-Identifier: MIT
+// What a request tells about its prompt.
+#include <charconv>
+#include <gingerdyke/base/crypto.hpp>
+#include <gingerdyke/proxy/prompt.hpp>
+
+namespace gingerdyke::proxy
+{
+namespace
+{
+double read_number(std::string_view text)
+{
+	std::uint64_t number = 0;
+	std::from_chars(text.data(), text.data() + text.size(), number);
+	return static_cast<double>(number);
+}
+} // namespace
+
+prompt read_prompt(const std::string* token_counts, const std::string* parts)
+{
+	prompt read;
+	if (token_counts != nullptr)
+	{
+		const std::string_view text = *token_counts;
+		const auto comma = text.find(',');
+		read.tokens_in = read_number(text.substr(0, comma));
+		if (comma != std::string_view::npos)
+		{
+			read.tokens_out = read_number(text.substr(comma + 1));
+		}
+	}
+	if (parts != nullptr)
+	{
+		const auto last = parts->rfind(',');
+		if (last != std::string::npos)
+		{
+			read.shared_parts = stable_hash(std::string_view{*parts}.substr(0, last));
+		}
+	}
+	return read;
+}
+} // namespace gingerdyke::proxy
--- /dev/null
+++ b/src/proxy/upstream_link.cpp
@@ -0,0 +1,341 @@
+// SPDX-License-Identifier: MIT
+// One connection to a replica.
+#include <charconv>
+#include <gingerdyke/proxy/upstream_link.hpp>
+#include <limits>
+#include <netinet/tcp.h>
+
+namespace gingerdyke::proxy
+{
+namespace
+{
+/// Bytes asked for by one read; a whole answer of a plain service fits.
+constexpr std::size_t read_size = 16384;
+
+/// Largest head of an answer, in bytes; the users' replicas send a few hundred.
+constexpr std::uint32_t largest_head = 65536;
+
+constexpr int first_success = 200;
+
+/// Seconds of silence before a connection is probed, between probes, and probes until it is given up. A
+/// replica that is silently gone is noticed within 3 s; silence of one request is bounded elsewhere.
+constexpr int probe_idle_s = 2;
+constexpr int probe_interval_s = 1;
+constexpr int probe_count = 2;
+
+/// Milliseconds that sent bytes may stay unacknowledged: as long as the probes take.
+constexpr unsigned unacknowledged_ms = 3000;
+
+answer_head head_of(const beast::http::response_parser<beast::http::string_body>& parser)
+{
+	answer_head head;
+	const auto& message = parser.get();
+	head.status = static_cast<int>(message.result_int());
+	head.reason = std::string{message.reason()};
+	for (const auto& field : message)
+	{
+		head.fields.push_back({std::string{field.name_string()}, std::string{field.value()}});
+	}
+	if (const auto length = parser.content_length())
+	{
+		head.length = *length;
+	}
+	head.ends_with_connection = parser.need_eof();
+	return head;
+}
+} // namespace
+
+void set_connection_options(tcp::socket& socket)
+{
+	error_code ignored;
+	socket.set_option(tcp::no_delay{true}, ignored);
+	socket.set_option(asio::socket_base::keep_alive{true}, ignored);
+	const auto fd = socket.native_handle();
+	const auto set = [fd](int name, auto value)
+	{ static_cast<void>(::setsockopt(fd, IPPROTO_TCP, name, &value, sizeof(value))); };
+	set(TCP_KEEPIDLE, probe_idle_s);
+	set(TCP_KEEPINTVL, probe_interval_s);
+	set(TCP_KEEPCNT, probe_count);
+	set(TCP_USER_TIMEOUT, unacknowledged_ms);
+}
+
+const char* name_of(upstream_fault fault) noexcept
+{
+	switch (fault)
+	{
+	case upstream_fault::not_connected:
+		return "not connected";
+	case upstream_fault::no_answer:
+		return "no answer";
+	case upstream_fault::cut_answer:
+		return "cut answer";
+	case upstream_fault::bad_answer:
+		return "bad answer";
+	}
+	return "unknown";
+}
+
+upstream_link::upstream_link(asio::io_context& context, routing::replica_ptr to, std::string id_field)
+	: context_(context), to_(std::move(to)), id_field_(std::move(id_field)), socket_(context)
+{
+}
+
+void upstream_link::send(upstream_request what, upstream_hooks hooks)
+{
+	request_ = std::move(what);
+	hooks_ = std::make_shared<const upstream_hooks>(std::move(hooks));
+	busy_ = true;
+	written_ = false;
+	head_given_ = false;
+	skipping_ = false;
+	reusable_ = false;
+	start_parser();
+	if (connected_)
+	{
+		write();
+	}
+	else
+	{
+		connect();
+	}
+}
+
+void upstream_link::close()
+{
+	closed_ = true;
+	busy_ = false;
+	reusable_ = false;
+	hooks_.reset();
+	idle_ended_ = {};
+	error_code ignored;
+	socket_.close(ignored);
+}
+
+void upstream_link::connect()
+{
+	error_code error;
+	const auto ip = asio::ip::make_address_v4(to_->at.ip, error);
+	if (error)
+	{
+		asio::post(context_, [self = shared_from_this()] { self->fail(upstream_fault::not_connected); });
+		return;
+	}
+	socket_.async_connect({ip, to_->at.port},
+		[self = shared_from_this()](const error_code& failed)
+		{
+			if (self->closed_)
+			{
+				return;
+			}
+			if (failed)
+			{
+				self->fail(upstream_fault::not_connected);
+				return;
+			}
+			self->connected_ = true;
+			set_connection_options(self->socket_);
+			self->read();
+			self->write();
+		});
+}
+
+void upstream_link::write()
+{
+	// The bytes outlive the call even where the link is given up meanwhile.
+	const auto bytes = std::make_shared<std::string>(std::move(request_.bytes));
+	asio::async_write(socket_, asio::buffer(*bytes),
+		[self = shared_from_this(), bytes](const error_code& error, std::size_t)
+		{
+			// A failed write is told by the read: an answer may have come before the connection broke.
+			self->written_ = !error;
+		});
+}
+
+void upstream_link::read()
+{
+	socket_.async_read_some(buffer_.prepare(read_size),
+		[self = shared_from_this()](const error_code& error, std::size_t size) { self->on_read(error, size); });
+}
+
+void upstream_link::on_read(const error_code& error, std::size_t size)
+{
+	if (closed_)
+	{
+		return;
+	}
+	buffer_.commit(size);
+	if (!busy_)
+	{
+		// Nothing is due on an idle connection: neither its end nor bytes leave it fit for use.
+		const auto ended = std::move(idle_ended_);
+		close();
+		if (ended)
+		{
+			ended();
+		}
+		return;
+	}
+	if (error)
+	{
+		on_end_of_connection(error);
+		return;
+	}
+	on_bytes();
+	if (!closed_)
+	{
+		read();
+	}
+}
+
+void upstream_link::on_bytes()
+{
+	while (busy_ && !closed_ && buffer_.size() > 0 && parse_some())
+	{
+	}
+}
+
+bool upstream_link::parse_some()
+{
+	error_code error;
+	const auto used = parser_->put(buffer_.data(), error);
+	buffer_.consume(used);
+	if (error && error != beast::http::error::need_more)
+	{
+		fail(upstream_fault::bad_answer);
+		return false;
+	}
+	if (parser_->is_header_done() && !head_given_ && !on_head())
+	{
+		return !closed_ && busy_;
+	}
+	if (head_given_ && !skipping_)
+	{
+		auto& body = parser_->get().body();
+		if (!body.empty())
+		{
+			const auto bytes = std::exchange(body, {});
+			const auto self = shared_from_this();
+			const auto hooks = hooks_;
+			hooks->brought(bytes);
+			if (closed_)
+			{
+				return false;
+			}
+		}
+	}
+	if (parser_->is_done())
+	{
+		finish();
+		return true;
+	}
+	return used > 0;
+}
+
+void upstream_link::start_parser()
+{
+	parser_.emplace();
+	// `none` would refuse every answer that states a length in this version of Beast.
+	parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
+	parser_->header_limit(largest_head);
+	parser_->eager(true);
+	parser_->skip(request_.is_head);
+}
+
+/// \returns False where the head is not handed on: what follows is read again from the start.
+bool upstream_link::on_head()
+{
+	auto head = head_of(*parser_);
+	if (head.status < first_success)
+	{
+		start_parser();
+		return false;
+	}
+	head_given_ = true;
+	const auto* id = head.find(id_field_);
+	if (id != nullptr && *id != request_.id)
+	{
+		skipping_ = true;
+		return true;
+	}
+	note_keep_alive(head.fields);
+	const auto* connection = head.find("Connection");
+	reusable_ = !head.ends_with_connection && !(connection != nullptr && has_token(*connection, "close"));
+	const auto self = shared_from_this();
+	const auto hooks = hooks_;
+	hooks->began(std::move(head));
+	return !closed_;
+}
+
+void upstream_link::on_end_of_connection(const error_code& error)
+{
+	if (head_given_ && !skipping_ && parser_->need_eof() && error == asio::error::eof)
+	{
+		error_code ignored;
+		parser_->put_eof(ignored);
+		reusable_ = false;
+		finish();
+		return;
+	}
+	if (!connected_)
+	{
+		fail(upstream_fault::not_connected);
+		return;
+	}
+	fail(head_given_ && !skipping_ ? upstream_fault::cut_answer : upstream_fault::no_answer);
+}
+
+void upstream_link::finish()
+{
+	if (skipping_)
+	{
+		// The answer to an earlier request came late; ours is still due.
+		skipping_ = false;
+		head_given_ = false;
+		start_parser();
+		return;
+	}
+	++answers_;
+	// An answer that came before the request was sent, or more bytes than the answer has, end the connection.
+	reusable_ = reusable_ && written_ && buffer_.size() == 0;
+	busy_ = false;
+	const auto hooks = std::exchange(hooks_, nullptr);
+	const auto self = shared_from_this();
+	hooks->ended();
+}
+
+void upstream_link::fail(upstream_fault fault)
+{
+	if (closed_)
+	{
+		return;
+	}
+	const auto hooks = hooks_;
+	const auto self = shared_from_this();
+	close();
+	if (hooks)
+	{
+		hooks->failed(fault);
+	}
+}
+
+void upstream_link::note_keep_alive(const header_fields& fields)
+{
+	const auto* text = find_field(fields, "Keep-Alive");
+	if (text == nullptr)
+	{
+		return;
+	}
+	constexpr std::string_view name = "timeout=";
+	const auto at = text->find(name);
+	if (at == std::string::npos)
+	{
+		return;
+	}
+	unsigned seconds = 0;
+	const auto* begin = text->data() + at + name.size();
+	if (std::from_chars(begin, text->data() + text->size(), seconds).ec == std::errc{})
+	{
+		keep_alive_ = std::chrono::seconds{seconds};
+	}
+}
+} // namespace gingerdyke::proxy
--- /dev/null
+++ b/src/proxy/upstream_pool.cpp
@@ -0,0 +1,100 @@
+// SPDX-License-Identifier: MIT
+// Connections to replicas, kept for reuse.
+#include <algorithm>
+#include <gingerdyke/proxy/upstream_pool.hpp>
+
+namespace gingerdyke::proxy
+{
+upstream_pool::upstream_pool(asio::io_context& context, std::string id_field, pool_tuning tuning)
+	: context_(context), id_field_(std::move(id_field)), tuning_(tuning)
+{
+}
+
+std::shared_ptr<upstream_link> upstream_pool::take(
+	const routing::replica_ptr& to, bool may_run_again, instant now)
+{
+	auto& known = entries_[to->id];
+	++known.in_use;
+	// The one used last is the least likely to be dead.
+	while (!known.idle.empty())
+	{
+		const auto last = std::move(known.idle.back());
+		known.idle.pop_back();
+		if (fits(last, may_run_again, now))
+		{
+			return last.link;
+		}
+		last.link->close();
+	}
+	return std::make_shared<upstream_link>(context_, to, id_field_);
+}
+
+void upstream_pool::give_back(const std::shared_ptr<upstream_link>& link, instant now)
+{
+	const auto id = link->to()->id;
+	const auto found = entries_.find(id);
+	if (found == entries_.end())
+	{
+		link->close();
+		return;
+	}
+	--found->second.in_use;
+	if (!link->reusable())
+	{
+		link->close();
+		return;
+	}
+	link->on_idle_end([this, id, raw = link.get()] { remove_idle(id, raw); });
+	found->second.idle.push_back({link, now});
+}
+
+unsigned upstream_pool::open(const replica_id& id) const
+{
+	const auto found = entries_.find(id);
+	return found == entries_.end() ? 0
+								   : found->second.in_use + static_cast<unsigned>(found->second.idle.size());
+}
+
+std::size_t upstream_pool::idle(const replica_id& id) const
+{
+	const auto found = entries_.find(id);
+	return found == entries_.end() ? 0 : found->second.idle.size();
+}
+
+void upstream_pool::drop(const replica_id& id)
+{
+	const auto found = entries_.find(id);
+	if (found == entries_.end())
+	{
+		return;
+	}
+	for (const auto& one : std::exchange(found->second.idle, {}))
+	{
+		one.link->close();
+	}
+	if (found->second.in_use == 0)
+	{
+		entries_.erase(found);
+	}
+}
+
+bool upstream_pool::fits(const idle_link& one, bool may_run_again, instant now) const
+{
+	const auto idle = now - one.since;
+	if (!may_run_again && idle > tuning_.trusted_idle)
+	{
+		return false;
+	}
+	const auto kept = one.link->keep_alive_time();
+	return !kept || static_cast<double>(idle.count()) < static_cast<double>(kept->count()) * tuning_.kept_share;
+}
+
+void upstream_pool::remove_idle(const replica_id& id, const upstream_link* link)
+{
+	const auto found = entries_.find(id);
+	if (found != entries_.end())
+	{
+		std::erase_if(found->second.idle, [link](const idle_link& one) { return one.link.get() == link; });
+	}
+}
+} // namespace gingerdyke::proxy
--- /dev/null
+++ b/src/rollout/version_shift.cpp
@@ -0,0 +1,419 @@
+// SPDX-License-Identifier: MIT
+// Moves a service's traffic from one software version to another.
+#include <algorithm>
+#include <gingerdyke/rollout/sequential_test.hpp>
+#include <gingerdyke/rollout/version_shift.hpp>
+
+namespace gingerdyke::rollout
+{
+namespace
+{
+constexpr const char* word_running = "running";
+constexpr const char* word_completed = "completed";
+constexpr const char* word_rolled_back = "rolled_back";
+
+/// An attempt to write is repeated after this time where no news came of it.
+constexpr duration write_again = std::chrono::milliseconds{700};
+
+/// A point as a number from 0 to 1.
+double unit_of(std::uint64_t point)
+{
+	constexpr double scale = 1.0 / 18446744073709551616.0;
+	return static_cast<double>(point) * scale;
+}
+
+shift_counts operator+(const shift_counts& a, const shift_counts& b)
+{
+	return {a.answers + b.answers, a.bad + b.bad};
+}
+
+std::string commonest_version(
+	const std::vector<routing::replica_ptr>& replicas, const std::optional<shift_order>& order)
+{
+	std::map<std::string, unsigned> counts;
+	for (const auto& one : replicas)
+	{
+		if (!order || one->version != order->to_version)
+		{
+			++counts[one->version];
+		}
+	}
+	const auto most = std::max_element(
+		counts.begin(), counts.end(), [](const auto& a, const auto& b) { return a.second < b.second; });
+	return most == counts.end() ? std::string{} : most->first;
+}
+
+bool has_version(const std::vector<routing::replica_ptr>& replicas, const std::string& version)
+{
+	return std::any_of(
+		replicas.begin(), replicas.end(), [&](const auto& one) { return one->version == version; });
+}
+} // namespace
+
+const char* name_of(shift_state state) noexcept
+{
+	switch (state)
+	{
+	case shift_state::running:
+		return word_running;
+	case shift_state::completed:
+		return word_completed;
+	case shift_state::rolled_back:
+		return word_rolled_back;
+	}
+	return "unknown";
+}
+
+std::optional<shift_state> parse_shift_state(const std::string& word)
+{
+	for (const auto state : {shift_state::running, shift_state::completed, shift_state::rolled_back})
+	{
+		if (word == name_of(state))
+		{
+			return state;
+		}
+	}
+	return std::nullopt;
+}
+
+version_shift::version_shift(random_source random, news_hook news, shift_tuning tuning)
+	: random_(std::move(random)), news_(std::move(news)), tuning_(tuning)
+{
+}
+
+void version_shift::on_order(const shift_order& order, instant now)
+{
+	auto& state = services_[order.service];
+	if (state.order && state.order->order >= order.order)
+	{
+		return;
+	}
+	state.order = order;
+	schedule(state, now);
+}
+
+void version_shift::on_plan(const shift_plan& plan, instant now)
+{
+	auto& state = services_[plan.service];
+	if (state.plan && state.plan->row >= plan.row)
+	{
+		return;
+	}
+	if (!state.plan || state.plan->order != plan.order)
+	{
+		state.suspended = false;
+		state.own.clear();
+		state.others.clear();
+	}
+	state.plan = plan;
+	state.stable_version = plan.state == shift_state::completed ? plan.to_version : plan.from_version;
+	news_(plan, false);
+	schedule(state, now);
+}
+
+void version_shift::on_evidence(const std::string& reporter, const shift_evidence& evidence, instant now)
+{
+	auto& state = services_[evidence.service];
+	if (!state.plan || state.plan->order != evidence.order)
+	{
+		return;
+	}
+	state.others[reporter] = evidence.by_route;
+	judge(state, now);
+}
+
+void version_shift::note_replicas(const service_id& service, const std::vector<routing::replica_ptr>& replicas)
+{
+	auto& state = services_[service];
+	const bool is_stable_known = !state.stable_version.empty();
+	if (state.plan || (is_stable_known && has_version(replicas, state.stable_version)))
+	{
+		return;
+	}
+	const auto commonest = commonest_version(replicas, state.order);
+	if (!commonest.empty())
+	{
+		state.stable_version = commonest;
+	}
+}
+
+void version_shift::note_registry_time(registry_time then, instant now)
+{
+	// An answer is as old as its way here; the largest difference came the fastest way.
+	const auto offset = then - now.time_since_epoch();
+	clock_offset_ = clock_offset_ ? std::max(*clock_offset_, offset) : offset;
+	news_at_ = now;
+}
+
+void version_shift::note_answer(const service_id& service, const std::string& version,
+	const std::string& route, bool failed, duration first_byte, instant now)
+{
+	const auto found = services_.find(service);
+	if (found == services_.end())
+	{
+		return;
+	}
+	auto& state = found->second;
+	auto& base = state.base[route];
+	const auto took = static_cast<double>(first_byte.count());
+	const bool is_new = state.plan && state.plan->state == shift_state::running &&
+						version == state.plan->to_version;
+	if (!is_new)
+	{
+		++base.counts.answers;
+		base.counts.bad += failed ? 1 : 0;
+		if (base.counts.answers >= tuning_.base_memory)
+		{
+			base.counts = {base.counts.answers / 2, base.counts.bad / 2};
+		}
+		base.mean_us = base.mean_us == 0 ? took : base.mean_us + tuning_.mean_weight * (took - base.mean_us);
+		return;
+	}
+	const bool is_slow = base.mean_us > 0 && first_byte > tuning_.never_slow &&
+						 took > tuning_.slow_multiple * base.mean_us;
+	auto& own = state.own[route];
+	++own.answers;
+	if (failed || is_slow)
+	{
+		++own.bad;
+		state.has_news_to_report = true;
+		judge(state, now);
+	}
+}
+
+std::string version_shift::version_for(const service_id& service, std::uint64_t point, instant now) const
+{
+	const auto* state = find(service);
+	if (state == nullptr)
+	{
+		return {};
+	}
+	if (!state->plan || state->plan->state != shift_state::running)
+	{
+		return state->stable_version;
+	}
+	const bool wants_new = !state->suspended && unit_of(point) < share_of(*state, now);
+	return wants_new ? state->plan->to_version : state->plan->from_version;
+}
+
+std::string version_shift::fallback_for(const service_id& service, std::uint64_t point, instant now) const
+{
+	const auto* state = find(service);
+	if (state == nullptr || !state->plan || state->plan->state != shift_state::running)
+	{
+		return {};
+	}
+	const auto chosen = version_for(service, point, now);
+	if (chosen == state->plan->to_version)
+	{
+		return state->plan->from_version;
+	}
+	return {};
+}
+
+std::vector<shift_write> version_shift::due(instant now)
+{
+	std::vector<shift_write> writes;
+	for (auto& [service, state] : services_)
+	{
+		if (state.has_news_to_report && state.plan && now - state.reported_at >= tuning_.report_pause)
+		{
+			state.has_news_to_report = false;
+			state.reported_at = now;
+			writes.push_back({std::nullopt, shift_evidence{service, state.plan->order, state.own}});
+		}
+		if (!state.act_at || *state.act_at > now)
+		{
+			continue;
+		}
+		if (auto plan = next_plan(state, now))
+		{
+			plan->service = service;
+			writes.push_back({std::move(plan), std::nullopt});
+			state.act_at = now + write_again + random_delay();
+			continue;
+		}
+		schedule(state, now);
+	}
+	return writes;
+}
+
+std::optional<instant> version_shift::next_due() const
+{
+	std::optional<instant> next;
+	const auto consider = [&next](instant when) { next = next ? std::min(*next, when) : when; };
+	for (const auto& [service, state] : services_)
+	{
+		if (state.act_at)
+		{
+			consider(*state.act_at);
+		}
+		if (state.has_news_to_report && state.plan)
+		{
+			consider(state.reported_at + tuning_.report_pause);
+		}
+	}
+	return next;
+}
+
+double version_shift::share(const service_id& service, instant now) const
+{
+	const auto* state = find(service);
+	return state == nullptr || !state->plan ? 0 : share_of(*state, now);
+}
+
+bool version_shift::has_evidence(const service_id& service) const
+{
+	const auto* state = find(service);
+	return state != nullptr && state->has_news_to_report;
+}
+
+const shift_plan* version_shift::plan_of(const service_id& service) const
+{
+	const auto* state = find(service);
+	return state == nullptr || !state->plan ? nullptr : &*state->plan;
+}
+
+const version_shift::service_state* version_shift::find(const service_id& service) const
+{
+	const auto found = services_.find(service);
+	return found == services_.end() ? nullptr : &found->second;
+}
+
+registry_time version_shift::registry_now(instant now) const
+{
+	return now.time_since_epoch() + clock_offset_.value_or(duration{0});
+}
+
+double version_shift::share_of(const service_state& state, instant now) const
+{
+	if (state.suspended || !clock_offset_)
+	{
+		return 0;
+	}
+	const auto& plan = *state.plan;
+	const auto known_until = std::min(now, news_at_ + tuning_.news_limit);
+	const auto elapsed = registry_now(known_until) - plan.started;
+	const auto part = static_cast<double>(elapsed.count()) / static_cast<double>(plan.length.count());
+	if (part < tuning_.grow_at)
+	{
+		return tuning_.first_share;
+	}
+	const auto grown = (part - tuning_.grow_at) / (tuning_.full_at - tuning_.grow_at);
+	return std::min(1.0, tuning_.first_share + grown * (1 - tuning_.first_share));
+}
+
+bool version_shift::looks_bad(const service_state& state) const
+{
+	std::map<std::string, shift_counts> seen = state.own;
+	for (const auto& [reporter, by_route] : state.others)
+	{
+		for (const auto& [route, counts] : by_route)
+		{
+			seen[route] = seen[route] + counts;
+		}
+	}
+	return std::any_of(seen.begin(), seen.end(),
+		[&](const auto& one) { return is_bad_route(state, one.first, one.second); });
+}
+
+bool version_shift::is_bad_route(
+	const service_state& state, const std::string& route, const shift_counts& seen) const
+{
+	if (seen.bad < tuning_.fewest_bad)
+	{
+		return false;
+	}
+	const auto base = state.base.find(route);
+	double base_rate = 0;
+	if (base != state.base.end() && base->second.counts.answers > 0)
+	{
+		base_rate = static_cast<double>(base->second.counts.bad) /
+					static_cast<double>(base->second.counts.answers);
+	}
+	const auto tolerated = std::min(0.9, tuning_.tolerated + tuning_.tolerated_multiple * base_rate);
+	return log_evidence_against(seen.answers, seen.bad, tolerated) > tuning_.verdict;
+}
+
+std::optional<shift_plan> version_shift::next_plan(const service_state& state, instant now) const
+{
+	const bool is_new_order = state.order && (!state.plan || state.plan->order < state.order->order);
+	if (is_new_order)
+	{
+		if (!clock_offset_ || state.stable_version.empty())
+		{
+			return std::nullopt;
+		}
+		shift_plan plan;
+		plan.from_version = state.stable_version;
+		plan.to_version = state.order->to_version;
+		plan.started = registry_now(now);
+		plan.length = state.order->length;
+		plan.order = state.order->order;
+		plan.row = state.plan ? state.plan->row : row_version{0};
+		return plan;
+	}
+	if (!state.plan || state.plan->state != shift_state::running)
+	{
+		return std::nullopt;
+	}
+	auto plan = *state.plan;
+	if (state.suspended)
+	{
+		plan.state = shift_state::rolled_back;
+		return plan;
+	}
+	const auto spare =
+		std::max(tuning_.least_spare, std::chrono::duration_cast<duration>(plan.length * tuning_.spare_share));
+	const auto since_news = now - news_at_;
+	if (registry_now(now) - plan.started >= plan.length - spare && since_news < tuning_.news_limit)
+	{
+		plan.state = shift_state::completed;
+		return plan;
+	}
+	return std::nullopt;
+}
+
+std::optional<instant> version_shift::moment_to_act(const service_state& state, instant now) const
+{
+	const bool is_new_order = state.order && (!state.plan || state.plan->order < state.order->order);
+	if (is_new_order)
+	{
+		return now + random_delay();
+	}
+	if (!state.plan || state.plan->state != shift_state::running)
+	{
+		return std::nullopt;
+	}
+	if (state.suspended)
+	{
+		return now + random_delay();
+	}
+	const auto spare = std::max(
+		tuning_.least_spare, std::chrono::duration_cast<duration>(state.plan->length * tuning_.spare_share));
+	const auto left = state.plan->started + state.plan->length - spare - registry_now(now);
+	return now + std::max<duration>(left, duration{0}) + random_delay();
+}
+
+void version_shift::judge(service_state& state, instant now)
+{
+	if (state.suspended || !state.plan || state.plan->state != shift_state::running || !looks_bad(state))
+	{
+		return;
+	}
+	state.suspended = true;
+	news_(*state.plan, true);
+	state.act_at = now;
+}
+
+void version_shift::schedule(service_state& state, instant now)
+{
+	state.act_at = moment_to_act(state, now);
+}
+
+duration version_shift::random_delay() const
+{
+	return duration{static_cast<duration::rep>(
+		random_unit(random_) * static_cast<double>(tuning_.spread.count()))};
+}
+} // namespace gingerdyke::rollout
--- /dev/null
+++ b/src/routing/replica_selector.cpp
@@ -0,0 +1,191 @@
+// SPDX-License-Identifier: MIT
+// The choice among a service's replicas.
+#include <algorithm>
+#include <cmath>
+#include <gingerdyke/base/crypto.hpp>
+#include <gingerdyke/routing/replica_selector.hpp>
+
+namespace gingerdyke::routing
+{
+replica_selector::replica_selector(const replica_set& replicas, failure_domain_id own_domain,
+	random_source random, ejection_hook ejected, selector_tuning tuning)
+	: replicas_(replicas), own_domain_(std::move(own_domain)), random_(std::move(random)),
+	  ejected_(std::move(ejected)), tuning_(tuning)
+{
+}
+
+replica_ptr replica_selector::choose(const selection& what, instant now) const
+{
+	const auto from = usable(what, now);
+	if (from.empty())
+	{
+		return nullptr;
+	}
+	return what.affinity != 0 ? by_affinity(from, what.affinity) : by_load(from);
+}
+
+replica_selector::candidates replica_selector::usable(const selection& what, instant now) const
+{
+	candidates open;
+	candidates all;
+	for (const auto& one : replicas_.of(what.service))
+	{
+		if (one->leaving || !what.usable(*one))
+		{
+			continue;
+		}
+		all.push_back(&one);
+		const auto* known = find(one->id);
+		if (known == nullptr || known->ejected_until <= now)
+		{
+			open.push_back(&one);
+		}
+	}
+	// Where most look bad, the fault is more likely common to all: ejection would only add overload.
+	const auto floor = tuning_.kept_share * static_cast<double>(all.size());
+	return static_cast<double>(open.size()) < floor ? all : open;
+}
+
+replica_ptr replica_selector::by_affinity(const candidates& from, std::uint64_t affinity) const
+{
+	double total = 0;
+	for (const auto* one : from)
+	{
+		const auto* known = find((*one)->id);
+		total += known == nullptr ? 0 : known->open_tokens;
+	}
+	const auto mean = total / static_cast<double>(from.size());
+	const auto bound = std::max(tuning_.affinity_floor, tuning_.affinity_bound * mean);
+
+	const replica_ptr* best = nullptr;
+	std::uint64_t best_score = 0;
+	const replica_ptr* best_open = nullptr;
+	std::uint64_t best_open_score = 0;
+	for (const auto* one : from)
+	{
+		const auto score = mix_hash(affinity, stable_hash((*one)->id.str()));
+		if (best == nullptr || score > best_score)
+		{
+			best = one;
+			best_score = score;
+		}
+		const auto* known = find((*one)->id);
+		const bool has_room = known == nullptr || known->open_tokens <= bound;
+		if (has_room && (best_open == nullptr || score > best_open_score))
+		{
+			best_open = one;
+			best_open_score = score;
+		}
+	}
+	return best_open != nullptr ? *best_open : *best;
+}
+
+replica_ptr replica_selector::by_load(const candidates& from) const
+{
+	const auto start = random_below(random_, from.size());
+	const replica_ptr* best = nullptr;
+	double best_cost = 0;
+	for (std::size_t i = 0; i < from.size(); ++i)
+	{
+		const auto* one = from[(start + i) % from.size()];
+		const auto cost = cost_of(**one);
+		if (best == nullptr || cost < best_cost)
+		{
+			best = one;
+			best_cost = cost;
+		}
+	}
+	return *best;
+}
+
+double replica_selector::cost_of(const replica& one) const
+{
+	const auto* known = find(one.id);
+	const auto assumed = static_cast<double>(tuning_.assumed_time.count());
+	const auto mean = known == nullptr || known->mean_us == 0 ? assumed : known->mean_us;
+	const auto open = known == nullptr ? 0 : known->open;
+	const auto penalty = one.domain == own_domain_ ? 0 : static_cast<double>(tuning_.far_penalty.count());
+	return mean * (1 + open) + penalty;
+}
+
+void replica_selector::note_sent(const replica_id& id, double tokens)
+{
+	auto& known = states_[id];
+	++known.open;
+	known.open_tokens += tokens;
+}
+
+void replica_selector::note_over(const replica_id& id, double tokens)
+{
+	const auto found = states_.find(id);
+	if (found == states_.end() || found->second.open == 0)
+	{
+		return;
+	}
+	--found->second.open;
+	found->second.open_tokens = std::max(0.0, found->second.open_tokens - tokens);
+}
+
+void replica_selector::note_result(const replica& one, replica_result result, duration took, instant now)
+{
+	auto& known = states_[one.id];
+	const bool failed = result == replica_result::failed || result == replica_result::no_answer;
+	const auto weight = tuning_.rate_weight;
+	const auto value = failed ? 1.0 : 0.0;
+	known.failure_rate += weight * (value - known.failure_rate);
+	// The service's own rate moves slower, by as much as it has more replicas.
+	auto& service_rate = service_rates_[one.service];
+	const auto peers = static_cast<double>(std::max<std::size_t>(1, replicas_.of(one.service).size()));
+	service_rate += weight / peers * (value - service_rate);
+
+	if (result == replica_result::answered)
+	{
+		known.streak = 0;
+		const auto time = static_cast<double>(took.count());
+		known.mean_us = known.mean_us == 0 ? time : known.mean_us + weight * (time - known.mean_us);
+	}
+	if (result == replica_result::no_answer)
+	{
+		++known.streak;
+	}
+	const auto bound = std::max(tuning_.ejection_rate, tuning_.ejection_multiple * service_rate);
+	if (failed && (known.streak >= tuning_.ejection_streak || known.failure_rate > bound))
+	{
+		eject(one, known, now);
+	}
+}
+
+void replica_selector::eject(const replica& one, state& of, instant now)
+{
+	if (of.ejected_until > now)
+	{
+		return;
+	}
+	constexpr unsigned longest_shift = 6;
+	const auto span = tuning_.first_ejection * (1U << std::min(of.ejections, longest_shift));
+	const auto bounded = std::min<duration>(span, tuning_.longest_ejection);
+	++of.ejections;
+	ejected_(one.id, of.failure_rate, bounded);
+	of.ejected_until = now + bounded;
+	// Back on probation: one more failure ejects it again, a good answer clears it.
+	of.streak = tuning_.ejection_streak - 1;
+	of.failure_rate = std::min(of.failure_rate, tuning_.ejection_rate);
+}
+
+void replica_selector::forget(const replica_id& id)
+{
+	states_.erase(id);
+}
+
+unsigned replica_selector::open_requests(const replica_id& id) const
+{
+	const auto* known = find(id);
+	return known == nullptr ? 0 : known->open;
+}
+
+const replica_selector::state* replica_selector::find(const replica_id& id) const
+{
+	const auto found = states_.find(id);
+	return found == states_.end() ? nullptr : &found->second;
+}
+} // namespace gingerdyke::routing
--- /dev/null
+++ b/src/routing/replica_set.cpp
@@ -0,0 +1,172 @@
+// SPDX-License-Identifier: MIT
+// The replicas that discovery names.
+#include <algorithm>
+#include <gingerdyke/routing/replica_set.hpp>
+
+namespace gingerdyke::routing
+{
+const char* name_of(replica_change change) noexcept
+{
+	switch (change)
+	{
+	case replica_change::added:
+		return "added";
+	case replica_change::changed:
+		return "changed";
+	case replica_change::leaving:
+		return "leaving";
+	case replica_change::suspected:
+		return "suspected";
+	case replica_change::gone:
+		return "gone";
+	}
+	return "unknown";
+}
+
+replica_set::replica_set(change_hook changed, replica_set_tuning tuning)
+	: changed_(std::move(changed)), tuning_(tuning)
+{
+}
+
+void replica_set::put(replica entry, instant /*now*/)
+{
+	suspected_.erase(entry.id);
+	const auto known = find(entry.id);
+	if (known && *known == entry)
+	{
+		return;
+	}
+	auto change = replica_change::added;
+	if (known)
+	{
+		change = entry.leaving && !known->leaving ? replica_change::leaving : replica_change::changed;
+		unindex(known);
+	}
+	const auto kept = std::make_shared<const replica>(std::move(entry));
+	index(kept);
+	changed_(*kept, change);
+}
+
+void replica_set::remove(const replica_id& id, instant now)
+{
+	const auto known = find(id);
+	if (!known)
+	{
+		return;
+	}
+	if (sound_for_long(now) || known->leaving)
+	{
+		drop(id);
+		return;
+	}
+	if (suspected_.insert(id).second)
+	{
+		changed_(*known, replica_change::suspected);
+	}
+}
+
+void replica_set::replace_all(std::vector<replica> entries, instant now)
+{
+	std::set<replica_id> present;
+	for (const auto& entry : entries)
+	{
+		present.insert(entry.id);
+	}
+	std::vector<replica_id> missing;
+	for (const auto& [id, entry] : by_id_)
+	{
+		if (!present.contains(id))
+		{
+			missing.push_back(id);
+		}
+	}
+	for (const auto& id : missing)
+	{
+		remove(id, now);
+	}
+	for (auto& entry : entries)
+	{
+		put(std::move(entry), now);
+	}
+	known_ = true;
+}
+
+void replica_set::note_unsound(instant /*now*/)
+{
+	sound_ = false;
+}
+
+void replica_set::note_sound(instant now)
+{
+	if (!sound_)
+	{
+		sound_ = true;
+		sound_since_ = now;
+	}
+}
+
+void replica_set::forget(const replica_id& id)
+{
+	if (find(id))
+	{
+		drop(id);
+	}
+}
+
+std::optional<instant> replica_set::expire(instant now)
+{
+	if (suspected_.empty() || !sound_)
+	{
+		return std::nullopt;
+	}
+	const auto due = sound_since_ + tuning_.return_time;
+	if (now < due)
+	{
+		return due;
+	}
+	const auto over = suspected_;
+	for (const auto& id : over)
+	{
+		drop(id);
+	}
+	return std::nullopt;
+}
+
+const std::vector<replica_ptr>& replica_set::of(const service_id& service) const
+{
+	static const std::vector<replica_ptr> none;
+	const auto found = by_service_.find(service);
+	return found == by_service_.end() ? none : found->second;
+}
+
+replica_ptr replica_set::find(const replica_id& id) const
+{
+	const auto found = by_id_.find(id);
+	return found == by_id_.end() ? nullptr : found->second;
+}
+
+bool replica_set::sound_for_long(instant now) const
+{
+	return sound_ && now - sound_since_ >= tuning_.return_time;
+}
+
+void replica_set::drop(const replica_id& id)
+{
+	const auto known = find(id);
+	suspected_.erase(id);
+	unindex(known);
+	changed_(*known, replica_change::gone);
+}
+
+void replica_set::index(const replica_ptr& entry)
+{
+	by_id_[entry->id] = entry;
+	by_service_[entry->service].push_back(entry);
+}
+
+void replica_set::unindex(const replica_ptr& entry)
+{
+	by_id_.erase(entry->id);
+	std::erase(by_service_[entry->service], entry);
+}
+} // namespace gingerdyke::routing
