--- a/include/gingerdyke/proxy/exchange.hpp
+++ b/include/gingerdyke/proxy/exchange.hpp
@@ -40,6 +40,9 @@
 		instant sent_at;
 		duration first_byte{};
 		routing::size_step size;
+
+		/// What was known before it was sent; true again where this replica did not run it.
+		trace trace_before{};
 		bool head_came{};
 		bool is_stream{};
 	};
--- a/include/gingerdyke/proxy/gateway.hpp
+++ b/include/gingerdyke/proxy/gateway.hpp
@@ -38,6 +38,11 @@
 	/// An attempt is not begun with less than this left: it could only end too late.
 	duration least_time = std::chrono::milliseconds{20};
 
+	/// A stopping VM takes no streams after this time, and no other requests after the longer one: what it takes
+	/// must end before the process does. The users' shortest limit for a stop is 8 s.
+	duration streams_while_stopping = std::chrono::milliseconds{2900};
+	duration requests_while_stopping = std::chrono::milliseconds{5500};
+
 	/// When a refused caller may come back: about the time after which another VM or replica is likely found.
 	duration retry_after = std::chrono::milliseconds{250};
 };
@@ -80,6 +85,12 @@
 	/// \brief Whether keys may be trusted now.
 	[[nodiscard]] key_trust trust_in_keys(instant now) const;
 
+	/// \brief Notes that the process is being stopped.
+	void note_stop(instant now) { stop_began_ = now; }
+
+	/// \brief Whether a request may still be taken: always, but late in a stop.
+	[[nodiscard]] bool takes_requests(bool is_stream, instant now) const;
+
 	/// \brief True once a configuration and the replicas are known.
 	[[nodiscard]] bool ready() const { return catalog_ != nullptr && replicas_.known(); }
 
@@ -123,5 +134,6 @@
 	std::map<service_id, limits::attempt_budget> budgets_;
 	std::optional<instant> confirmed_at_;
 	std::function<void()> evidence_hook_;
+	std::optional<instant> stop_began_;
 };
 } // namespace gingerdyke::proxy
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -92,6 +92,11 @@
 		refuse(not_found, "no route");
 		return false;
 	}
+	if (!shared_.takes_requests(route_->streams, arrived_))
+	{
+		refuse(unavailable, "stopping");
+		return false;
+	}
 	if (!admit_key())
 	{
 		return false;
@@ -269,7 +274,10 @@
 	attempt_.emplace();
 	attempt_->to = to;
 	attempt_->sent_at = now;
+	attempt_->trace_before = trace_;
 	attempt_->size = size_;
+	// From here on a replica may run it at any moment, whatever is heard of it.
+	trace_ = trace::may_have_run;
 	attempt_->link = shared_.pool().take(to, route_->may_run_again(), now);
 	shared_.selector().note_sent(to->id, prompt_.work());
 	arm_attempt_timer(first_byte_limit());
--- a/src/proxy/exchange_answers.cpp
+++ b/src/proxy/exchange_answers.cpp
@@ -38,7 +38,6 @@
 		on_not_run();
 		return;
 	}
-	trace_ = trace::may_have_run;
 	if (is_foreign(came))
 	{
 		on_fault(upstream_fault::bad_answer);
@@ -74,6 +73,7 @@
 {
 	const auto to = attempt_->to;
 	const bool is_other = attempt_->head.status == misdirected;
+	trace_ = attempt_->trace_before;
 	note_result(routing::replica_result::refused);
 	tried_.push_back(to->id);
 	end_attempt(false);
@@ -200,9 +200,9 @@
 	{
 		return;
 	}
-	if (fault != upstream_fault::not_connected)
+	if (fault == upstream_fault::not_connected)
 	{
-		trace_ = trace::may_have_run;
+		trace_ = attempt_->trace_before;
 	}
 	// A connection kept too long tells nothing about its replica.
 	const bool is_stale_link = fault == upstream_fault::no_answer && attempt_->link->was_used();
@@ -244,7 +244,6 @@
 	{
 		return;
 	}
-	trace_ = trace::may_have_run;
 	note_result(routing::replica_result::no_answer);
 	tried_.push_back(attempt_->to->id);
 	end_attempt(false);
--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -70,6 +70,12 @@
 	return age && *age < *bounds_.revocation_time ? key_trust::trusted : key_trust::stale;
 }
 
+bool gateway::takes_requests(bool is_stream, instant now) const
+{
+	const auto last = is_stream ? tuning_.streams_while_stopping : tuning_.requests_while_stopping;
+	return !stop_began_ || now - *stop_began_ < last;
+}
+
 std::shared_ptr<active_request> gateway::handle(request what, std::shared_ptr<answer_sink> to)
 {
 	const auto made = std::make_shared<exchange>(*this, std::move(what), std::move(to));
