--- a/Makefile
+++ b/Makefile
@@ -65,6 +65,7 @@
 
 thrift: setup
 	thrift --gen cpp:no_skeleton -out generated thrift/peer.thrift
+	thrift --gen cpp:no_skeleton -out generated thrift/relay.thrift
 
 clean:
 	rm -rf build
--- a/include/gingerdyke/control/coordinator.hpp
+++ b/include/gingerdyke/control/coordinator.hpp
@@ -2,6 +2,8 @@
 // Connects the registry to the data path: configuration, replicas and version shifts in, plans and evidence out.
 #pragma once
 
+#include <gingerdyke/control/relay_server.hpp>
+#include <gingerdyke/control/shared_store.hpp>
 #include <gingerdyke/control/table_follower.hpp>
 #include <gingerdyke/proxy/gateway.hpp>
 #include <variant>
@@ -17,8 +19,8 @@
 	/// Table in which replicas register.
 	std::string replica_table;
 
-	/// Table of our own: plans and evidence of version shifts.
-	std::string shift_table;
+	/// Table of our own: the VMs, and plans and evidence of version shifts.
+	std::string own_table;
 
 	/// What a row of the operators' table says.
 	using operator_news = std::variant<std::monostate, routing::catalog_ptr, rollout::shift_order>;
@@ -33,15 +35,35 @@
 	std::function<row_change::put(const rollout::shift_plan&)> status_row;
 };
 
-/// \brief Follows the registry for a gateway.
+/// \brief Tuning of `coordinator`; waits are those of calls to the registry.
+struct coordinator_tuning
+{
+	/// The configuration is asked for this often even without news: others read it through this VM, and have to
+	/// notice within the users' 2 s that this VM has lost the registry.
+	duration operator_wait = std::chrono::milliseconds{700};
+
+	/// Replicas and our own rows: news comes at once all the same.
+	duration other_wait = std::chrono::seconds{4};
+
+	/// Changes of replicas are gathered this long, so that many at once cost one call.
+	duration gather = std::chrono::milliseconds{150};
+
+	/// A VM that could not register tries again after this time.
+	duration register_again = std::chrono::milliseconds{700};
+};
+
+/// \brief Follows the registry for a gateway, itself or through another VM, and lets other VMs do so.
 class coordinator
 {
   public:
+	/// \param self This VM as others reach it.
 	/// \param reporter Name under which this VM reports evidence: its name and incarnation.
-	coordinator(proxy::gateway& gateway, row_store& store, registry_layout layout, std::string reporter,
-		random_source random, follower_tuning tuning = {});
+	coordinator(proxy::gateway& gateway, row_store& registry, registry_layout layout, peer self,
+		std::string reporter, random_source random, coordinator_tuning tuning = {});
 
-	void start();
+	/// \brief Begins to listen for other VMs and to follow the registry.
+	/// \returns What stands against listening; none where all is well.
+	[[nodiscard]] proxy::error_code start();
 	void stop();
 
 	/// \brief To be called after requests have brought evidence: sets the next moment to write.
@@ -51,7 +73,13 @@
 	void on_operator_rows(const std::vector<row>& rows);
 	void on_replica_rows(const std::vector<row>& rows);
 	void on_replicas(const std::vector<row>& rows);
-	void on_shift_rows(const std::vector<row>& rows);
+	void on_own_rows(const std::vector<row>& rows);
+	void on_plan_row(const row& one);
+	void on_evidence_row(const row& one);
+	void on_vm_row(const row& one);
+	void register_self();
+	void start_rest();
+	[[nodiscard]] const table_cache* cache_of(const std::string& table) const;
 	void take_catalog(const routing::catalog_ptr& catalog);
 	void expire_replicas();
 	void write_due();
@@ -59,14 +87,21 @@
 	void on_written(store_result<change_answer> answer);
 
 	proxy::gateway& gateway_;
-	row_store& store_;
 	registry_layout layout_;
+	peer self_;
 	std::string reporter_;
+	coordinator_tuning tuning_;
+	source_selector sources_;
+	shared_store store_;
+	relay_server relay_;
+	std::map<vm_id, peer> vms_;
+	proxy::asio::steady_timer register_timer_;
 	proxy::asio::steady_timer write_timer_;
 	proxy::asio::steady_timer expire_timer_;
 	table_follower operators_;
 	table_follower replicas_;
-	table_follower shifts_;
+	table_follower own_;
+	bool rest_started_ = false;
 };
 
 /// \brief Writes a plan as the value of its row.
@@ -78,6 +113,12 @@
 /// \brief Writes evidence as the value of its row.
 [[nodiscard]] std::string write_evidence(const rollout::shift_evidence& evidence);
 
+/// \brief Writes a VM as the value of its row.
+[[nodiscard]] std::string write_vm(const peer& vm);
+
+/// \brief Reads a VM; findings where the value is none.
+[[nodiscard]] checked<peer> read_vm(const row& from);
+
 /// \brief Reads evidence; findings where the value is none.
 [[nodiscard]] checked<rollout::shift_evidence> read_evidence(const row& from);
 } // namespace gingerdyke::control
--- /dev/null
+++ b/include/gingerdyke/control/relay_server.hpp
@@ -0,0 +1,51 @@
+// SPDX-License-Identifier: MIT
+// Answers other VMs from this VM's copies of the registry's tables.
+#pragma once
+
+#include <gingerdyke/control/frame_link.hpp>
+#include <gingerdyke/control/table_cache.hpp>
+#include <list>
+#include <map>
+
+namespace gingerdyke::control
+{
+/// \brief Answers polls; those without news wait until there is some or their time is over.
+class relay_server
+{
+  public:
+	/// \param find Finds the copy of a table, or null.
+	relay_server(
+		proxy::asio::io_context& context, std::function<const table_cache*(const std::string& table)> find);
+
+	/// \brief Begins to listen.
+	/// \returns What stands against it; none where it listens.
+	[[nodiscard]] proxy::error_code listen(const routing::address& at);
+
+	/// \brief Tells that a table changed: polls that wait for it are answered.
+	void on_change(const std::string& table);
+
+	void stop();
+
+  private:
+	struct waiting_poll
+	{
+		relay_poll poll;
+		std::weak_ptr<frame_link> from;
+		instant until;
+	};
+
+	void accept();
+	void on_frame(const std::shared_ptr<frame_link>& from, std::string_view frame);
+	[[nodiscard]] bool has_answer(const relay_poll& poll) const;
+	void answer(const waiting_poll& to);
+	void arm_timer();
+	void answer_overdue();
+
+	proxy::asio::io_context& context_;
+	std::function<const table_cache*(const std::string&)> find_;
+	proxy::tcp::acceptor acceptor_;
+	proxy::asio::steady_timer timer_;
+	std::list<waiting_poll> waiting_;
+	std::list<std::shared_ptr<frame_link>> links_;
+};
+} // namespace gingerdyke::control
--- a/include/gingerdyke/control/row_store.hpp
+++ b/include/gingerdyke/control/row_store.hpp
@@ -36,6 +36,9 @@
 
 	/// The registry's steady clock.
 	registry_time at{};
+
+	/// How old the answer was when it was given: 0 from the registry itself, more from another VM's copy.
+	duration age{};
 };
 
 /// \brief Why a call gave no rows.
@@ -103,6 +106,9 @@
 	virtual void follow(const std::string& table, row_version after, duration wait,
 		std::function<void(store_result<row_batch>)> done) = 0;
 
+	/// \brief Gives up all calls under way; they end as unreachable.
+	virtual void abandon() = 0;
+
 	/// \brief Makes a change.
 	virtual void change(const row_change& what, std::function<void(store_result<change_answer>)> done) = 0;
 };
--- /dev/null
+++ b/include/gingerdyke/control/shared_store.hpp
@@ -0,0 +1,66 @@
+// SPDX-License-Identifier: MIT
+// The registry, read through another VM where that is as good.
+#pragma once
+
+#include <gingerdyke/control/relay_client.hpp>
+#include <gingerdyke/control/source_selector.hpp>
+
+namespace gingerdyke::control
+{
+/// \brief Tuning of `shared_store`.
+struct shared_store_tuning
+{
+	/// A copy older than this is not good enough: its VM may have lost the registry. Together with the time
+	/// between two polls it has to leave time, within the users' 2 s, to learn of a change elsewhere.
+	duration oldest_copy = std::chrono::milliseconds{1100};
+
+	/// A poll of another VM waits this part of what it would wait at the registry: polls within a failure
+	/// domain cost next to nothing.
+	double wait_share = 0.55;
+
+	/// An answer is awaited this long beyond the wait.
+	duration answer_limit = std::chrono::milliseconds{250};
+};
+
+/// \brief A `row_store` that reads from the registry or from another VM's copy, and writes to the registry.
+class shared_store : public row_store
+{
+  public:
+	shared_store(proxy::asio::io_context& context, row_store& registry, source_selector& sources,
+		shared_store_tuning tuning = {});
+
+	void read_all(const std::string& table, std::function<void(store_result<row_batch>)> done) override;
+	void follow(const std::string& table, row_version after, duration wait,
+		std::function<void(store_result<row_batch>)> done) override;
+	void change(const row_change& what, std::function<void(store_result<change_answer>)> done) override;
+	void abandon() override;
+
+  private:
+	using done_hook = std::function<void(store_result<row_batch>)>;
+
+	struct read_call
+	{
+		std::string table;
+		std::optional<row_version> after;
+		duration wait{};
+		done_hook done;
+
+		/// Sources that failed in this call.
+		unsigned failures{};
+	};
+
+	void read(read_call call);
+	void read_registry(read_call call);
+	void read_peer(const peer& from, read_call call);
+	void on_peer_answer(const peer& from, read_call call, store_result<row_batch> result);
+	void note_source(const std::optional<peer>& source);
+	std::shared_ptr<relay_client> client_of(const peer& to);
+
+	proxy::asio::io_context& context_;
+	row_store& registry_;
+	source_selector& sources_;
+	shared_store_tuning tuning_;
+	std::map<vm_id, std::shared_ptr<relay_client>> clients_;
+	std::optional<std::string> last_source_;
+};
+} // namespace gingerdyke::control
--- /dev/null
+++ b/include/gingerdyke/control/source_selector.hpp
@@ -0,0 +1,81 @@
+// SPDX-License-Identifier: MIT
+// Where a VM reads the registry: itself, or through another VM. Calls to the registry are priced, and at
+// hundreds of VMs too many; so in each failure domain one VM reads it and the others read that one's copy.
+#pragma once
+
+#include <gingerdyke/base/ids.hpp>
+#include <gingerdyke/base/units.hpp>
+#include <gingerdyke/routing/address.hpp>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace gingerdyke::control
+{
+/// \brief Another VM that answers from its copy.
+struct peer
+{
+	vm_id vm;
+	failure_domain_id domain;
+	routing::address at;
+
+	auto operator<=>(const peer&) const = default;
+};
+
+/// \brief Tuning of `source_selector`.
+struct source_tuning
+{
+	/// VMs of a failure domain that read the registry themselves.
+	unsigned readers = 1;
+
+	/// A source that failed is left alone for this time, doubled each time up to the longest.
+	duration first_rest = std::chrono::seconds{2};
+	duration longest_rest = std::chrono::seconds{30};
+
+	/// Sources of other failure domains that are tried where none of the own one is left: bytes between
+	/// failure domains are dear.
+	std::size_t far_sources = 3;
+};
+
+/// \brief Chooses the source to read from. All VMs of a failure domain rank it alike, by a hash, so that they
+/// mostly agree who reads; where they don't, a few calls are made too many.
+class source_selector
+{
+  public:
+	source_selector(vm_id self, failure_domain_id domain, source_tuning tuning = {});
+
+	/// \brief Takes the VMs that are known; itself need not be among them.
+	void set_peers(std::vector<peer> peers);
+
+	/// \brief The VM to read from; none: the registry itself.
+	[[nodiscard]] std::optional<peer> choose(instant now) const;
+
+	/// \brief Notes that a source failed or has an old copy; none: the registry itself.
+	void note_bad(const std::optional<peer>& source, instant now);
+
+	/// \brief Notes that a source answered.
+	void note_good(const std::optional<peer>& source);
+
+	/// \brief VMs known, itself included.
+	[[nodiscard]] std::size_t vm_count() const noexcept { return peers_.size() + 1; }
+
+  private:
+	struct rest
+	{
+		instant until;
+		unsigned times{};
+	};
+
+	[[nodiscard]] bool rests(const std::string& name, instant now) const;
+	[[nodiscard]] bool reads_itself(instant now) const;
+
+	vm_id self_;
+	failure_domain_id domain_;
+	source_tuning tuning_;
+
+	/// All peers in the order in which they are asked: the own failure domain first.
+	std::vector<peer> peers_;
+	std::map<std::string, rest> rests_;
+};
+} // namespace gingerdyke::control
--- a/include/gingerdyke/control/table_follower.hpp
+++ b/include/gingerdyke/control/table_follower.hpp
@@ -3,7 +3,7 @@
 #pragma once
 
 #include <gingerdyke/base/random.hpp>
-#include <gingerdyke/control/row_store.hpp>
+#include <gingerdyke/control/table_cache.hpp>
 #include <gingerdyke/proxy/asio.hpp>
 #include <memory>
 #include <optional>
@@ -17,6 +17,9 @@
 	/// the configuration counts as confirmed only when a call was sent.
 	duration wait = std::chrono::milliseconds{1500};
 
+	/// Pause after changes, so that several come together; 0: none.
+	duration gather = duration{0};
+
 	/// Pause after a call that failed, doubled each time up to the longest; spread at random by half.
 	duration first_pause = std::chrono::milliseconds{100};
 	duration longest_pause = std::chrono::milliseconds{500};
@@ -31,8 +34,8 @@
 	/// Rows that changed, in order.
 	std::function<void(const std::vector<row>&)> changed;
 
-	/// A call that was sent at a moment was answered: what is known was the newest then.
-	std::function<void(instant sent_at, registry_time at)> confirmed;
+	/// A call was answered: what is known was the newest at a moment.
+	std::function<void(instant newest_at, registry_time at)> confirmed;
 
 	/// A call failed.
 	std::function<void(store_error)> lost;
@@ -48,8 +51,8 @@
 	void start();
 	void stop();
 
-	/// \brief Newest version that is known.
-	[[nodiscard]] row_version known() const noexcept { return known_.value_or(row_version{0}); }
+	/// \brief The table as it is known, for other VMs.
+	[[nodiscard]] const table_cache& cache() const noexcept { return cache_; }
 
   private:
 	void call();
@@ -57,12 +60,14 @@
 	void follow();
 	void on_all(store_result<row_batch> result, instant sent_at);
 	void on_changes(store_result<row_batch> result, instant sent_at);
-	void note_success(instant sent_at, registry_time at);
+	void confirm_cache(instant sent_at, const row_batch& batch);
+	void note_success(instant sent_at, const row_batch& batch);
 	void note_failure(store_error error);
 	void pause_then_call();
+	void call_after(duration pause);
 
 	row_store& store_;
-	std::string table_;
+	table_cache cache_;
 	random_source random_;
 	follower_hooks hooks_;
 	follower_tuning tuning_;
--- a/include/gingerdyke/proxy/asio.hpp
+++ b/include/gingerdyke/proxy/asio.hpp
@@ -13,6 +13,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <gingerdyke/base/units.hpp>
+#include <string>
 
 namespace gingerdyke::proxy
 {
@@ -31,4 +32,10 @@
 /// \brief Sets the options that every connection has: no delay of small writes, and a peer that is silently
 /// gone is noticed within seconds.
 void set_connection_options(tcp::socket& socket);
+
+/// \brief Opens an acceptor at an address.
+/// \param backlog Connections that wait to be accepted.
+/// \returns What stands against it; none where it listens.
+[[nodiscard]] error_code open_acceptor(
+	tcp::acceptor& acceptor, const std::string& ip, std::uint16_t port, int backlog);
 } // namespace gingerdyke::proxy
--- a/include/gingerdyke/proxy/exchange.hpp
+++ b/include/gingerdyke/proxy/exchange.hpp
@@ -70,6 +70,7 @@
 	void on_events(std::string_view bytes);
 	void on_end();
 	void on_fault(upstream_fault fault);
+	[[nodiscard]] rollout::answer_sample sample_of(bool failed) const;
 	[[nodiscard]] bool is_foreign(const answer_head& head) const;
 	[[nodiscard]] bool wants_larger_model(const answer_head& head);
 	void pass_on_whole();
--- a/include/gingerdyke/proxy/gateway.hpp
+++ b/include/gingerdyke/proxy/gateway.hpp
@@ -101,7 +101,7 @@
 	void on_evidence(std::function<void()> hook) { evidence_hook_ = std::move(hook); }
 
 	/// \brief Notes a replica's answer for the shift of its service's version.
-	void note_answer(const routing::replica& from, const std::string& route, bool failed, duration first_byte);
+	void note_answer(const routing::replica& from, const rollout::answer_sample& answer);
 
 	/// \brief The retry budget of a service.
 	[[nodiscard]] limits::attempt_budget& budget(const service_id& service);
--- a/include/gingerdyke/rollout/version_shift.hpp
+++ b/include/gingerdyke/rollout/version_shift.hpp
@@ -67,15 +67,35 @@
 struct shift_counts
 {
 	std::uint64_t answers{};
-	std::uint64_t bad{};
+
+	/// The replica answered that it failed.
+	std::uint64_t failed{};
+
+	/// Slower than nine in ten of the old version's.
+	std::uint64_t slow{};
 };
 
-/// \brief What one VM saw of a new version, by route.
+/// \brief One answer, as far as it tells about its version.
+struct answer_sample
+{
+	std::string route;
+
+	/// Model that answered; empty for plain services.
+	std::string model;
+	bool failed{};
+
+	/// Time to the first byte over the time that a prompt of this size takes an idle engine: compares answers
+	/// to prompts of all sizes.
+	double relative_time{};
+};
+
+/// \brief What one VM saw of a new version. Failures are counted by route, slowness by model, since both may
+/// concern one only.
 struct shift_evidence
 {
 	service_id service;
 	row_version order;
-	std::map<std::string, shift_counts> by_route;
+	std::map<std::string, shift_counts> by_group;
 };
 
 /// \brief Tuning of `version_shift`.
@@ -111,14 +131,18 @@
 	/// The old version's counts are halved each time they reach this many answers, so that they tell of now.
 	std::uint64_t base_memory = 400;
 
-	/// An answer is bad as well where its first byte took this multiple of the old version's mean.
-	double slow_multiple = 4;
+	/// An answer is slow where it took longer than this share of the old version's.
+	double slow_quantile = 0.9;
 
-	/// Answers faster than this are never called slow.
-	duration never_slow = std::chrono::milliseconds{80};
+	/// Tolerated share of slow answers: a new version begins with cold caches, which makes up to a third slow.
+	double tolerated_slow = 0.45;
 
-	/// Weight of an answer in the old version's mean time.
-	double mean_weight = 0.05;
+	/// Fewest slow answers for a verdict, and fewest answers of the old version to compare with.
+	std::uint64_t fewest_slow = 8;
+	std::uint64_t fewest_base = 25;
+
+	/// How far an answer moves the estimate of the old version's quantile, as a part of it.
+	double quantile_step = 0.08;
 
 	/// Least time between two reports of evidence by one VM.
 	duration report_pause = std::chrono::milliseconds{300};
@@ -159,10 +183,8 @@
 	void note_registry_time(registry_time then, instant now);
 
 	/// \brief Notes an answer.
-	/// \param failed The replica answered that it failed.
-	/// \param first_byte Time to the first byte of the answer.
-	void note_answer(const service_id& service, const std::string& version, const std::string& route,
-		bool failed, duration first_byte, instant now);
+	void note_answer(
+		const service_id& service, const std::string& version, const answer_sample& answer, instant now);
 
 	/// \brief Version that work goes to.
 	/// \param point Hash of the session: the same point stays on the new version once it is there.
@@ -191,7 +213,9 @@
 	struct base_counts
 	{
 		shift_counts counts;
-		double mean_us{};
+
+		/// Estimate of the relative time that `slow_quantile` of the answers keep within.
+		double slow_above{};
 	};
 
 	struct service_state
@@ -214,8 +238,10 @@
 	[[nodiscard]] registry_time registry_now(instant now) const;
 	[[nodiscard]] double share_of(const service_state& state, instant now) const;
 	[[nodiscard]] bool looks_bad(const service_state& state) const;
-	[[nodiscard]] bool is_bad_route(
-		const service_state& state, const std::string& route, const shift_counts& seen) const;
+	[[nodiscard]] bool is_bad_group(
+		const service_state& state, const std::string& group, const shift_counts& seen) const;
+	void note_base(service_state& state, const answer_sample& answer);
+	[[nodiscard]] bool is_slow(const service_state& state, const answer_sample& answer) const;
 	[[nodiscard]] std::optional<shift_plan> next_plan(const service_state& state, instant now) const;
 	[[nodiscard]] std::optional<instant> moment_to_act(const service_state& state, instant now) const;
 	void judge(service_state& state, instant now);
--- a/src/control/coordinator.cpp
+++ b/src/control/coordinator.cpp
@@ -9,6 +9,7 @@
 {
 const std::string plan_prefix = "plan/";
 const std::string evidence_prefix = "evidence/";
+const std::string vm_prefix = "vm/";
 
 void log_findings(const char* what, const findings& list)
 {
@@ -19,21 +20,24 @@
 }
 } // namespace
 
-coordinator::coordinator(proxy::gateway& gateway, row_store& store, registry_layout layout,
-	std::string reporter, random_source random, follower_tuning tuning)
-	: gateway_(gateway), store_(store), layout_(std::move(layout)), reporter_(std::move(reporter)),
-	  write_timer_(gateway.context()), expire_timer_(gateway.context()),
-	  operators_(gateway.context(), store, layout_.operator_table, random,
+coordinator::coordinator(proxy::gateway& gateway, row_store& registry, registry_layout layout, peer self,
+	std::string reporter, random_source random, coordinator_tuning tuning)
+	: gateway_(gateway), layout_(std::move(layout)), self_(std::move(self)), reporter_(std::move(reporter)),
+	  tuning_(tuning), sources_(self_.vm, self_.domain), store_(gateway.context(), registry, sources_),
+	  relay_(gateway.context(), [this](const std::string& table) { return cache_of(table); }),
+	  register_timer_(gateway.context()), write_timer_(gateway.context()), expire_timer_(gateway.context()),
+	  operators_(gateway.context(), store_, layout_.operator_table, random,
 		  {[this](const auto& rows) { on_operator_rows(rows); },
 			  [this](const auto& rows) { on_operator_rows(rows); },
-			  [this](instant sent_at, registry_time at)
+			  [this](instant newest_at, registry_time at)
 			  {
-				  gateway_.confirm(sent_at);
+				  gateway_.confirm(newest_at);
 				  gateway_.versions().note_registry_time(at, proxy::steady_now());
 			  },
-			  [](store_error) {}},
-		  tuning),
-	  replicas_(gateway.context(), store, layout_.replica_table, random,
+			  // What the other calls wait for may be lost as well: they are made again.
+			  [this](store_error) { store_.abandon(); }},
+		  {.wait = tuning.operator_wait}),
+	  replicas_(gateway.context(), store_, layout_.replica_table, random,
 		  {[this](const auto& rows) { on_replicas(rows); }, [this](const auto& rows) { on_replica_rows(rows); },
 			  [this](instant, registry_time)
 			  {
@@ -41,28 +45,80 @@
 				  expire_replicas();
 			  },
 			  [this](store_error) { gateway_.replicas().note_unsound(proxy::steady_now()); }},
-		  tuning),
-	  shifts_(gateway.context(), store, layout_.shift_table, random,
-		  {[this](const auto& rows) { on_shift_rows(rows); }, [this](const auto& rows) { on_shift_rows(rows); },
+		  {.wait = tuning.other_wait, .gather = tuning.gather}),
+	  own_(gateway.context(), store_, layout_.own_table, random,
+		  {[this](const auto& rows) { on_own_rows(rows); }, [this](const auto& rows) { on_own_rows(rows); },
 			  [](instant, registry_time) {}, [](store_error) {}},
-		  tuning)
+		  {.wait = tuning.other_wait, .gather = tuning.gather})
 {
 }
 
-void coordinator::start()
+proxy::error_code coordinator::start()
 {
-	operators_.start();
-	replicas_.start();
-	shifts_.start();
+	const auto error = relay_.listen(self_.at);
+	if (!error)
+	{
+		register_self();
+		own_.start();
+	}
+	return error;
+}
+
+/// The other tables are followed once it is known through whom.
+void coordinator::start_rest()
+{
+	if (!rest_started_)
+	{
+		rest_started_ = true;
+		operators_.start();
+		replicas_.start();
+	}
 }
 
 void coordinator::stop()
 {
 	operators_.stop();
 	replicas_.stop();
-	shifts_.stop();
+	own_.stop();
+	relay_.stop();
 	write_timer_.cancel();
 	expire_timer_.cancel();
+	register_timer_.cancel();
+}
+
+void coordinator::register_self()
+{
+	row_change change;
+	change.puts.push_back({layout_.own_table, vm_prefix + self_.vm.str(), write_vm(self_)});
+	store_.change(change,
+		[this](const store_result<change_answer>& answer)
+		{
+			if (answer)
+			{
+				return;
+			}
+			register_timer_.expires_after(tuning_.register_again);
+			register_timer_.async_wait(
+				[this](const proxy::error_code& error)
+				{
+					if (!error)
+					{
+						register_self();
+					}
+				});
+		});
+}
+
+const table_cache* coordinator::cache_of(const std::string& table) const
+{
+	for (const auto* one : {&operators_, &replicas_, &own_})
+	{
+		if (one->cache().table() == table)
+		{
+			return &one->cache();
+		}
+	}
+	return nullptr;
 }
 
 void coordinator::on_operator_rows(const std::vector<row>& rows)
@@ -91,6 +147,7 @@
 			gateway_.versions().on_order(*order, proxy::steady_now());
 		}
 	}
+	relay_.on_change(layout_.operator_table);
 	arm();
 }
 
@@ -123,6 +180,7 @@
 			log_findings("replica's row not understood", entry.error());
 		}
 	}
+	relay_.on_change(layout_.replica_table);
 	expire_replicas();
 }
 
@@ -142,43 +200,82 @@
 		}
 	}
 	gateway_.replicas().replace_all(std::move(entries), proxy::steady_now());
+	relay_.on_change(layout_.replica_table);
 }
 
-void coordinator::on_shift_rows(const std::vector<row>& rows)
+void coordinator::on_own_rows(const std::vector<row>& rows)
 {
-	const auto now = proxy::steady_now();
 	for (const auto& one : rows)
 	{
-		if (one.removed)
+		if (one.key.starts_with(vm_prefix))
 		{
-			continue;
+			on_vm_row(one);
 		}
-		if (one.key.starts_with(plan_prefix))
+		else if (one.key.starts_with(plan_prefix) && !one.removed)
 		{
-			if (const auto plan = read_plan(one))
-			{
-				gateway_.versions().on_plan(*plan, now);
-			}
-			else
-			{
-				log_findings("plan not understood", plan.error());
-			}
+			on_plan_row(one);
 		}
-		else if (one.key.starts_with(evidence_prefix) && !one.key.ends_with("/" + reporter_))
+		else if (one.key.starts_with(evidence_prefix) && !one.removed)
 		{
-			if (const auto evidence = read_evidence(one))
-			{
-				gateway_.versions().on_evidence(one.key, *evidence, now);
-			}
-			else
-			{
-				log_findings("evidence not understood", evidence.error());
-			}
+			on_evidence_row(one);
 		}
 	}
+	std::vector<peer> peers;
+	for (const auto& [id, vm] : vms_)
+	{
+		peers.push_back(vm);
+	}
+	sources_.set_peers(std::move(peers));
+	relay_.on_change(layout_.own_table);
+	start_rest();
 	arm();
 }
 
+void coordinator::on_vm_row(const row& one)
+{
+	if (one.removed)
+	{
+		vms_.erase(vm_id{one.key.substr(vm_prefix.size())});
+		return;
+	}
+	if (const auto vm = read_vm(one))
+	{
+		vms_[vm->vm] = *vm;
+	}
+	else
+	{
+		log_findings("VM's row not understood", vm.error());
+	}
+}
+
+void coordinator::on_plan_row(const row& one)
+{
+	if (const auto plan = read_plan(one))
+	{
+		gateway_.versions().on_plan(*plan, proxy::steady_now());
+	}
+	else
+	{
+		log_findings("plan not understood", plan.error());
+	}
+}
+
+void coordinator::on_evidence_row(const row& one)
+{
+	if (one.key.ends_with("/" + reporter_))
+	{
+		return;
+	}
+	if (const auto evidence = read_evidence(one))
+	{
+		gateway_.versions().on_evidence(one.key, *evidence, proxy::steady_now());
+	}
+	else
+	{
+		log_findings("evidence not understood", evidence.error());
+	}
+}
+
 void coordinator::expire_replicas()
 {
 	const auto next = gateway_.replicas().expire(proxy::steady_now());
@@ -230,8 +327,8 @@
 	if (what.plan)
 	{
 		const auto key = plan_prefix + what.plan->service.str();
-		change.conditions.push_back({layout_.shift_table, key, what.plan->row});
-		change.puts.push_back({layout_.shift_table, key, write_plan(*what.plan)});
+		change.conditions.push_back({layout_.own_table, key, what.plan->row});
+		change.puts.push_back({layout_.own_table, key, write_plan(*what.plan)});
 		change.puts.push_back(layout_.status_row(*what.plan));
 		log::write(log::level::info, "version shift written",
 			{{"service", what.plan->service.str()}, {"state", rollout::name_of(what.plan->state)},
@@ -240,7 +337,7 @@
 	if (what.evidence)
 	{
 		const auto key = evidence_prefix + what.evidence->service.str() + "/" + reporter_;
-		change.puts.push_back({layout_.shift_table, key, write_evidence(*what.evidence)});
+		change.puts.push_back({layout_.own_table, key, write_evidence(*what.evidence)});
 	}
 	store_.change(change, [this](store_result<change_answer> answer) { on_written(std::move(answer)); });
 }
@@ -255,7 +352,7 @@
 	if (!answer->done)
 	{
 		// Another VM was first: its row is the one that counts.
-		on_shift_rows(answer->rows);
+		on_own_rows(answer->rows);
 	}
 }
 } // namespace gingerdyke::control
--- /dev/null
+++ b/src/control/frame_link.cpp
@@ -0,0 +1,125 @@
+// SPDX-License-Identifier: MIT
+// One connection between two VMs.
+#include <gingerdyke/control/frame_link.hpp>
+
+namespace gingerdyke::control
+{
+namespace
+{
+constexpr std::size_t read_size = 16384;
+} // namespace
+
+frame_link::frame_link(proxy::tcp::socket socket, frame_link_hooks hooks)
+	: socket_(std::move(socket)), hooks_(std::move(hooks))
+{
+}
+
+void frame_link::start()
+{
+	up_ = true;
+	proxy::set_connection_options(socket_);
+	read();
+	write();
+}
+
+void frame_link::connect(const proxy::tcp::endpoint& to)
+{
+	socket_.async_connect(to,
+		[self = shared_from_this()](const proxy::error_code& error)
+		{
+			if (self->closed_)
+			{
+				return;
+			}
+			if (error)
+			{
+				self->end();
+				return;
+			}
+			self->start();
+		});
+}
+
+void frame_link::send(const std::string& frame)
+{
+	pending_ += frame;
+	write();
+}
+
+void frame_link::close()
+{
+	closed_ = true;
+	proxy::error_code ignored;
+	socket_.close(ignored);
+}
+
+void frame_link::read()
+{
+	socket_.async_read_some(buffer_.prepare(read_size),
+		[self = shared_from_this()](const proxy::error_code& error, std::size_t size)
+		{ self->on_read(error, size); });
+}
+
+void frame_link::on_read(const proxy::error_code& error, std::size_t size)
+{
+	if (closed_)
+	{
+		return;
+	}
+	if (error)
+	{
+		end();
+		return;
+	}
+	buffer_.commit(size);
+	while (buffer_.size() >= relay_length_bytes && !closed_)
+	{
+		const std::string_view bytes{static_cast<const char*>(buffer_.data().data()), buffer_.size()};
+		const auto length = frame_length(bytes);
+		if (!length)
+		{
+			end();
+			return;
+		}
+		if (bytes.size() < relay_length_bytes + *length)
+		{
+			break;
+		}
+		hooks_.received(bytes.substr(relay_length_bytes, *length));
+		buffer_.consume(relay_length_bytes + *length);
+	}
+	if (!closed_)
+	{
+		read();
+	}
+}
+
+void frame_link::write()
+{
+	if (!up_ || closed_ || !writing_.empty() || pending_.empty())
+	{
+		return;
+	}
+	writing_ = std::exchange(pending_, {});
+	proxy::asio::async_write(socket_, proxy::asio::buffer(writing_),
+		[self = shared_from_this()](const proxy::error_code& error, std::size_t)
+		{
+			// A failed write shows in the read as well.
+			self->writing_.clear();
+			if (!error)
+			{
+				self->write();
+			}
+		});
+}
+
+void frame_link::end()
+{
+	if (closed_)
+	{
+		return;
+	}
+	close();
+	hooks_.ended();
+}
+} // namespace gingerdyke::control
--- a/src/control/shift_rows.cpp
+++ b/src/control/own_rows.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: MIT
-// Rows of the table of version shifts, as JSON.
+// Rows of our own table, as JSON.
 #include <gingerdyke/base/json_source.hpp>
 #include <gingerdyke/control/coordinator.hpp>
 
@@ -58,14 +58,35 @@
 		});
 }
 
+std::string write_vm(const peer& vm)
+{
+	return json{{"vm", vm.vm.str()}, {"domain", vm.domain.str()}, {"address", vm.at.str()}}.dump();
+}
+
+checked<peer> read_vm(const row& from)
+{
+	return read_json<peer>(from,
+		[&](const json& value) -> checked<peer>
+		{
+			const auto at = routing::address::parse(value.at("address").get<std::string>());
+			if (!at)
+			{
+				return unreadable(from, "address is not IP:PORT");
+			}
+			return peer{vm_id{value.at("vm").get<std::string>()},
+				failure_domain_id{value.at("domain").get<std::string>()}, *at};
+		});
+}
+
 std::string write_evidence(const rollout::shift_evidence& evidence)
 {
-	json routes = json::array();
-	for (const auto& [route, counts] : evidence.by_route)
+	json groups = json::array();
+	for (const auto& [group, counts] : evidence.by_group)
 	{
-		routes.push_back({{"route", route}, {"answers", counts.answers}, {"bad", counts.bad}});
+		groups.push_back({{"group", group}, {"answers", counts.answers}, {"failed", counts.failed},
+			{"slow", counts.slow}});
 	}
-	return json{{"service", evidence.service.str()}, {"order", evidence.order.value()}, {"routes", routes}}
+	return json{{"service", evidence.service.str()}, {"order", evidence.order.value()}, {"groups", groups}}
 		.dump();
 }
 
@@ -77,10 +98,11 @@
 			rollout::shift_evidence evidence;
 			evidence.service = service_id{value.at("service").get<std::string>()};
 			evidence.order = row_version{value.at("order").get<std::int64_t>()};
-			for (const auto& one : value.at("routes"))
+			for (const auto& one : value.at("groups"))
 			{
-				evidence.by_route[one.at("route").get<std::string>()] = {
-					one.at("answers").get<std::uint64_t>(), one.at("bad").get<std::uint64_t>()};
+				evidence.by_group[one.at("group").get<std::string>()] = {
+					one.at("answers").get<std::uint64_t>(), one.at("failed").get<std::uint64_t>(),
+					one.at("slow").get<std::uint64_t>()};
 			}
 			return evidence;
 		});
--- /dev/null
+++ b/src/control/relay_codec.cpp
@@ -0,0 +1,164 @@
+// SPDX-License-Identifier: MIT
+// Frames with which VMs read the registry through each other.
+#include "relay_types.h"
+#include <algorithm>
+#include <gingerdyke/control/relay_codec.hpp>
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+namespace gingerdyke::control
+{
+namespace
+{
+using apache::thrift::protocol::TCompactProtocol;
+using apache::thrift::transport::TMemoryBuffer;
+
+constexpr std::int32_t outcome_rows = 0;
+
+/// The number that stands for an error on the wire.
+std::int32_t outcome_of(store_error error)
+{
+	return static_cast<std::int32_t>(error) + 1;
+}
+
+store_error error_of(std::int32_t outcome)
+{
+	for (const auto error : {store_error::unreachable, store_error::unavailable, store_error::history_gone})
+	{
+		if (outcome == outcome_of(error))
+		{
+			return error;
+		}
+	}
+	return store_error::bad_answer;
+}
+
+template <typename Message>
+std::string frame_of(const Message& message)
+{
+	const auto buffer = std::make_shared<TMemoryBuffer>();
+	TCompactProtocol protocol{buffer};
+	message.write(&protocol);
+	const auto body = buffer->getBufferAsString();
+	std::string frame;
+	frame.reserve(relay_length_bytes + body.size());
+	constexpr unsigned byte_bits = 8;
+	constexpr unsigned byte_mask = 0xff;
+	for (std::size_t i = relay_length_bytes; i-- > 0;)
+	{
+		frame.push_back(static_cast<char>((body.size() >> (i * byte_bits)) & byte_mask));
+	}
+	return frame + body;
+}
+
+template <typename Message>
+std::optional<Message> message_of(std::string_view frame)
+{
+	try
+	{
+		const auto buffer = std::make_shared<TMemoryBuffer>(
+			reinterpret_cast<std::uint8_t*>(const_cast<char*>(frame.data())),
+			static_cast<std::uint32_t>(frame.size()));
+		TCompactProtocol protocol{buffer};
+		Message message;
+		message.read(&protocol);
+		return message;
+	}
+	catch (const apache::thrift::TException&)
+	{
+		return std::nullopt;
+	}
+}
+} // namespace
+
+std::string write_frame(const relay_poll& poll)
+{
+	wire::RelayPoll message;
+	message.call = poll.call;
+	message.table = poll.table;
+	message.whole = !poll.after.has_value();
+	message.after = poll.after.value_or(row_version{0}).value();
+	message.wait_us = poll.wait.count();
+	return frame_of(message);
+}
+
+std::string write_frame(const relay_answer& answer)
+{
+	wire::RelayAnswer message;
+	message.call = answer.call;
+	if (!answer.result)
+	{
+		message.outcome = outcome_of(answer.result.error());
+		return frame_of(message);
+	}
+	const auto& batch = *answer.result;
+	message.outcome = outcome_rows;
+	for (const auto& one : batch.rows)
+	{
+		auto& written = message.rows.emplace_back();
+		written.key = one.key;
+		written.value = one.value;
+		written.version = one.version.value();
+		written.removed = one.removed;
+	}
+	message.newest = batch.newest.value();
+	message.registry_time_us = batch.at.count();
+	message.age_us = batch.age.count();
+	return frame_of(message);
+}
+
+std::optional<std::size_t> frame_length(std::string_view first_bytes)
+{
+	constexpr unsigned byte_bits = 8;
+	std::size_t length = 0;
+	for (const auto c : first_bytes.substr(0, relay_length_bytes))
+	{
+		length = (length << byte_bits) | static_cast<unsigned char>(c);
+	}
+	return length <= largest_relay_frame ? std::optional{length} : std::nullopt;
+}
+
+std::optional<relay_poll> read_poll(std::string_view frame)
+{
+	const auto message = message_of<wire::RelayPoll>(frame);
+	if (!message)
+	{
+		return std::nullopt;
+	}
+	relay_poll poll;
+	poll.call = message->call;
+	poll.table = message->table;
+	if (!message->whole)
+	{
+		poll.after = row_version{message->after};
+	}
+	poll.wait = duration{message->wait_us};
+	return poll;
+}
+
+std::optional<relay_answer> read_answer(std::string_view frame)
+{
+	const auto message = message_of<wire::RelayAnswer>(frame);
+	if (!message)
+	{
+		return std::nullopt;
+	}
+	relay_answer answer;
+	answer.call = message->call;
+	if (message->outcome != outcome_rows)
+	{
+		answer.result = tl::make_unexpected(error_of(message->outcome));
+		return answer;
+	}
+	row_batch batch;
+	for (const auto& one : message->rows)
+	{
+		batch.rows.push_back({{}, one.key, one.value, row_version{one.version}, one.removed});
+	}
+	batch.newest = row_version{message->newest};
+	batch.at = registry_time{message->registry_time_us};
+	batch.age = std::max(duration{message->age_us}, duration{0});
+	answer.result = std::move(batch);
+	return answer;
+}
+} // namespace gingerdyke::control
--- /dev/null
+++ b/src/control/relay_server.cpp
@@ -0,0 +1,161 @@
+// SPDX-License-Identifier: MIT
+// Answers other VMs from this VM's copies.
+#include <algorithm>
+#include <gingerdyke/control/relay_server.hpp>
+#include <gingerdyke/log/log.hpp>
+
+namespace gingerdyke::control
+{
+namespace
+{
+constexpr int backlog = 256;
+
+/// Longest wait that a poll may ask for.
+constexpr duration longest_wait = std::chrono::seconds{10};
+} // namespace
+
+relay_server::relay_server(
+	proxy::asio::io_context& context, std::function<const table_cache*(const std::string&)> find)
+	: context_(context), find_(std::move(find)), acceptor_(context), timer_(context)
+{
+}
+
+proxy::error_code relay_server::listen(const routing::address& at)
+{
+	const auto error = proxy::open_acceptor(acceptor_, at.ip, at.port, backlog);
+	if (!error)
+	{
+		accept();
+	}
+	return error;
+}
+
+void relay_server::accept()
+{
+	acceptor_.async_accept(
+		[this](const proxy::error_code& error, proxy::tcp::socket socket)
+		{
+			if (!acceptor_.is_open())
+			{
+				return;
+			}
+			if (error)
+			{
+				log::write(log::level::warn, "relay: accept failed", {{"error", error.message()}});
+				accept();
+				return;
+			}
+			const auto place = links_.insert(links_.end(), nullptr);
+			frame_link_hooks hooks;
+			hooks.received = [this, place](std::string_view frame) { on_frame(*place, frame); };
+			hooks.ended = [this, place] { links_.erase(place); };
+			*place = std::make_shared<frame_link>(std::move(socket), std::move(hooks));
+			(*place)->start();
+			accept();
+		});
+}
+
+void relay_server::on_frame(const std::shared_ptr<frame_link>& from, std::string_view frame)
+{
+	const auto poll = read_poll(frame);
+	if (!poll)
+	{
+		log::write(log::level::warn, "relay: frame not understood", {{"bytes", frame.size()}});
+		return;
+	}
+	waiting_poll one{*poll, from, proxy::steady_now() + std::clamp(poll->wait, duration{0}, longest_wait)};
+	if (has_answer(*poll) || one.poll.wait <= duration{0})
+	{
+		answer(one);
+		return;
+	}
+	waiting_.push_back(std::move(one));
+	arm_timer();
+}
+
+bool relay_server::has_answer(const relay_poll& poll) const
+{
+	const auto* cache = find_(poll.table);
+	return cache != nullptr && cache->known() && (!poll.after || cache->has_news(*poll.after));
+}
+
+void relay_server::answer(const waiting_poll& to)
+{
+	const auto link = to.from.lock();
+	if (!link)
+	{
+		return;
+	}
+	const auto* cache = find_(to.poll.table);
+	relay_answer made;
+	made.call = to.poll.call;
+	made.result = cache == nullptr ? tl::make_unexpected(store_error::unavailable)
+								   : cache->read(to.poll.after, proxy::steady_now());
+	link->send(write_frame(made));
+}
+
+void relay_server::on_change(const std::string& table)
+{
+	for (auto one = waiting_.begin(); one != waiting_.end();)
+	{
+		if (one->poll.table == table && has_answer(one->poll))
+		{
+			answer(*one);
+			one = waiting_.erase(one);
+		}
+		else
+		{
+			++one;
+		}
+	}
+}
+
+void relay_server::arm_timer()
+{
+	const auto next = std::min_element(waiting_.begin(), waiting_.end(),
+		[](const waiting_poll& a, const waiting_poll& b) { return a.until < b.until; });
+	if (next == waiting_.end())
+	{
+		return;
+	}
+	timer_.expires_after(std::max(next->until - proxy::steady_now(), duration{0}));
+	timer_.async_wait(
+		[this](const proxy::error_code& error)
+		{
+			if (!error)
+			{
+				answer_overdue();
+			}
+		});
+}
+
+void relay_server::answer_overdue()
+{
+	const auto now = proxy::steady_now();
+	for (auto one = waiting_.begin(); one != waiting_.end();)
+	{
+		if (one->until <= now)
+		{
+			answer(*one);
+			one = waiting_.erase(one);
+		}
+		else
+		{
+			++one;
+		}
+	}
+	arm_timer();
+}
+
+void relay_server::stop()
+{
+	proxy::error_code ignored;
+	acceptor_.close(ignored);
+	timer_.cancel();
+	for (const auto& one : links_)
+	{
+		one->close();
+	}
+	links_.clear();
+}
+} // namespace gingerdyke::control
--- /dev/null
+++ b/src/control/shared_store.cpp
@@ -0,0 +1,141 @@
+// SPDX-License-Identifier: MIT
+// The registry, read through another VM where that is as good.
+#include <gingerdyke/control/shared_store.hpp>
+#include <gingerdyke/log/log.hpp>
+
+namespace gingerdyke::control
+{
+namespace
+{
+/// Sources that one call tries before it ends as failed.
+constexpr unsigned most_sources = 5;
+} // namespace
+
+shared_store::shared_store(proxy::asio::io_context& context, row_store& registry, source_selector& sources,
+	shared_store_tuning tuning)
+	: context_(context), registry_(registry), sources_(sources), tuning_(tuning)
+{
+}
+
+void shared_store::read_all(const std::string& table, std::function<void(store_result<row_batch>)> done)
+{
+	read({table, std::nullopt, tuning_.answer_limit, std::move(done)});
+}
+
+void shared_store::follow(const std::string& table, row_version after, duration wait,
+	std::function<void(store_result<row_batch>)> done)
+{
+	read({table, after, wait, std::move(done)});
+}
+
+void shared_store::change(const row_change& what, std::function<void(store_result<change_answer>)> done)
+{
+	registry_.change(what, std::move(done));
+}
+
+void shared_store::abandon()
+{
+	registry_.abandon();
+	for (const auto& [vm, client] : clients_)
+	{
+		client->abandon();
+	}
+}
+
+void shared_store::read(read_call call)
+{
+	const auto source = sources_.choose(proxy::steady_now());
+	note_source(source);
+	if (source && call.failures < most_sources)
+	{
+		read_peer(*source, std::move(call));
+	}
+	else
+	{
+		read_registry(std::move(call));
+	}
+}
+
+void shared_store::read_registry(read_call call)
+{
+	const auto done = [this, inner = call.done](store_result<row_batch> result)
+	{
+		const bool failed = !result && result.error() != store_error::history_gone;
+		if (failed)
+		{
+			sources_.note_bad(std::nullopt, proxy::steady_now());
+		}
+		else
+		{
+			sources_.note_good(std::nullopt);
+		}
+		inner(std::move(result));
+	};
+	if (call.after)
+	{
+		registry_.follow(call.table, *call.after, call.wait, done);
+	}
+	else
+	{
+		registry_.read_all(call.table, done);
+	}
+}
+
+void shared_store::read_peer(const peer& from, read_call call)
+{
+	relay_poll poll;
+	poll.table = call.table;
+	poll.after = call.after;
+	poll.wait =
+		duration{static_cast<duration::rep>(static_cast<double>(call.wait.count()) * tuning_.wait_share)};
+	const auto limit = poll.wait + tuning_.answer_limit;
+	client_of(from)->call(poll, limit,
+		[this, from, call = std::move(call)](store_result<row_batch> result) mutable
+		{ on_peer_answer(from, std::move(call), std::move(result)); });
+}
+
+void shared_store::on_peer_answer(const peer& from, read_call call, store_result<row_batch> result)
+{
+	if (!result && result.error() == store_error::history_gone)
+	{
+		call.done(std::move(result));
+		return;
+	}
+	const bool is_fresh = result && result->age <= tuning_.oldest_copy;
+	if (is_fresh)
+	{
+		sources_.note_good(from);
+		call.done(std::move(result));
+		return;
+	}
+	sources_.note_bad(from, proxy::steady_now());
+	log::write(log::level::info, "source given up",
+		{{"vm", from.vm.str()}, {"table", call.table},
+			{"why", result ? "old copy" : name_of(result.error())},
+			{"age_ms", result ? std::chrono::duration<double, std::milli>(result->age).count() : 0.0}});
+	++call.failures;
+	// Its other calls would only end later.
+	client_of(from)->abandon();
+	read(std::move(call));
+}
+
+void shared_store::note_source(const std::optional<peer>& source)
+{
+	auto name = source ? source->vm.str() : std::string{"registry"};
+	if (last_source_ != name)
+	{
+		log::write(log::level::info, "reading from", {{"source", name}});
+		last_source_ = std::move(name);
+	}
+}
+
+std::shared_ptr<relay_client> shared_store::client_of(const peer& to)
+{
+	auto& known = clients_[to.vm];
+	if (!known || known->to() != to)
+	{
+		known = std::make_shared<relay_client>(context_, to);
+	}
+	return known;
+}
+} // namespace gingerdyke::control
--- /dev/null
+++ b/src/control/source_selector.cpp
@@ -0,0 +1,99 @@
+// SPDX-License-Identifier: MIT
+// Where a VM reads the registry.
+#include <algorithm>
+#include <gingerdyke/base/crypto.hpp>
+#include <gingerdyke/control/source_selector.hpp>
+
+namespace gingerdyke::control
+{
+namespace
+{
+/// Name under which the registry itself rests; no VM has an empty name.
+const std::string registry_name;
+
+std::uint64_t rank_of(const vm_id& vm)
+{
+	return stable_hash(vm.str());
+}
+
+const std::string& name_of(const std::optional<peer>& source)
+{
+	return source ? source->vm.str() : registry_name;
+}
+} // namespace
+
+source_selector::source_selector(vm_id self, failure_domain_id domain, source_tuning tuning)
+	: self_(std::move(self)), domain_(std::move(domain)), tuning_(tuning)
+{
+}
+
+void source_selector::set_peers(std::vector<peer> peers)
+{
+	std::erase_if(peers, [this](const peer& one) { return one.vm == self_; });
+	std::sort(peers.begin(), peers.end(),
+		[this](const peer& a, const peer& b)
+		{
+			const bool a_is_near = a.domain == domain_;
+			const bool b_is_near = b.domain == domain_;
+			return a_is_near != b_is_near ? a_is_near : rank_of(a.vm) < rank_of(b.vm);
+		});
+	peers_ = std::move(peers);
+}
+
+std::optional<peer> source_selector::choose(instant now) const
+{
+	const bool registry_rests = rests(registry_name, now);
+	if (!registry_rests && reads_itself(now))
+	{
+		return std::nullopt;
+	}
+	std::size_t far = 0;
+	for (const auto& one : peers_)
+	{
+		if (one.domain != domain_ && (!registry_rests || ++far > tuning_.far_sources))
+		{
+			break;
+		}
+		if (!rests(one.vm.str(), now))
+		{
+			return one;
+		}
+	}
+	return std::nullopt;
+}
+
+bool source_selector::reads_itself(instant now) const
+{
+	const auto own_rank = rank_of(self_);
+	const auto before = std::count_if(peers_.begin(), peers_.end(),
+		[&](const peer& one)
+		{ return one.domain == domain_ && rank_of(one.vm) < own_rank && !rests(one.vm.str(), now); });
+	return static_cast<std::size_t>(before) < tuning_.readers;
+}
+
+void source_selector::note_bad(const std::optional<peer>& source, instant now)
+{
+	auto& known = rests_[name_of(source)];
+	if (known.until > now)
+	{
+		return;
+	}
+	constexpr unsigned longest_shift = 5;
+	const auto span = tuning_.first_rest * (1U << std::min(known.times, longest_shift));
+	// The registry is asked again soon: nothing else is as fresh.
+	const auto longest = source ? tuning_.longest_rest : tuning_.first_rest;
+	known.until = now + std::min<duration>(span, longest);
+	++known.times;
+}
+
+void source_selector::note_good(const std::optional<peer>& source)
+{
+	rests_.erase(name_of(source));
+}
+
+bool source_selector::rests(const std::string& name, instant now) const
+{
+	const auto found = rests_.find(name);
+	return found != rests_.end() && found->second.until > now;
+}
+} // namespace gingerdyke::control
--- /dev/null
+++ b/src/control/table_cache.cpp
@@ -0,0 +1,104 @@
+// SPDX-License-Identifier: MIT
+// A VM's copy of one table of the registry.
+#include <algorithm>
+#include <gingerdyke/control/table_cache.hpp>
+
+namespace gingerdyke::control
+{
+namespace
+{
+/// Rows that are gone are kept up to this many, so that others learn of them; then the oldest are forgotten.
+constexpr std::size_t most_removed = 2000;
+} // namespace
+
+void table_cache::replace(const std::vector<row>& rows, row_version newest)
+{
+	std::map<std::string, row> next;
+	for (const auto& one : rows)
+	{
+		next[one.key] = one;
+	}
+	for (auto& [key, known] : rows_)
+	{
+		if (!next.contains(key))
+		{
+			auto gone = known;
+			// It went at some moment up to now; who knows the table only until then has to hear of it.
+			gone.version = known.removed ? known.version : newest;
+			gone.removed = true;
+			gone.value.clear();
+			next[key] = std::move(gone);
+		}
+	}
+	if (rows_.empty())
+	{
+		known_from_ = newest;
+	}
+	rows_.clear();
+	for (const auto& [key, one] : next)
+	{
+		put(one);
+	}
+	newest_ = std::max(newest_, newest);
+	forget_removed();
+}
+
+void table_cache::apply(const std::vector<row>& rows, row_version newest)
+{
+	for (const auto& one : rows)
+	{
+		put(one);
+	}
+	newest_ = std::max(newest_, newest);
+	forget_removed();
+}
+
+void table_cache::put(const row& one)
+{
+	rows_[one.key] = one;
+	newest_change_ = std::max(newest_change_, one.version);
+}
+
+void table_cache::forget_removed()
+{
+	const auto is_removed = [](const auto& entry) { return entry.second.removed; };
+	if (static_cast<std::size_t>(std::count_if(rows_.begin(), rows_.end(), is_removed)) > most_removed)
+	{
+		std::erase_if(rows_, is_removed);
+		known_from_ = std::max(newest_, newest_change_);
+	}
+}
+
+void table_cache::confirm(instant at, registry_time registry_now, instant now)
+{
+	confirmed_at_ = confirmed_at_ ? std::max(*confirmed_at_, at) : at;
+	clock_offset_ = registry_now - now.time_since_epoch();
+}
+
+store_result<row_batch> table_cache::read(std::optional<row_version> after, instant now) const
+{
+	if (!confirmed_at_)
+	{
+		return tl::make_unexpected(store_error::unavailable);
+	}
+	if (after && *after < known_from_)
+	{
+		return tl::make_unexpected(store_error::history_gone);
+	}
+	row_batch batch;
+	for (const auto& [key, one] : rows_)
+	{
+		const bool is_wanted = after ? one.version > *after : !one.removed;
+		if (is_wanted)
+		{
+			batch.rows.push_back(one);
+		}
+	}
+	std::sort(batch.rows.begin(), batch.rows.end(),
+		[](const row& a, const row& b) { return a.version < b.version; });
+	batch.newest = std::max(newest_, newest_change_);
+	batch.at = now.time_since_epoch() + clock_offset_;
+	batch.age = now - *confirmed_at_;
+	return batch;
+}
+} // namespace gingerdyke::control
--- a/src/control/table_follower.cpp
+++ b/src/control/table_follower.cpp
@@ -24,7 +24,7 @@
 
 table_follower::table_follower(proxy::asio::io_context& context, row_store& store, std::string table,
 	random_source random, follower_hooks hooks, follower_tuning tuning)
-	: store_(store), table_(std::move(table)), random_(std::move(random)), hooks_(std::move(hooks)),
+	: store_(store), cache_(std::move(table)), random_(std::move(random)), hooks_(std::move(hooks)),
 	  tuning_(tuning), timer_(context), pause_(tuning.first_pause)
 {
 }
@@ -55,14 +55,14 @@
 void table_follower::read_all()
 {
 	const auto sent_at = proxy::steady_now();
-	store_.read_all(table_,
+	store_.read_all(cache_.table(),
 		[this, sent_at](store_result<row_batch> result) { on_all(std::move(result), sent_at); });
 }
 
 void table_follower::follow()
 {
 	const auto sent_at = proxy::steady_now();
-	store_.follow(table_, *next_, tuning_.wait,
+	store_.follow(cache_.table(), *next_, tuning_.wait,
 		[this, sent_at](store_result<row_batch> result) { on_changes(std::move(result), sent_at); });
 }
 
@@ -80,14 +80,16 @@
 	if (known_ && result->newest < *known_)
 	{
 		log::write(log::level::warn, "registry answered from the past",
-			{{"table", table_}, {"newest", result->newest.value()}, {"known", known_->value()}});
+			{{"table", cache_.table()}, {"newest", result->newest.value()}, {"known", known_->value()}});
 		pause_then_call();
 		return;
 	}
 	next_ = result->newest;
 	known_ = result->newest;
+	cache_.replace(result->rows, result->newest);
+	confirm_cache(sent_at, *result);
 	hooks_.replaced(result->rows);
-	note_success(sent_at, result->at);
+	note_success(sent_at, *result);
 	follow();
 }
 
@@ -104,30 +106,43 @@
 	}
 	next_ = std::max(*next_, result->newest);
 	known_ = std::max(*known_, result->newest);
+	cache_.apply(result->rows, result->newest);
+	confirm_cache(sent_at, *result);
 	if (!result->rows.empty())
 	{
 		hooks_.changed(result->rows);
 	}
-	note_success(sent_at, result->at);
+	note_success(sent_at, *result);
+	if (!result->rows.empty() && tuning_.gather > duration{0})
+	{
+		call_after(tuning_.gather);
+		return;
+	}
 	follow();
 }
 
-void table_follower::note_success(instant sent_at, registry_time at)
+/// A copy was the newest as long before it was given as it is old, and it was given after the call was sent.
+void table_follower::confirm_cache(instant sent_at, const row_batch& batch)
+{
+	cache_.confirm(sent_at - batch.age, batch.at, proxy::steady_now());
+}
+
+void table_follower::note_success(instant sent_at, const row_batch& batch)
 {
 	pause_ = tuning_.first_pause;
 	if (is_lost_)
 	{
 		is_lost_ = false;
-		log::write(log::level::info, "registry regained", {{"table", table_}});
+		log::write(log::level::info, "registry regained", {{"table", cache_.table()}});
 	}
-	hooks_.confirmed(sent_at, at);
+	hooks_.confirmed(sent_at - batch.age, batch.at);
 }
 
 void table_follower::note_failure(store_error error)
 {
 	if (error == store_error::history_gone)
 	{
-		log::write(log::level::info, "registry forgot its history", {{"table", table_}});
+		log::write(log::level::info, "registry forgot its history", {{"table", cache_.table()}});
 		next_.reset();
 		pause_then_call();
 		return;
@@ -135,7 +150,7 @@
 	if (!is_lost_)
 	{
 		is_lost_ = true;
-		log::write(log::level::warn, "registry lost", {{"table", table_}, {"why", name_of(error)}});
+		log::write(log::level::warn, "registry lost", {{"table", cache_.table()}, {"why", name_of(error)}});
 	}
 	hooks_.lost(error);
 	pause_then_call();
@@ -144,8 +159,14 @@
 void table_follower::pause_then_call()
 {
 	const auto spread = 0.5 + random_unit(random_);
-	timer_.expires_after(duration{static_cast<duration::rep>(static_cast<double>(pause_.count()) * spread)});
+	const duration pause{static_cast<duration::rep>(static_cast<double>(pause_.count()) * spread)};
 	pause_ = std::min<duration>(pause_ * 2, tuning_.longest_pause);
+	call_after(pause);
+}
+
+void table_follower::call_after(duration pause)
+{
+	timer_.expires_after(pause);
 	timer_.async_wait(
 		[this](const proxy::error_code& error)
 		{
--- a/src/proxy/exchange_answers.cpp
+++ b/src/proxy/exchange_answers.cpp
@@ -44,7 +44,7 @@
 		return;
 	}
 	const bool failed = came.status >= first_failure;
-	shared_.note_answer(*attempt_->to, route_->id.str(), failed, attempt_->first_byte);
+	shared_.note_answer(*attempt_->to, sample_of(failed));
 	note_result(failed ? routing::replica_result::failed : routing::replica_result::answered);
 	if (failed && may_try_again() && shared_.budget(service_id_).left(steady_now()) >= 1)
 	{
@@ -68,6 +68,21 @@
 	}
 }
 
+rollout::answer_sample exchange::sample_of(bool failed) const
+{
+	// What an idle engine needs before its first token, and the prompt tokens that it reads in a millisecond:
+	// the order of magnitude of the users' engines. Only ratios of two versions are compared.
+	constexpr double idle_ms = 20;
+	constexpr double tokens_per_ms = 50;
+	const auto took = std::chrono::duration<double, std::milli>(attempt_->first_byte).count();
+	rollout::answer_sample sample;
+	sample.route = route_->id.str();
+	sample.model = route_->models.empty() ? std::string{} : route_->models[attempt_->size.index].str();
+	sample.failed = failed;
+	sample.relative_time = took / (idle_ms + prompt_.tokens_in / tokens_per_ms);
+	return sample;
+}
+
 /// Nothing ran there: another replica may, as far as attempts go.
 void exchange::on_not_run()
 {
--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -88,10 +88,9 @@
 	return budgets_.try_emplace(service, bounds_.attempts).first->second;
 }
 
-void gateway::note_answer(
-	const routing::replica& from, const std::string& route, bool failed, duration first_byte)
+void gateway::note_answer(const routing::replica& from, const rollout::answer_sample& answer)
 {
-	versions_.note_answer(from.service, from.version, route, failed, first_byte, steady_now());
+	versions_.note_answer(from.service, from.version, answer, steady_now());
 	if (evidence_hook_ && versions_.has_evidence(from.service))
 	{
 		evidence_hook_();
--- a/src/proxy/listener.cpp
+++ b/src/proxy/listener.cpp
@@ -25,25 +25,7 @@
 
 error_code listener::listen(const routing::address& at)
 {
-	error_code error;
-	const auto ip = asio::ip::make_address_v4(at.ip, error);
-	if (error)
-	{
-		return error;
-	}
-	acceptor_.open(tcp::v4(), error);
-	if (!error)
-	{
-		acceptor_.set_option(asio::socket_base::reuse_address{true}, error);
-	}
-	if (!error)
-	{
-		acceptor_.bind({ip, at.port}, error);
-	}
-	if (!error)
-	{
-		acceptor_.listen(backlog, error);
-	}
+	const auto error = open_acceptor(acceptor_, at.ip, at.port, backlog);
 	if (!error)
 	{
 		accept();
--- a/src/proxy/upstream_link.cpp
+++ b/src/proxy/upstream_link.cpp
@@ -3,7 +3,6 @@
 #include <charconv>
 #include <gingerdyke/proxy/upstream_link.hpp>
 #include <limits>
-#include <netinet/tcp.h>
 
 namespace gingerdyke::proxy
 {
@@ -17,15 +16,6 @@
 
 constexpr int first_success = 200;
 
-/// Seconds of silence before a connection is probed, between probes, and probes until it is given up. A
-/// replica that is silently gone is noticed within 3 s; silence of one request is bounded elsewhere.
-constexpr int probe_idle_s = 2;
-constexpr int probe_interval_s = 1;
-constexpr int probe_count = 2;
-
-/// Milliseconds that sent bytes may stay unacknowledged: as long as the probes take.
-constexpr unsigned unacknowledged_ms = 3000;
-
 answer_head head_of(const beast::http::response_parser<beast::http::string_body>& parser)
 {
 	answer_head head;
@@ -45,20 +35,6 @@
 }
 } // namespace
 
-void set_connection_options(tcp::socket& socket)
-{
-	error_code ignored;
-	socket.set_option(tcp::no_delay{true}, ignored);
-	socket.set_option(asio::socket_base::keep_alive{true}, ignored);
-	const auto fd = socket.native_handle();
-	const auto set = [fd](int name, auto value)
-	{ static_cast<void>(::setsockopt(fd, IPPROTO_TCP, name, &value, sizeof(value))); };
-	set(TCP_KEEPIDLE, probe_idle_s);
-	set(TCP_KEEPINTVL, probe_interval_s);
-	set(TCP_KEEPCNT, probe_count);
-	set(TCP_USER_TIMEOUT, unacknowledged_ms);
-}
-
 const char* name_of(upstream_fault fault) noexcept
 {
 	switch (fault)
--- a/src/rollout/version_shift.cpp
+++ b/src/rollout/version_shift.cpp
@@ -15,6 +15,17 @@
 /// An attempt to write is repeated after this time where no news came of it.
 constexpr duration write_again = std::chrono::milliseconds{700};
 
+/// Group in which an answer's failures count, and the one in which its slowness does.
+std::string failure_group(const answer_sample& answer)
+{
+	return "route " + answer.route;
+}
+
+std::string slowness_group(const answer_sample& answer)
+{
+	return answer.model.empty() ? "time " + answer.route : "model " + answer.model;
+}
+
 /// A point as a number from 0 to 1.
 double unit_of(std::uint64_t point)
 {
@@ -24,7 +35,7 @@
 
 shift_counts operator+(const shift_counts& a, const shift_counts& b)
 {
-	return {a.answers + b.answers, a.bad + b.bad};
+	return {a.answers + b.answers, a.failed + b.failed, a.slow + b.slow};
 }
 
 std::string commonest_version(
@@ -118,7 +129,7 @@
 	{
 		return;
 	}
-	state.others[reporter] = evidence.by_route;
+	state.others[reporter] = evidence.by_group;
 	judge(state, now);
 }
 
@@ -145,8 +156,8 @@
 	news_at_ = now;
 }
 
-void version_shift::note_answer(const service_id& service, const std::string& version,
-	const std::string& route, bool failed, duration first_byte, instant now)
+void version_shift::note_answer(
+	const service_id& service, const std::string& version, const answer_sample& answer, instant now)
 {
 	const auto found = services_.find(service);
 	if (found == services_.end())
@@ -154,33 +165,56 @@
 		return;
 	}
 	auto& state = found->second;
-	auto& base = state.base[route];
-	const auto took = static_cast<double>(first_byte.count());
 	const bool is_new = state.plan && state.plan->state == shift_state::running &&
 						version == state.plan->to_version;
 	if (!is_new)
 	{
-		++base.counts.answers;
-		base.counts.bad += failed ? 1 : 0;
-		if (base.counts.answers >= tuning_.base_memory)
-		{
-			base.counts = {base.counts.answers / 2, base.counts.bad / 2};
-		}
-		base.mean_us = base.mean_us == 0 ? took : base.mean_us + tuning_.mean_weight * (took - base.mean_us);
+		note_base(state, answer);
 		return;
 	}
-	const bool is_slow = base.mean_us > 0 && first_byte > tuning_.never_slow &&
-						 took > tuning_.slow_multiple * base.mean_us;
-	auto& own = state.own[route];
-	++own.answers;
-	if (failed || is_slow)
+	const bool slow = is_slow(state, answer);
+	auto& failures = state.own[failure_group(answer)];
+	++failures.answers;
+	failures.failed += answer.failed ? 1 : 0;
+	auto& slowness = state.own[slowness_group(answer)];
+	++slowness.answers;
+	slowness.slow += slow ? 1 : 0;
+	if (answer.failed || slow)
 	{
-		++own.bad;
 		state.has_news_to_report = true;
 		judge(state, now);
 	}
 }
 
+void version_shift::note_base(service_state& state, const answer_sample& answer)
+{
+	auto& failures = state.base[failure_group(answer)].counts;
+	++failures.answers;
+	failures.failed += answer.failed ? 1 : 0;
+	if (failures.answers >= tuning_.base_memory)
+	{
+		failures = {failures.answers / 2, failures.failed / 2, 0};
+	}
+	auto& slowness = state.base[slowness_group(answer)];
+	++slowness.counts.answers;
+	if (slowness.slow_above <= 0)
+	{
+		slowness.slow_above = answer.relative_time;
+		return;
+	}
+	// Steps up and down balance where the wanted share lies below.
+	const auto up = tuning_.quantile_step * tuning_.slow_quantile;
+	const auto down = tuning_.quantile_step * (1 - tuning_.slow_quantile);
+	slowness.slow_above *= answer.relative_time > slowness.slow_above ? 1 + up : 1 - down;
+}
+
+bool version_shift::is_slow(const service_state& state, const answer_sample& answer) const
+{
+	const auto base = state.base.find(slowness_group(answer));
+	return base != state.base.end() && base->second.counts.answers >= tuning_.fewest_base &&
+		   answer.relative_time > base->second.slow_above;
+}
+
 std::string version_shift::version_for(const service_id& service, std::uint64_t point, instant now) const
 {
 	const auto* state = find(service);
@@ -306,33 +340,40 @@
 bool version_shift::looks_bad(const service_state& state) const
 {
 	std::map<std::string, shift_counts> seen = state.own;
-	for (const auto& [reporter, by_route] : state.others)
+	for (const auto& [reporter, by_group] : state.others)
 	{
-		for (const auto& [route, counts] : by_route)
+		for (const auto& [group, counts] : by_group)
 		{
-			seen[route] = seen[route] + counts;
+			seen[group] = seen[group] + counts;
 		}
 	}
 	return std::any_of(seen.begin(), seen.end(),
-		[&](const auto& one) { return is_bad_route(state, one.first, one.second); });
+		[&](const auto& one) { return is_bad_group(state, one.first, one.second); });
 }
 
-bool version_shift::is_bad_route(
-	const service_state& state, const std::string& route, const shift_counts& seen) const
+bool version_shift::is_bad_group(
+	const service_state& state, const std::string& group, const shift_counts& seen) const
 {
-	if (seen.bad < tuning_.fewest_bad)
+	if (seen.slow >= tuning_.fewest_slow &&
+		log_evidence_against(seen.answers, seen.slow, tuning_.tolerated_slow) > tuning_.verdict)
+	{
+		return true;
+	}
+	if (seen.failed < tuning_.fewest_bad)
 	{
 		return false;
 	}
-	const auto base = state.base.find(route);
 	double base_rate = 0;
+	const auto base = state.base.find(group);
 	if (base != state.base.end() && base->second.counts.answers > 0)
 	{
-		base_rate = static_cast<double>(base->second.counts.bad) /
-					static_cast<double>(base->second.counts.answers);
+		const auto& counts = base->second.counts;
+		base_rate = static_cast<double>(counts.failed) / static_cast<double>(counts.answers);
 	}
-	const auto tolerated = std::min(0.9, tuning_.tolerated + tuning_.tolerated_multiple * base_rate);
-	return log_evidence_against(seen.answers, seen.bad, tolerated) > tuning_.verdict;
+	constexpr double highest_tolerated = 0.9;
+	const auto tolerated =
+		std::min(highest_tolerated, tuning_.tolerated + tuning_.tolerated_multiple * base_rate);
+	return log_evidence_against(seen.answers, seen.failed, tolerated) > tuning_.verdict;
 }
 
 std::optional<shift_plan> version_shift::next_plan(const service_state& state, instant now) const
