--- a/include/gingerdyke/control/shared_store.hpp
+++ b/include/gingerdyke/control/shared_store.hpp
@@ -10,14 +10,18 @@
 /// \brief Tuning of `shared_store`.
 struct shared_store_tuning
 {
-	/// A copy older than this is not good enough: its VM may have lost the registry. Together with the time
-	/// between two polls it has to leave time, within the users' 2 s, to learn of a change elsewhere.
-	duration oldest_copy = std::chrono::milliseconds{1100};
+	/// A copy that is older than its VM waits at the registry, by more than this, is not good enough: the VM may
+	/// have lost the registry. With the time between two polls this has to leave time, within the users' 2 s, to
+	/// learn of a change elsewhere.
+	duration copy_margin = std::chrono::milliseconds{400};
 
 	/// A poll of another VM waits this part of what it would wait at the registry: polls within a failure
 	/// domain cost next to nothing.
 	double wait_share = 0.55;
 
+	/// A VM that has just started may have to read a table itself before it can give it whole.
+	duration whole_wait = std::chrono::milliseconds{700};
+
 	/// An answer is awaited this long beyond the wait.
 	duration answer_limit = std::chrono::milliseconds{250};
 };
--- a/include/gingerdyke/control/table_follower.hpp
+++ b/include/gingerdyke/control/table_follower.hpp
@@ -60,6 +60,7 @@
 	void follow();
 	void on_all(store_result<row_batch> result, instant sent_at);
 	void on_changes(store_result<row_batch> result, instant sent_at);
+	[[nodiscard]] static instant newest_at(instant sent_at, const row_batch& batch);
 	void confirm_cache(instant sent_at, const row_batch& batch);
 	void note_success(instant sent_at, const row_batch& batch);
 	void note_failure(store_error error);
--- a/src/control/shared_store.cpp
+++ b/src/control/shared_store.cpp
@@ -19,7 +19,7 @@
 
 void shared_store::read_all(const std::string& table, std::function<void(store_result<row_batch>)> done)
 {
-	read({table, std::nullopt, tuning_.answer_limit, std::move(done)});
+	read({table, std::nullopt, tuning_.whole_wait, std::move(done)});
 }
 
 void shared_store::follow(const std::string& table, row_version after, duration wait,
@@ -89,9 +89,16 @@
 	poll.wait =
 		duration{static_cast<duration::rep>(static_cast<double>(call.wait.count()) * tuning_.wait_share)};
 	const auto limit = poll.wait + tuning_.answer_limit;
+	const auto sent_at = proxy::steady_now();
 	client_of(from)->call(poll, limit,
-		[this, from, call = std::move(call)](store_result<row_batch> result) mutable
-		{ on_peer_answer(from, std::move(call), std::move(result)); });
+		[this, from, sent_at, wait = poll.wait, call = std::move(call)](store_result<row_batch> result) mutable
+		{
+			if (result && result->rows.empty() && proxy::steady_now() - sent_at >= wait)
+			{
+				result->held = wait;
+			}
+			on_peer_answer(from, std::move(call), std::move(result));
+		});
 }
 
 void shared_store::on_peer_answer(const peer& from, read_call call, store_result<row_batch> result)
@@ -101,7 +108,7 @@
 		call.done(std::move(result));
 		return;
 	}
-	const bool is_fresh = result && result->age <= tuning_.oldest_copy;
+	const bool is_fresh = result && result->age <= call.wait + tuning_.copy_margin;
 	if (is_fresh)
 	{
 		sources_.note_good(from);
--- a/src/control/table_follower.cpp
+++ b/src/control/table_follower.cpp
@@ -121,10 +121,15 @@
 	follow();
 }
 
-/// A copy was the newest as long before it was given as it is old, and it was given after the call was sent.
+/// The answer was given after the call was sent and held; a copy was the newest as long before as it is old.
+instant table_follower::newest_at(instant sent_at, const row_batch& batch)
+{
+	return sent_at + batch.held - batch.age;
+}
+
 void table_follower::confirm_cache(instant sent_at, const row_batch& batch)
 {
-	cache_.confirm(sent_at - batch.age, batch.at, proxy::steady_now());
+	cache_.confirm(newest_at(sent_at, batch), batch.at, proxy::steady_now());
 }
 
 void table_follower::note_success(instant sent_at, const row_batch& batch)
@@ -135,7 +140,7 @@
 		is_lost_ = false;
 		log::write(log::level::info, "registry regained", {{"table", cache_.table()}});
 	}
-	hooks_.confirmed(sent_at - batch.age, batch.at);
+	hooks_.confirmed(newest_at(sent_at, batch), batch.at);
 }
 
 void table_follower::note_failure(store_error error)
