--- a/include/gingerdyke/rollout/version_shift.hpp
+++ b/include/gingerdyke/rollout/version_shift.hpp
@@ -10,6 +10,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace gingerdyke::rollout
@@ -105,6 +106,9 @@
 	/// users allow 0.15 of all requests for a bad version.
 	double first_share = 0.09;
 
+	/// A session ends this long after its last request: the users state 5 s, and a request may last as long.
+	duration session_time = std::chrono::seconds{8};
+
 	/// Parts of the time at which the share begins to grow, and at which it is 1. The users let sessions move
 	/// in the second half; what is left after `full_at` lets streams on the old version end.
 	double grow_at = 0.52;
@@ -186,6 +190,9 @@
 	void note_answer(
 		const service_id& service, const std::string& version, const answer_sample& answer, instant now);
 
+	/// \brief Notes that a session's work went to a version, so that the session stays there.
+	void note_session(const service_id& service, std::uint64_t point, const std::string& version, instant now);
+
 	/// \brief Version that work goes to.
 	/// \param point Hash of the session: the same point stays on the new version once it is there.
 	/// \returns The version, or empty where any will do.
@@ -210,6 +217,13 @@
 	[[nodiscard]] const shift_plan* plan_of(const service_id& service) const;
 
   private:
+	/// Where a session's last request went.
+	struct session_place
+	{
+		std::string version;
+		instant at;
+	};
+
 	struct base_counts
 	{
 		shift_counts counts;
@@ -227,6 +241,8 @@
 		std::map<std::string, shift_counts> own;
 		std::map<std::string, std::map<std::string, shift_counts>> others;
 		std::map<std::string, base_counts> base;
+		std::unordered_map<std::uint64_t, session_place> sessions;
+		std::size_t forget_sessions_at{};
 		bool has_news_to_report{};
 		instant reported_at;
 
@@ -237,6 +253,8 @@
 	[[nodiscard]] const service_state* find(const service_id& service) const;
 	[[nodiscard]] registry_time registry_now(instant now) const;
 	[[nodiscard]] double share_of(const service_state& state, instant now) const;
+	[[nodiscard]] bool goes_to_new(const service_state& state, std::uint64_t point, instant now) const;
+	[[nodiscard]] double elapsed_part(const service_state& state, instant now) const;
 	[[nodiscard]] bool looks_bad(const service_state& state) const;
 	[[nodiscard]] bool is_bad_group(
 		const service_state& state, const std::string& group, const shift_counts& seen) const;
