--- a/include/gingerdyke/proxy/exchange.hpp
+++ b/include/gingerdyke/proxy/exchange.hpp
@@ -103,7 +103,6 @@
 	std::string id_;
 	prompt prompt_;
 	std::uint64_t session_point_ = 0;
-	bool in_session_ = false;
 	std::vector<replica_id> tried_;
 	std::optional<attempt> attempt_;
 	event_stream events_;
--- a/include/gingerdyke/rollout/version_shift.hpp
+++ b/include/gingerdyke/rollout/version_shift.hpp
@@ -10,7 +10,6 @@
 #include <map>
 #include <optional>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 namespace gingerdyke::rollout
@@ -102,17 +101,18 @@
 /// \brief Tuning of `version_shift`.
 struct shift_tuning
 {
-	/// Share of sessions on the new version in the first half, when sessions must not change version. The
-	/// users allow 0.15 of all requests for a bad version.
-	double first_share = 0.09;
+	/// Part of the time before which nothing goes to the new version. In the first half a session must not move to
+	/// it, and sessions that began before, on whatever VM, can't be told from others.
+	double start_at = 0.505;
 
-	/// A session ends this long after its last request: the users state 5 s, and a request may last as long.
-	duration session_time = std::chrono::seconds{8};
+	/// Share of sessions on the new version at first, until `grow_at`: enough answers to judge by, while a bad
+	/// version is far from the 0.15 of all requests that the users allow it.
+	double first_share = 0.08;
 
-	/// Parts of the time at which the share begins to grow, and at which it is 1. The users let sessions move
-	/// in the second half; what is left after `full_at` lets streams on the old version end.
-	double grow_at = 0.52;
-	double full_at = 0.74;
+	/// Parts of the time at which the share begins to grow, and at which it is 1. What is left lets streams on
+	/// the old version end.
+	double grow_at = 0.6;
+	double full_at = 0.78;
 
 	/// Part of the time that is left when the shift is declared completed, and the least of it.
 	double spare_share = 0.06;
@@ -190,9 +190,6 @@
 	void note_answer(
 		const service_id& service, const std::string& version, const answer_sample& answer, instant now);
 
-	/// \brief Notes that a session's work went to a version, so that the session stays there.
-	void note_session(const service_id& service, std::uint64_t point, const std::string& version, instant now);
-
 	/// \brief Version that work goes to.
 	/// \param point Hash of the session: the same point stays on the new version once it is there.
 	/// \returns The version, or empty where any will do.
@@ -217,13 +214,6 @@
 	[[nodiscard]] const shift_plan* plan_of(const service_id& service) const;
 
   private:
-	/// Where a session's last request went.
-	struct session_place
-	{
-		std::string version;
-		instant at;
-	};
-
 	struct base_counts
 	{
 		shift_counts counts;
@@ -241,8 +231,6 @@
 		std::map<std::string, shift_counts> own;
 		std::map<std::string, std::map<std::string, shift_counts>> others;
 		std::map<std::string, base_counts> base;
-		std::unordered_map<std::uint64_t, session_place> sessions;
-		std::size_t forget_sessions_at{};
 		bool has_news_to_report{};
 		instant reported_at;
 
@@ -253,8 +241,6 @@
 	[[nodiscard]] const service_state* find(const service_id& service) const;
 	[[nodiscard]] registry_time registry_now(instant now) const;
 	[[nodiscard]] double share_of(const service_state& state, instant now) const;
-	[[nodiscard]] bool goes_to_new(const service_state& state, std::uint64_t point, instant now) const;
-	[[nodiscard]] double elapsed_part(const service_state& state, instant now) const;
 	[[nodiscard]] bool looks_bad(const service_state& state) const;
 	[[nodiscard]] bool is_bad_group(
 		const service_state& state, const std::string& group, const shift_counts& seen) const;
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -102,7 +102,6 @@
 		return false;
 	}
 	const auto* session = request_.find(names.session);
-	in_session_ = session != nullptr;
 	session_point_ = mix_hash(stable_hash(session != nullptr ? *session : id_), stable_hash(route_->id.str()));
 	service_id_ = routing::pick_service(*route_, session_point_);
 	service_ = catalog_->find_service(service_id_);
@@ -279,10 +278,6 @@
 	attempt_->size = size_;
 	// From here on a replica may run it at any moment, whatever is heard of it.
 	trace_ = trace::may_have_run;
-	if (in_session_)
-	{
-		shared_.versions().note_session(service_id_, session_point_, to->version, now);
-	}
 	attempt_->link = shared_.pool().take(to, route_->may_run_again(), now);
 	shared_.selector().note_sent(to->id, prompt_.work());
 	arm_attempt_timer(first_byte_limit());
--- a/src/rollout/version_shift.cpp
+++ b/src/rollout/version_shift.cpp
@@ -226,44 +226,8 @@
 	{
 		return state->stable_version;
 	}
-	return goes_to_new(*state, point, now) ? state->plan->to_version : state->plan->from_version;
-}
-
-bool version_shift::goes_to_new(const service_state& state, std::uint64_t point, instant now) const
-{
-	if (state.suspended)
-	{
-		return false;
-	}
-	const auto known = state.sessions.find(point);
-	if (known != state.sessions.end() && now - known->second.at < tuning_.session_time)
-	{
-		if (known->second.version == state.plan->to_version)
-		{
-			return true;
-		}
-		// A session that began on the old version before the shift stays there for the first half.
-		if (elapsed_part(state, now) < tuning_.grow_at)
-		{
-			return false;
-		}
-	}
-	return unit_of(point) < share_of(state, now);
-}
-
-void version_shift::note_session(
-	const service_id& service, std::uint64_t point, const std::string& version, instant now)
-{
-	auto& state = services_[service];
-	state.sessions[point] = {version, now};
-	if (state.sessions.size() < state.forget_sessions_at)
-	{
-		return;
-	}
-	std::erase_if(
-		state.sessions, [&](const auto& one) { return now - one.second.at >= tuning_.session_time; });
-	constexpr std::size_t fewest = 256;
-	state.forget_sessions_at = std::max(fewest, state.sessions.size() * 2);
+	const bool wants_new = !state->suspended && unit_of(point) < share_of(*state, now);
+	return wants_new ? state->plan->to_version : state->plan->from_version;
 }
 
 std::string version_shift::fallback_for(const service_id& service, std::uint64_t point, instant now) const
@@ -361,7 +325,14 @@
 	{
 		return 0;
 	}
-	const auto part = elapsed_part(state, now);
+	const auto& plan = *state.plan;
+	const auto known_until = std::min(now, news_at_ + tuning_.news_limit);
+	const auto elapsed = registry_now(known_until) - plan.started;
+	const auto part = static_cast<double>(elapsed.count()) / static_cast<double>(plan.length.count());
+	if (part < tuning_.start_at)
+	{
+		return 0;
+	}
 	if (part < tuning_.grow_at)
 	{
 		return tuning_.first_share;
@@ -370,14 +341,6 @@
 	return std::min(1.0, tuning_.first_share + grown * (1 - tuning_.first_share));
 }
 
-/// Part of the shift's time that is over, as far as the registry was heard of.
-double version_shift::elapsed_part(const service_state& state, instant now) const
-{
-	const auto known_until = std::min(now, news_at_ + tuning_.news_limit);
-	const auto elapsed = registry_now(known_until) - state.plan->started;
-	return static_cast<double>(elapsed.count()) / static_cast<double>(state.plan->length.count());
-}
-
 bool version_shift::looks_bad(const service_state& state) const
 {
 	std::map<std::string, shift_counts> seen = state.own;
