--- a/include/gingerdyke/control/coordinator.hpp
+++ b/include/gingerdyke/control/coordinator.hpp
@@ -1,5 +1,6 @@
 // SPDX-License-Identifier: MIT
-// Connects the registry to the data path: configuration, replicas and version shifts in, plans and evidence out.
+// Connects the registry to the data path: configuration, replicas and version shifts in, plans and evidence
+// out.
 #pragma once
 
 #include <gingerdyke/control/relay_server.hpp>
@@ -38,8 +39,8 @@
 /// \brief Tuning of `coordinator`; waits are those of calls to the registry.
 struct coordinator_tuning
 {
-	/// The configuration is asked for this often even without news: others read it through this VM, and have to
-	/// notice within the users' 2 s that this VM has lost the registry.
+	/// The configuration is asked for this often even without news: others read it through this VM, and have
+	/// to notice within the users' 2 s that this VM has lost the registry.
 	duration operator_wait = std::chrono::milliseconds{700};
 
 	/// Replicas and our own rows: news comes at once all the same.
--- a/include/gingerdyke/control/row_store.hpp
+++ b/include/gingerdyke/control/row_store.hpp
@@ -40,8 +40,8 @@
 	/// How old the answer was when it was given: 0 from the registry itself, more from another VM's copy.
 	duration age{};
 
-	/// How long the call was held before it was answered, at least: an answer without news, given after the whole
-	/// wait, tells that there was none all that time.
+	/// How long the call was held before it was answered, at least: an answer without news, given after the
+	/// whole wait, tells that there was none all that time.
 	duration held{};
 };
 
--- a/include/gingerdyke/control/shared_store.hpp
+++ b/include/gingerdyke/control/shared_store.hpp
@@ -10,9 +10,9 @@
 /// \brief Tuning of `shared_store`.
 struct shared_store_tuning
 {
-	/// A copy that is older than its VM waits at the registry, by more than this, is not good enough: the VM may
-	/// have lost the registry. With the time between two polls this has to leave time, within the users' 2 s, to
-	/// learn of a change elsewhere.
+	/// A copy that is older than its VM waits at the registry, by more than this, is not good enough: the VM
+	/// may have lost the registry. With the time between two polls this has to leave time, within the users'
+	/// 2 s, to learn of a change elsewhere.
 	duration copy_margin = std::chrono::milliseconds{400};
 
 	/// A poll of another VM waits this part of what it would wait at the registry: polls within a failure
--- a/include/gingerdyke/control/table_follower.hpp
+++ b/include/gingerdyke/control/table_follower.hpp
@@ -45,8 +45,8 @@
 class table_follower
 {
   public:
-	table_follower(proxy::asio::io_context& context, row_store& store, std::string table, random_source random,
-		follower_hooks hooks, follower_tuning tuning = {});
+	table_follower(proxy::asio::io_context& context, row_store& store, std::string table,
+		random_source random, follower_hooks hooks, follower_tuning tuning = {});
 
 	void start();
 	void stop();
--- a/include/gingerdyke/proxy/gateway.hpp
+++ b/include/gingerdyke/proxy/gateway.hpp
@@ -19,8 +19,8 @@
 /// \brief Tuning of the data path; each figure with its reason.
 struct gateway_tuning
 {
-	/// An attempt that may be repeated is given up without a first byte after this part of the objective: what
-	/// is left must do for another attempt.
+	/// An attempt that may be repeated is given up without a first byte after this part of the objective:
+	/// what is left must do for another attempt.
 	double first_byte_share = 0.7;
 
 	/// The same for answers that come whole; their times spread up to seven times the mean.
@@ -38,8 +38,8 @@
 	/// An attempt is not begun with less than this left: it could only end too late.
 	duration least_time = std::chrono::milliseconds{20};
 
-	/// A stopping VM takes no streams after this time, and no other requests after the longer one: what it takes
-	/// must end before the process does. The users' shortest limit for a stop is 8 s.
+	/// A stopping VM takes no streams after this time, and no other requests after the longer one: what it
+	/// takes must end before the process does. The users' shortest limit for a stop is 8 s.
 	duration streams_while_stopping = std::chrono::milliseconds{2900};
 	duration requests_while_stopping = std::chrono::milliseconds{5500};
 
--- a/include/gingerdyke/proxy/listener.hpp
+++ b/include/gingerdyke/proxy/listener.hpp
@@ -22,7 +22,8 @@
 	/// \brief Address in use; useful after listening at port 0.
 	[[nodiscard]] std::uint16_t port() const;
 
-	/// \brief Closes connections without a request; others close after their answer while the host is stopping.
+	/// \brief Closes connections without a request; others close after their answer while the host is
+	/// stopping.
 	void close_idle();
 
 	/// \brief Stops accepting.
--- a/include/gingerdyke/proxy/message.hpp
+++ b/include/gingerdyke/proxy/message.hpp
@@ -74,10 +74,9 @@
 	}
 };
 
-/// \brief Checks the raw bytes of a header block before they are parsed: what two parsers may read in two ways
-/// is refused.
-/// \param block The block with its closing empty line.
-/// \returns Nothing, or what is wrong with it.
+/// \brief Checks the raw bytes of a header block before they are parsed: what two parsers may read in two
+/// ways is refused. \param block The block with its closing empty line. \returns Nothing, or what is wrong
+/// with it.
 [[nodiscard]] std::optional<std::string> find_ambiguity(std::string_view block);
 
 /// \brief Writes a request for a replica.
@@ -86,8 +85,8 @@
 
 /// \brief Writes the head of an answer.
 /// \param framing Fields that frame the body, such as `Content-Length`.
-[[nodiscard]] std::string write_head(int status, std::string_view reason, const header_fields& fields,
-	const header_fields& framing);
+[[nodiscard]] std::string write_head(
+	int status, std::string_view reason, const header_fields& fields, const header_fields& framing);
 
 /// \brief Writes one chunk of a chunked body.
 [[nodiscard]] std::string write_chunk(std::string_view bytes);
--- a/include/gingerdyke/rollout/version_shift.hpp
+++ b/include/gingerdyke/rollout/version_shift.hpp
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: MIT
-// Moves a service's traffic from one software version to another, over all VMs without a central one: every VM
-// computes the same share from the same plan, and whoever sees that the new version is bad says so to all.
+// Moves a service's traffic from one software version to another, over all VMs without a central one: every
+// VM computes the same share from the same plan, and whoever sees that the new version is bad says so to all.
 #pragma once
 
 #include <gingerdyke/base/ids.hpp>
@@ -101,16 +101,16 @@
 /// \brief Tuning of `version_shift`.
 struct shift_tuning
 {
-	/// Part of the time before which nothing goes to the new version. In the first half a session must not move to
-	/// it, and sessions that began before, on whatever VM, can't be told from others.
+	/// Part of the time before which nothing goes to the new version. In the first half a session must not
+	/// move to it, and sessions that began before, on whatever VM, can't be told from others.
 	double start_at = 0.505;
 
-	/// Share of sessions on the new version at first, until `grow_at`: enough answers to judge by, while a bad
-	/// version is far from the 0.15 of all requests that the users allow it.
+	/// Share of sessions on the new version at first, until `grow_at`: enough answers to judge by, while a
+	/// bad version is far from the 0.15 of all requests that the users allow it.
 	double first_share = 0.08;
 
-	/// Parts of the time at which the share begins to grow, and at which it is 1. What is left lets streams on
-	/// the old version end.
+	/// Parts of the time at which the share begins to grow, and at which it is 1. What is left lets streams
+	/// on the old version end.
 	double grow_at = 0.6;
 	double full_at = 0.78;
 
@@ -138,7 +138,8 @@
 	/// An answer is slow where it took longer than this share of the old version's.
 	double slow_quantile = 0.9;
 
-	/// Tolerated share of slow answers: a new version begins with cold caches, which makes up to a third slow.
+	/// Tolerated share of slow answers: a new version begins with cold caches, which makes up to a third
+	/// slow.
 	double tolerated_slow = 0.45;
 
 	/// Fewest slow answers for a verdict, and fewest answers of the old version to compare with.
@@ -198,7 +199,8 @@
 	/// \brief Version to use where no replica of `version_for` can be used, or empty.
 	[[nodiscard]] std::string fallback_for(const service_id& service, std::uint64_t point, instant now) const;
 
-	/// \brief What is to be written now. Nothing is given twice until `on_written` or its time has come again.
+	/// \brief What is to be written now. Nothing is given twice until `on_written` or its time has come
+	/// again.
 	[[nodiscard]] std::vector<shift_write> due(instant now);
 
 	/// \brief When `due` wants to be called next; none: not before the next input.
--- a/src/control/coordinator.cpp
+++ b/src/control/coordinator.cpp
@@ -38,7 +38,8 @@
 			  [this](store_error) { store_.abandon(); }},
 		  {.wait = tuning.operator_wait}),
 	  replicas_(gateway.context(), store_, layout_.replica_table, random,
-		  {[this](const auto& rows) { on_replicas(rows); }, [this](const auto& rows) { on_replica_rows(rows); },
+		  {[this](const auto& rows) { on_replicas(rows); },
+			  [this](const auto& rows) { on_replica_rows(rows); },
 			  [this](instant, registry_time)
 			  {
 				  gateway_.replicas().note_sound(proxy::steady_now());
--- a/src/control/relay_codec.cpp
+++ b/src/control/relay_codec.cpp
@@ -56,9 +56,9 @@
 {
 	try
 	{
-		const auto buffer = std::make_shared<TMemoryBuffer>(
-			reinterpret_cast<std::uint8_t*>(const_cast<char*>(frame.data())),
-			static_cast<std::uint32_t>(frame.size()));
+		const auto buffer =
+			std::make_shared<TMemoryBuffer>(reinterpret_cast<std::uint8_t*>(const_cast<char*>(frame.data())),
+				static_cast<std::uint32_t>(frame.size()));
 		TCompactProtocol protocol{buffer};
 		Message message;
 		message.read(&protocol);
--- a/src/control/shared_store.cpp
+++ b/src/control/shared_store.cpp
@@ -91,7 +91,8 @@
 	const auto limit = poll.wait + tuning_.answer_limit;
 	const auto sent_at = proxy::steady_now();
 	client_of(from)->call(poll, limit,
-		[this, from, sent_at, wait = poll.wait, call = std::move(call)](store_result<row_batch> result) mutable
+		[this, from, sent_at, wait = poll.wait, call = std::move(call)](
+			store_result<row_batch> result) mutable
 		{
 			if (result && result->rows.empty() && proxy::steady_now() - sent_at >= wait)
 			{
@@ -117,8 +118,7 @@
 	}
 	sources_.note_bad(from, proxy::steady_now());
 	log::write(log::level::info, "source given up",
-		{{"vm", from.vm.str()}, {"table", call.table},
-			{"why", result ? "old copy" : name_of(result.error())},
+		{{"vm", from.vm.str()}, {"table", call.table}, {"why", result ? "old copy" : name_of(result.error())},
 			{"age_ms", result ? std::chrono::duration<double, std::milli>(result->age).count() : 0.0}});
 	++call.failures;
 	// Its other calls would only end later.
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -102,7 +102,8 @@
 		return false;
 	}
 	const auto* session = request_.find(names.session);
-	session_point_ = mix_hash(stable_hash(session != nullptr ? *session : id_), stable_hash(route_->id.str()));
+	session_point_ =
+		mix_hash(stable_hash(session != nullptr ? *session : id_), stable_hash(route_->id.str()));
 	service_id_ = routing::pick_service(*route_, session_point_);
 	service_ = catalog_->find_service(service_id_);
 	prompt_ = read_prompt(request_.find(names.token_counts), request_.find(names.prompt_parts));
@@ -377,8 +378,7 @@
 		fields.push_back({shared_.names().request_id, id_});
 	}
 	fields.push_back({"Content-Type", "text/plain"});
-	const auto outcome =
-		trace_ == trace::not_run ? request_outcome::refused : request_outcome::failed;
+	const auto outcome = trace_ == trace::not_run ? request_outcome::refused : request_outcome::failed;
 	const auto sink = to_;
 	auto body = reason + "\n";
 	finish(outcome, status, std::move(reason));
--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -32,8 +32,8 @@
 	: context_(context), names_(std::move(names)), bounds_(bounds), log_(log), tuning_(tuning),
 	  replicas_([this](const routing::replica& one, routing::replica_change change)
 		  { on_replica_change(one, change); }),
-	  selector_(replicas_, std::move(own_domain), random, log_ejection),
-	  pool_(context, names_.request_id), versions_(std::move(random), log_shift)
+	  selector_(replicas_, std::move(own_domain), random, log_ejection), pool_(context, names_.request_id),
+	  versions_(std::move(random), log_shift)
 {
 }
 
--- a/src/proxy/message.cpp
+++ b/src/proxy/message.cpp
@@ -36,8 +36,8 @@
 
 bool is_single_hop(std::string_view name) noexcept
 {
-	return std::any_of(single_hop.begin(), single_hop.end(),
-		[name](std::string_view one) { return same_name(one, name); });
+	return std::any_of(
+		single_hop.begin(), single_hop.end(), [name](std::string_view one) { return same_name(one, name); });
 }
 
 void append_fields(std::string& out, const header_fields& fields)
--- a/src/proxy/upstream_link.cpp
+++ b/src/proxy/upstream_link.cpp
@@ -130,7 +130,8 @@
 void upstream_link::read()
 {
 	socket_.async_read_some(buffer_.prepare(read_size),
-		[self = shared_from_this()](const error_code& error, std::size_t size) { self->on_read(error, size); });
+		[self = shared_from_this()](const error_code& error, std::size_t size)
+		{ self->on_read(error, size); });
 }
 
 void upstream_link::on_read(const error_code& error, std::size_t size)
--- a/src/proxy/upstream_pool.cpp
+++ b/src/proxy/upstream_pool.cpp
@@ -86,7 +86,8 @@
 		return false;
 	}
 	const auto kept = one.link->keep_alive_time();
-	return !kept || static_cast<double>(idle.count()) < static_cast<double>(kept->count()) * tuning_.kept_share;
+	return !kept ||
+		   static_cast<double>(idle.count()) < static_cast<double>(kept->count()) * tuning_.kept_share;
 }
 
 void upstream_pool::remove_idle(const replica_id& id, const upstream_link* link)
--- a/src/rollout/version_shift.cpp
+++ b/src/rollout/version_shift.cpp
@@ -133,7 +133,8 @@
 	judge(state, now);
 }
 
-void version_shift::note_replicas(const service_id& service, const std::vector<routing::replica_ptr>& replicas)
+void version_shift::note_replicas(
+	const service_id& service, const std::vector<routing::replica_ptr>& replicas)
 {
 	auto& state = services_[service];
 	const bool is_stable_known = !state.stable_version.empty();
@@ -165,8 +166,8 @@
 		return;
 	}
 	auto& state = found->second;
-	const bool is_new = state.plan && state.plan->state == shift_state::running &&
-						version == state.plan->to_version;
+	const bool is_new =
+		state.plan && state.plan->state == shift_state::running && version == state.plan->to_version;
 	if (!is_new)
 	{
 		note_base(state, answer);
@@ -408,8 +409,8 @@
 		plan.state = shift_state::rolled_back;
 		return plan;
 	}
-	const auto spare =
-		std::max(tuning_.least_spare, std::chrono::duration_cast<duration>(plan.length * tuning_.spare_share));
+	const auto spare = std::max(
+		tuning_.least_spare, std::chrono::duration_cast<duration>(plan.length * tuning_.spare_share));
 	const auto since_news = now - news_at_;
 	if (registry_now(now) - plan.started >= plan.length - spare && since_news < tuning_.news_limit)
 	{
@@ -458,7 +459,7 @@
 
 duration version_shift::random_delay() const
 {
-	return duration{static_cast<duration::rep>(
-		random_unit(random_) * static_cast<double>(tuning_.spread.count()))};
+	return duration{
+		static_cast<duration::rep>(random_unit(random_) * static_cast<double>(tuning_.spread.count()))};
 }
 } // namespace gingerdyke::rollout
--- a/src/routing/catalog.cpp
+++ b/src/routing/catalog.cpp
@@ -29,8 +29,8 @@
 	}
 	for (auto& [host, routes] : by_host_)
 	{
-		std::stable_sort(routes.begin(), routes.end(), [](const route* a, const route* b)
-			{ return a->path_prefix.size() > b->path_prefix.size(); });
+		std::stable_sort(routes.begin(), routes.end(),
+			[](const route* a, const route* b) { return a->path_prefix.size() > b->path_prefix.size(); });
 	}
 	for (const auto& one : data_.services)
 	{
--- /dev/null
+++ b/tests/control/control.cpp
@@ -0,0 +1,166 @@
+// SPDX-License-Identifier: MIT
+// Copies of tables, the choice of whom to read from, and frames between VMs.
+#include "../support/event_loop.hpp"
+#include <gingerdyke/control/relay_client.hpp>
+#include <gingerdyke/control/relay_server.hpp>
+#include <gingerdyke/control/table_cache.hpp>
+
+using namespace gingerdyke;
+using namespace gingerdyke::control;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+row make_row(const char* key, std::int64_t version, const char* value = "x", bool removed = false)
+{
+	return {"t", key, removed ? "" : value, row_version{version}, removed};
+}
+
+std::vector<std::string> keys_of(const store_result<row_batch>& batch)
+{
+	REQUIRE(batch);
+	std::vector<std::string> keys;
+	for (const auto& one : batch->rows)
+	{
+		keys.push_back((one.removed ? "-" : "") + one.key);
+	}
+	return keys;
+}
+
+peer make_peer(const char* name, const char* domain = "a", std::uint16_t port = 1)
+{
+	return {vm_id{name}, failure_domain_id{domain}, {"127.0.0.1", port}};
+}
+
+const instant start{seconds{100}};
+} // namespace
+
+TEST_CASE("a copy tells all rows, or what changed since a version, and how old it is", "[cache]")
+{
+	table_cache cache{"t"};
+	CHECK(cache.read(std::nullopt, start).error() == store_error::unavailable);
+	cache.replace({make_row("a", 3), make_row("b", 5)}, row_version{7});
+	cache.confirm(start, registry_time{1000}, start);
+	CHECK(keys_of(cache.read(std::nullopt, start)) == std::vector<std::string>{"a", "b"});
+	CHECK(keys_of(cache.read(row_version{7}, start)).empty());
+	cache.apply({make_row("a", 8, "", true), make_row("c", 9)}, row_version{9});
+	CHECK(keys_of(cache.read(row_version{7}, start)) == std::vector<std::string>{"-a", "c"});
+	CHECK(keys_of(cache.read(std::nullopt, start)) == std::vector<std::string>{"b", "c"});
+	CHECK(cache.read(std::nullopt, start + milliseconds{250})->age == milliseconds{250});
+	CHECK(cache.read(row_version{2}, start).error() == store_error::history_gone);
+}
+
+TEST_CASE("rows that are missing when a table is read again are told as gone", "[cache]")
+{
+	table_cache cache{"t"};
+	cache.replace({make_row("a", 3), make_row("b", 5)}, row_version{7});
+	cache.confirm(start, registry_time{1000}, start);
+	cache.replace({make_row("b", 5)}, row_version{12});
+	CHECK(keys_of(cache.read(row_version{7}, start)) == std::vector<std::string>{"-a"});
+}
+
+TEST_CASE("the VMs of a failure domain agree on one reader, and on the next where it fails", "[sources]")
+{
+	const std::vector<peer> all{make_peer("vm1"), make_peer("vm2"), make_peer("vm3"), make_peer("vm4")};
+	std::vector<std::pair<std::string, source_selector>> selectors;
+	for (const auto& one : all)
+	{
+		selectors.emplace_back(one.vm.str(), source_selector{one.vm, one.domain});
+		selectors.back().second.set_peers(all);
+	}
+	const auto reader_of = [&](const source_selector& of, const std::string& self)
+	{
+		const auto source = of.choose(start);
+		return source ? source->vm.str() : self;
+	};
+	const auto reader = reader_of(selectors[0].second, selectors[0].first);
+	for (const auto& [name, selector] : selectors)
+	{
+		CHECK(reader_of(selector, name) == reader);
+	}
+	for (auto& [name, selector] : selectors)
+	{
+		selector.note_bad(make_peer(reader.c_str()), start);
+	}
+	std::string next;
+	for (const auto& [name, selector] : selectors)
+	{
+		if (name != reader)
+		{
+			next = next.empty() ? reader_of(selector, name) : next;
+			CHECK(reader_of(selector, name) == next);
+		}
+	}
+	CHECK(next != reader);
+	CHECK(reader_of(selectors[0].second, selectors[0].first) != "");
+}
+
+TEST_CASE(
+	"a VM that the registry turns away reads another VM's copy, of its own failure domain first", "[sources]")
+{
+	source_selector alone{vm_id{"vm1"}, failure_domain_id{"a"}};
+	CHECK_FALSE(alone.choose(start));
+	alone.set_peers({make_peer("far", "b")});
+	CHECK_FALSE(alone.choose(start));
+	alone.note_bad(std::nullopt, start);
+	REQUIRE(alone.choose(start));
+	CHECK(alone.choose(start)->vm.str() == "far");
+	CHECK_FALSE(alone.choose(start + seconds{3}));
+}
+
+TEST_CASE("frames are read back as they were written, and nonsense is no frame", "[relay]")
+{
+	relay_answer answer;
+	answer.call = 9;
+	row_batch batch;
+	batch.rows = {make_row("k", 4, "v"), make_row("g", 5, "", true)};
+	batch.newest = row_version{6};
+	batch.at = registry_time{77};
+	batch.age = milliseconds{3};
+	answer.result = batch;
+	const auto frame = write_frame(answer);
+	REQUIRE(frame_length(frame) == frame.size() - relay_length_bytes);
+	const auto read = read_answer(std::string_view{frame}.substr(relay_length_bytes));
+	REQUIRE(read);
+	CHECK(read->call == 9);
+	CHECK(keys_of(read->result) == std::vector<std::string>{"k", "-g"});
+	CHECK(read->result->age == milliseconds{3});
+	CHECK_FALSE(read_answer("nonsense"));
+	CHECK_FALSE(read_poll(std::string{"\x00\xff\x12", 3}));
+	CHECK_FALSE(frame_length("\xff\xff\xff\xff"));
+}
+
+TEST_CASE("a poll of another VM is answered when there is news, and ends when that VM goes", "[relay]")
+{
+	proxy::asio::io_context context{1};
+	table_cache cache{"t"};
+	cache.replace({make_row("a", 3)}, row_version{3});
+	cache.confirm(proxy::steady_now(), registry_time{1}, proxy::steady_now());
+	relay_server server{context, [&](const std::string& table) { return table == "t" ? &cache : nullptr; }};
+	// Ports for tests: the kernel's own choice, found by binding once.
+	proxy::tcp::acceptor probe{context, {proxy::asio::ip::address_v4::loopback(), 0}};
+	const auto port = probe.local_endpoint().port();
+	probe.close();
+	REQUIRE_FALSE(server.listen({"127.0.0.1", port}));
+	const auto client = std::make_shared<relay_client>(context, make_peer("other", "a", port));
+	std::optional<store_result<row_batch>> got;
+	const auto take = [&](store_result<row_batch> result) { got = std::move(result); };
+
+	client->call({0, "t", row_version{3}, seconds{10}}, seconds{20}, take);
+	context.run_for(milliseconds{20});
+	CHECK_FALSE(got);
+	cache.apply({make_row("b", 4)}, row_version{4});
+	server.on_change("t");
+	test::run_until(context, [&] { return got.has_value(); });
+	CHECK(keys_of(*got) == std::vector<std::string>{"b"});
+	CHECK((*got)->rows.front().table == "t");
+
+	got.reset();
+	client->call({0, "t", row_version{4}, seconds{10}}, seconds{20}, take);
+	context.restart();
+	context.run_for(milliseconds{20});
+	server.stop();
+	test::run_until(context, [&] { return got.has_value(); });
+	CHECK(got->error() == store_error::unreachable);
+}
--- /dev/null
+++ b/tests/platform/platform.cpp
@@ -0,0 +1,212 @@
+// SPDX-License-Identifier: MIT
+// The adapter: rows and settings decoded, the store's protocol against its stand-in, a VM's control as a
+// whole.
+#include "../support/proxy_world.hpp"
+#include <gingerdyke/control/coordinator.hpp>
+#include <layout.hpp>
+#include <registry_client.hpp>
+#include <settings.hpp>
+#include <standin/registry.hpp>
+
+using namespace gingerdyke;
+using namespace gingerdyke::test;
+
+namespace
+{
+json configuration(int version, const std::string& prefix = "/a/")
+{
+	return {{"version", version},
+		{"routes",
+			json::array({{{"name", "r"}, {"host", "h"}, {"path_prefix", prefix}, {"kind", "stream"},
+				{"timeout_ms", 8000}, {"target_latency_ms", 2000}, {"priority", 1}, {"sizes", {"s", "l"}},
+				{"traffic_split", {{{"service", "x"}, {"weight", 9}}, {{"service", "y"}, {"weight", 1}}}},
+				{"max_attempts", 3}, {"sticky", true}, {"stream_resume", true}, {"gap_aim_ms", 1000}}})},
+		{"services", json::array({{{"name", "x"}, {"max_connections", 360},
+						 {"engine", {{"slots", 64}, {"models", {{{"name", "s"}, {"cost", 0.018}}}}}}}})},
+		{"limits", {{"max_header_bytes", 100}, {"max_body_bytes", 200}, {"header_timeout_ms", 3},
+					   {"idle_timeout_ms", 4}}},
+		{"tenants", json::array({{{"name", "t"}, {"api_keys", {"k1", "k2"}}, {"priority", 2}}})}};
+}
+
+json replica(const std::string& version = "v1", const std::string& state = "ready")
+{
+	return {{"service", "x"}, {"address", "127.0.0.1:9"}, {"zone", "a"}, {"version", version}, {"slots", 64},
+		{"state", state}, {"sequence", 4}};
+}
+
+control::row row_of(const std::string& key, const json& value)
+{
+	return {"op", key, value.dump(), control::row_version{5}, false};
+}
+
+routing::address free_address(proxy::asio::io_context& context)
+{
+	proxy::tcp::acceptor probe{context, {proxy::asio::ip::address_v4::loopback(), 0}};
+	return {"127.0.0.1", probe.local_endpoint().port()};
+}
+
+/// A VM's control over a stand-in registry.
+struct controlled_vm
+{
+	controlled_vm(proxy_world& world, const platform::standin::registry& registry, const std::string& name)
+		: client(world.context, registry.at()),
+		  coordinator(world.gateway(), client, platform::layout(),
+			  {vm_id{name}, failure_domain_id{"a"}, free_address(world.context)}, name + "-1",
+			  seeded_random{4})
+	{
+		REQUIRE_FALSE(coordinator.start());
+	}
+
+	~controlled_vm() { coordinator.stop(); }
+
+	platform::registry_client client;
+	control::coordinator coordinator;
+};
+} // namespace
+
+TEST_CASE("a configuration becomes routes, services, keys and limits", "[platform]")
+{
+	const auto read = platform::read_configuration(row_of("config", configuration(7)));
+	REQUIRE(read);
+	const auto& catalog = **read;
+	CHECK(catalog.version().value() == 7);
+	const auto* route = catalog.find_route("h", "/a/b");
+	REQUIRE(route != nullptr);
+	CHECK(route->streams);
+	CHECK(route->may_run_again());
+	CHECK(route->models.size() == 2);
+	CHECK(route->services.size() == 2);
+	CHECK(route->longest_pause == std::chrono::seconds{1});
+	CHECK(catalog.find_workspace("k2")->priority == 2U);
+	CHECK(catalog.find_workspace("k3") == nullptr);
+	CHECK(catalog.find_service(service_id{"x"})->connections_per_replica == 360);
+	CHECK(catalog.limits().header_bytes == 100);
+}
+
+TEST_CASE("rows that can't be understood give findings with their place", "[platform]")
+{
+	auto broken = configuration(7);
+	broken.erase("routes");
+	const auto read = platform::read_configuration(row_of("config", broken));
+	REQUIRE_FALSE(read);
+	CHECK(read.error().front().place.source == "op/config");
+	auto entry = replica();
+	entry["address"] = "nowhere";
+	CHECK_FALSE(platform::read_replica(row_of("i-1", entry)));
+	CHECK_FALSE(platform::read_shift_order(row_of("rollout/x", {{"service", "x"}})));
+}
+
+TEST_CASE("settings: every finding at once, with its place", "[platform][settings]")
+{
+	const json good{{"vm", "v"}, {"failure_domain", "a"}, {"serve", "127.0.0.1:1"}, {"ready", "127.0.0.1:2"},
+		{"registry", "127.0.0.1:3"}, {"relay", "127.0.0.1:4"}, {"stop_limit_ms", 8000},
+		{"keys_revoked_ms", 5000}, {"keys_must_expire", true},
+		{"attempts", {{"ratio", 0.9}, {"window_s", 10}, {"slack", 54}}}};
+	const auto read = platform::read_settings(json_source::of_value("f", good));
+	REQUIRE(read);
+	CHECK(read->bounds.revocation_time == std::chrono::milliseconds{4700});
+	auto bad = good;
+	bad["serve"] = 5;
+	bad.erase("vm");
+	const auto findings = platform::read_settings(json_source::of_value("f", bad));
+	REQUIRE_FALSE(findings);
+	CHECK(findings.error().size() >= 2);
+	auto port = good;
+	port["ready"] = "127.0.0.1:0";
+	CHECK_FALSE(platform::read_settings(json_source::of_value("f", port)));
+}
+
+TEST_CASE("the registry's client reads tables over several pages, follows, and writes under conditions",
+	"[platform][registry]")
+{
+	proxy::asio::io_context context{1};
+	platform::standin::registry registry{context};
+	platform::registry_client client{context, registry.at()};
+	for (int i = 0; i < 1200; ++i)
+	{
+		registry.put("t", "key/" + std::to_string(i), i);
+	}
+	std::optional<control::store_result<control::row_batch>> batch;
+	const auto take = [&](control::store_result<control::row_batch> result) { batch = std::move(result); };
+	client.read_all("t", take);
+	run_until(context, [&] { return batch.has_value(); });
+	REQUIRE(*batch);
+	CHECK((*batch)->rows.size() == 1200);
+	const auto newest = (*batch)->newest;
+
+	batch.reset();
+	client.follow("t", newest, std::chrono::seconds{10}, take);
+	registry.remove("t", "key/3");
+	run_until(context, [&] { return batch.has_value(); });
+	REQUIRE(*batch);
+	REQUIRE((*batch)->rows.size() == 1);
+	CHECK((*batch)->rows.front().removed);
+
+	std::optional<control::store_result<control::change_answer>> changed;
+	client.change({{{"own", "k", control::row_version{0}}}, {{"own", "k", "\"value\""}}},
+		[&](control::store_result<control::change_answer> result) { changed = std::move(result); });
+	run_until(context, [&] { return changed.has_value(); });
+	CHECK((*changed)->done);
+	CHECK(registry.value("own", "k") == "value");
+
+	changed.reset();
+	client.change({{{"own", "k", control::row_version{0}}}, {{"own", "k", "\"other\""}}},
+		[&](control::store_result<control::change_answer> result) { changed = std::move(result); });
+	run_until(context, [&] { return changed.has_value(); });
+	CHECK_FALSE((*changed)->done);
+	REQUIRE((*changed)->rows.size() == 1);
+	CHECK((*changed)->rows.front().value == "\"value\"");
+
+	batch.reset();
+	registry.compact();
+	client.follow("t", newest, std::chrono::seconds{10}, take);
+	run_until(context, [&] { return batch.has_value(); });
+	CHECK(batch->error() == control::store_error::history_gone);
+
+	batch.reset();
+	registry.fail_with(platform::standin::registry_fault::silent);
+	client.follow("t", newest, std::chrono::milliseconds{10}, take);
+	run_until(context, [&] { return batch.has_value(); });
+	CHECK(batch->error() == control::store_error::unreachable);
+}
+
+TEST_CASE("a VM becomes ready, and a change, a drain and an order reach it", "[platform][control]")
+{
+	proxy_world world;
+	platform::standin::registry registry{world.context};
+	registry.put("op", "config", configuration(1));
+	registry.put("servers", "i-1", replica());
+	controlled_vm vm{world, registry, "vm1"};
+	world.run_until([&] { return world.gateway().ready(); });
+	world.run_until([&] { return !registry.value("gingerdyke", "vm/vm1").is_null(); });
+
+	registry.put("op", "config", configuration(4, "/b/"));
+	world.run_until([&] { return world.gateway().catalog()->version().value() == 4; });
+	registry.put("op", "config", configuration(3, "/old/"));
+	registry.put("servers", "i-1", replica("v1", "draining"));
+	world.run_until([&] { return world.gateway().replicas().find(replica_id{"i-1"})->leaving; });
+	CHECK(world.gateway().catalog()->version().value() == 4);
+
+	registry.put("servers", "i-2", replica());
+	registry.put("op", "rollout/x", {{"service", "x"}, {"target_version", "v2"}, {"duration_s", 60}});
+	world.run_until([&] { return registry.value("status", "rollout/x").is_object(); });
+	CHECK(registry.value("status", "rollout/x") == json{{"state", "running"}, {"target_version", "v2"}});
+	world.run_until([&] { return world.gateway().versions().plan_of(service_id{"x"}) != nullptr; });
+}
+
+TEST_CASE("a registry that forgets its history is read again, and one that is away is found again",
+	"[platform][control]")
+{
+	proxy_world world;
+	platform::standin::registry registry{world.context};
+	registry.put("op", "config", configuration(1));
+	controlled_vm vm{world, registry, "vm1"};
+	world.run_until([&] { return world.gateway().ready(); });
+	registry.fail_with(platform::standin::registry_fault::unavailable);
+	registry.put("op", "config", configuration(2));
+	world.context.restart();
+	world.context.run_for(std::chrono::milliseconds{30});
+	registry.compact();
+	registry.fail_with(platform::standin::registry_fault::none);
+	world.run_until([&] { return world.gateway().catalog()->version().value() == 2; });
+}
--- /dev/null
+++ b/tests/proxy/event_stream.cpp
@@ -0,0 +1,49 @@
+// SPDX-License-Identifier: MIT
+// Whole events out of pieces, and their ids.
+#include <catch2/catch.hpp>
+#include <gingerdyke/proxy/event_stream.hpp>
+
+using gingerdyke::proxy::event_stream;
+
+TEST_CASE("events are the same however their bytes are cut", "[events]")
+{
+	const std::string bytes = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n";
+	const auto cut = GENERATE(range(std::size_t{1}, std::size_t{47}));
+	event_stream stream;
+	std::string passed;
+	for (std::size_t at = 0; at < bytes.size(); at += cut)
+	{
+		const auto batch = stream.feed(std::string_view{bytes}.substr(at, cut));
+		REQUIRE_FALSE(batch.is_broken);
+		for (const auto& event : batch.events)
+		{
+			passed += event;
+		}
+	}
+	CHECK(passed == bytes);
+	CHECK(stream.last_id() == 3);
+	CHECK(stream.between_events());
+}
+
+TEST_CASE("ids that skip, repeat or go back break a stream", "[events]")
+{
+	const auto next = GENERATE(1, 2, 4, 0);
+	event_stream stream{std::uint64_t{2}};
+	CHECK(stream.feed("id: " + std::to_string(next) + "\n\n").is_broken);
+	CHECK(stream.last_id() == 2);
+}
+
+TEST_CASE("half an event is not between events until it is dropped", "[events]")
+{
+	event_stream stream;
+	CHECK(stream.feed("id: 7\nda").events.empty());
+	CHECK_FALSE(stream.between_events());
+	stream.drop_partial();
+	CHECK(stream.between_events());
+}
+
+TEST_CASE("an event that grows too large breaks a stream", "[events]")
+{
+	event_stream stream{{}, 16};
+	CHECK(stream.feed("data: 0123456789abcdef").is_broken);
+}
--- /dev/null
+++ b/tests/rollout/version_shift.cpp
@@ -0,0 +1,268 @@
+// SPDX-License-Identifier: MIT
+// Moving a service from one version to another: shares, evidence, and who writes what.
+#include <catch2/catch.hpp>
+#include <gingerdyke/rollout/version_shift.hpp>
+
+using namespace gingerdyke;
+using namespace gingerdyke::rollout;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+const service_id service{"s"};
+
+/// One VM whose registry clock runs with its own, 7 s ahead.
+struct vm
+{
+	explicit vm(std::uint64_t seed) : shift(seeded_random{seed}, [](const shift_plan&, bool) {})
+	{
+		const auto old = std::make_shared<routing::replica>();
+		old->service = service;
+		old->version = "v1";
+		shift.note_replicas(service, {old});
+		hear();
+	}
+
+	void hear() { shift.note_registry_time(now.time_since_epoch() + seconds{7}, now); }
+
+	void pass(duration span)
+	{
+		now += span;
+		hear();
+	}
+
+	/// Answers of a version: failures in a fixed pattern.
+	void see(const std::string& version, unsigned count, unsigned failures, double relative_time = 1)
+	{
+		for (unsigned i = 0; i < count; ++i)
+		{
+			shift.note_answer(service, version, {"route", "model", i < failures, relative_time}, now);
+		}
+	}
+
+	instant now{seconds{1000}};
+	version_shift shift;
+};
+
+/// The plan that a VM wants to write, made a row.
+shift_plan written(vm& one, std::int64_t row)
+{
+	for (int i = 0; i < 100; ++i)
+	{
+		for (const auto& write : one.shift.due(one.now))
+		{
+			if (write.plan)
+			{
+				auto plan = *write.plan;
+				plan.row = row_version{row};
+				return plan;
+			}
+		}
+		one.pass(milliseconds{20});
+	}
+	FAIL("nothing was to be written");
+	return {};
+}
+
+shift_plan begin(vm& one, duration length = seconds{20})
+{
+	one.shift.on_order({service, "v2", length, row_version{10}}, one.now);
+	const auto plan = written(one, 11);
+	one.shift.on_plan(plan, one.now);
+	return plan;
+}
+
+/// Share of sessions that go to the new version.
+double measured_share(vm& one)
+{
+	unsigned to_new = 0;
+	constexpr unsigned sessions = 2000;
+	for (unsigned i = 0; i < sessions; ++i)
+	{
+		to_new += one.shift.version_for(service, i * (~std::uint64_t{0} / sessions), one.now) == "v2" ? 1 : 0;
+	}
+	return to_new / static_cast<double>(sessions);
+}
+} // namespace
+
+TEST_CASE("without an order everything goes to the version that is there", "[shift]")
+{
+	vm one{1};
+	CHECK(one.shift.version_for(service, 5, one.now) == "v1");
+	const auto fresh = std::make_shared<routing::replica>();
+	fresh->service = service;
+	fresh->version = "v2";
+	const auto old = std::make_shared<routing::replica>();
+	old->service = service;
+	old->version = "v1";
+	one.shift.note_replicas(service, {fresh, fresh, old});
+	CHECK(one.shift.version_for(service, 5, one.now) == "v1");
+}
+
+TEST_CASE("a good shift: nothing in the first half, then a small share, then all, then completed", "[shift]")
+{
+	vm one{1};
+	const auto plan = begin(one);
+	CHECK(plan.from_version == "v1");
+	CHECK(plan.state == shift_state::running);
+	CHECK(measured_share(one) == 0);
+	one.pass(seconds{9});
+	CHECK(measured_share(one) == 0);
+	one.pass(milliseconds{1500});
+	CHECK(measured_share(one) == Approx(0.08).margin(0.01));
+	one.pass(milliseconds{3500});
+	CHECK(measured_share(one) > 0.5);
+	one.pass(milliseconds{2000});
+	CHECK(measured_share(one) == 1);
+	one.pass(milliseconds{2000});
+	const auto last = written(one, 12);
+	CHECK(last.state == shift_state::completed);
+	CHECK(last.row == row_version{12});
+	one.shift.on_plan(last, one.now);
+	CHECK(one.shift.version_for(service, 1, one.now) == "v2");
+	CHECK_FALSE(one.shift.next_due());
+}
+
+TEST_CASE("a session that is on the new version stays there while the share grows", "[shift]")
+{
+	vm one{1};
+	begin(one);
+	std::vector<std::uint64_t> on_new;
+	for (int step = 0; step < 40; ++step)
+	{
+		one.pass(milliseconds{400});
+		for (const auto point : on_new)
+		{
+			REQUIRE(one.shift.version_for(service, point, one.now) == "v2");
+		}
+		for (std::uint64_t i = 0; i < 64; ++i)
+		{
+			const auto point = i << 58U;
+			if (one.shift.version_for(service, point, one.now) == "v2")
+			{
+				on_new.push_back(point);
+			}
+		}
+	}
+	CHECK(on_new.size() > 64);
+}
+
+TEST_CASE("two VMs compute the same version for the same session", "[shift]")
+{
+	vm one{1};
+	const auto plan = begin(one);
+	vm two{2};
+	two.now = one.now;
+	two.hear();
+	two.shift.on_plan(plan, two.now);
+	one.pass(seconds{13});
+	two.pass(seconds{13});
+	for (std::uint64_t i = 0; i < 64; ++i)
+	{
+		CHECK(one.shift.version_for(service, i << 58U, one.now) ==
+			  two.shift.version_for(service, i << 58U, two.now));
+	}
+}
+
+TEST_CASE("a version that fails is suspended at once and rolled back", "[shift]")
+{
+	vm one{1};
+	begin(one);
+	one.see("v1", 100, 0);
+	one.pass(seconds{11});
+	one.see("v2", 10, 6);
+	CHECK(measured_share(one) == 0);
+	CHECK(written(one, 12).state == shift_state::rolled_back);
+}
+
+TEST_CASE("a version is not blamed for failures that the old one has as well", "[shift]")
+{
+	vm one{1};
+	begin(one);
+	one.see("v1", 200, 28);
+	one.pass(seconds{11});
+	one.see("v2", 50, 8);
+	CHECK(measured_share(one) > 0);
+}
+
+TEST_CASE("evidence of several VMs together suspends where none alone would", "[shift]")
+{
+	vm one{1};
+	const auto plan = begin(one);
+	one.see("v1", 100, 0);
+	one.pass(seconds{11});
+	one.see("v2", 3, 2);
+	CHECK(measured_share(one) > 0);
+	for (const auto* reporter : {"a", "b", "c"})
+	{
+		one.shift.on_evidence(reporter, {service, plan.order, {{"route route", {3, 2, 0}}}}, one.now);
+	}
+	CHECK(measured_share(one) == 0);
+}
+
+TEST_CASE("a version that is several times slower is suspended, cold caches are not", "[shift]")
+{
+	vm one{1};
+	begin(one);
+	for (unsigned i = 0; i < 300; ++i)
+	{
+		one.see("v1", 1, 0, 1 + 0.01 * (i % 100));
+	}
+	one.pass(seconds{11});
+	SECTION("cold caches: a quarter of the answers take twice as long")
+	{
+		for (unsigned i = 0; i < 60; ++i)
+		{
+			one.see("v2", 1, 0, i % 4 == 0 ? 3 : 1.2);
+		}
+		CHECK(measured_share(one) > 0);
+	}
+	SECTION("eight times slower")
+	{
+		one.see("v2", 30, 0, 8);
+		CHECK(measured_share(one) == 0);
+	}
+}
+
+TEST_CASE("without news of the registry the share stays, and nothing is declared completed", "[shift]")
+{
+	vm one{1};
+	begin(one);
+	one.pass(milliseconds{11500});
+	const auto share = measured_share(one);
+	one.now += seconds{60};
+	CHECK(measured_share(one) < 1);
+	CHECK(measured_share(one) >= share);
+	for (const auto& write : one.shift.due(one.now))
+	{
+		CHECK_FALSE(write.plan);
+	}
+}
+
+TEST_CASE("an older plan is not taken, and a plan of another VM goes before ours", "[shift]")
+{
+	vm one{1};
+	auto plan = begin(one);
+	auto done = plan;
+	done.state = shift_state::rolled_back;
+	done.row = row_version{20};
+	one.shift.on_plan(done, one.now);
+	one.shift.on_plan(plan, one.now);
+	one.pass(seconds{13});
+	CHECK(measured_share(one) == 0);
+	CHECK_FALSE(one.shift.next_due());
+}
+
+TEST_CASE("a new order after one that is over begins a new shift from what is in force", "[shift]")
+{
+	vm one{1};
+	auto plan = begin(one);
+	plan.state = shift_state::completed;
+	plan.row = row_version{20};
+	one.shift.on_plan(plan, one.now);
+	one.shift.on_order({service, "v3", seconds{20}, row_version{30}}, one.now);
+	const auto next = written(one, 31);
+	CHECK(next.from_version == "v2");
+	CHECK(next.to_version == "v3");
+}
--- /dev/null
+++ b/tests/routing/replica_selector.cpp
@@ -0,0 +1,116 @@
+// SPDX-License-Identifier: MIT
+// The choice among replicas.
+#include <catch2/catch.hpp>
+#include <gingerdyke/routing/replica_selector.hpp>
+#include <set>
+
+using namespace gingerdyke;
+using namespace gingerdyke::routing;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+struct selector_world
+{
+	explicit selector_world(unsigned count)
+	{
+		std::vector<replica> entries;
+		for (unsigned i = 0; i < count; ++i)
+		{
+			replica one;
+			one.id = replica_id{"r" + std::to_string(i)};
+			one.service = service_id{"s"};
+			one.domain = failure_domain_id{i == 0 ? "near" : "far"};
+			entries.push_back(one);
+		}
+		replicas.replace_all(std::move(entries), now);
+	}
+
+	[[nodiscard]] replica_ptr choose(std::uint64_t affinity = 0)
+	{
+		return selector.choose({service_id{"s"}, affinity, [](const replica&) { return true; }}, now);
+	}
+
+	instant now{seconds{50}};
+	unsigned ejections = 0;
+	replica_set replicas{[](const replica&, replica_change) {}};
+	replica_selector selector{replicas, failure_domain_id{"near"}, seeded_random{3},
+		[this](const replica_id&, double, duration) { ++ejections; }};
+};
+} // namespace
+
+TEST_CASE("the same prompt goes to the same replica, and prompts spread over all", "[selector]")
+{
+	selector_world world{6};
+	std::set<replica_id> used;
+	for (std::uint64_t prompt = 1; prompt <= 60; ++prompt)
+	{
+		const auto first = world.choose(prompt)->id;
+		CHECK(world.choose(prompt)->id == first);
+		used.insert(first);
+	}
+	CHECK(used.size() == 6);
+}
+
+TEST_CASE("affinity gives way where its replica has far more work than the others", "[selector]")
+{
+	selector_world world{3};
+	const auto favoured = world.choose(42)->id;
+	world.selector.note_sent(favoured, 200000);
+	const auto next = world.choose(42)->id;
+	CHECK(next != favoured);
+	world.selector.note_over(favoured, 200000);
+	CHECK(world.choose(42)->id == favoured);
+}
+
+TEST_CASE("work goes to the near replica until it is loaded", "[selector]")
+{
+	selector_world world{3};
+	CHECK(world.choose()->id.str() == "r0");
+	world.selector.note_sent(replica_id{"r0"}, 0);
+	CHECK(world.choose()->id.str() != "r0");
+}
+
+TEST_CASE("a replica that does not answer is ejected, longer each time, and comes back", "[selector]")
+{
+	selector_world world{4};
+	const auto bad = *world.replicas.find(replica_id{"r0"});
+	world.selector.note_result(bad, replica_result::no_answer, duration{}, world.now);
+	world.selector.note_result(bad, replica_result::no_answer, duration{}, world.now);
+	CHECK(world.ejections == 1);
+	for (int i = 0; i < 20; ++i)
+	{
+		CHECK(world.choose()->id != bad.id);
+	}
+	world.now += seconds{2};
+	CHECK(world.choose()->id == bad.id);
+	world.selector.note_result(bad, replica_result::no_answer, duration{}, world.now);
+	world.now += seconds{2};
+	CHECK(world.choose()->id != bad.id);
+	world.now += seconds{2};
+	CHECK(world.choose()->id == bad.id);
+}
+
+TEST_CASE("where most replicas fail all stay in use", "[selector]")
+{
+	selector_world world{4};
+	for (const auto* id : {"r0", "r1", "r2"})
+	{
+		const auto bad = *world.replicas.find(replica_id{id});
+		world.selector.note_result(bad, replica_result::no_answer, duration{}, world.now);
+		world.selector.note_result(bad, replica_result::no_answer, duration{}, world.now);
+	}
+	CHECK(world.choose()->id.str() == "r0");
+}
+
+TEST_CASE("a refusal does not eject: a full replica is not a broken one", "[selector]")
+{
+	selector_world world{4};
+	const auto full = *world.replicas.find(replica_id{"r0"});
+	for (int i = 0; i < 20; ++i)
+	{
+		world.selector.note_result(full, replica_result::refused, duration{}, world.now);
+	}
+	CHECK(world.ejections == 0);
+}
