--- a/include/gingerdyke/control/coordinator.hpp
+++ b/include/gingerdyke/control/coordinator.hpp
@@ -60,7 +60,7 @@
 	/// \param self This VM as others reach it.
 	/// \param reporter Name under which this VM reports evidence: its name and incarnation.
 	coordinator(proxy::gateway& gateway, row_store& registry, registry_layout layout, peer self,
-		std::string reporter, random_source random, coordinator_tuning tuning = {});
+		std::string reporter, const random_source& random, coordinator_tuning tuning = {});
 
 	/// \brief Begins to listen for other VMs and to follow the registry.
 	/// \returns What stands against listening; none where all is well.
--- a/include/gingerdyke/proxy/caller_link.hpp
+++ b/include/gingerdyke/proxy/caller_link.hpp
@@ -65,7 +65,7 @@
 	[[nodiscard]] bool read_body();
 	void take_request();
 	void refuse(int status, const std::string& why);
-	void write(std::string bytes);
+	void write(std::string_view bytes);
 	void write_next();
 	void on_written(const error_code& error);
 	void finish_answer(bool may_continue);
--- a/include/gingerdyke/proxy/exchange.hpp
+++ b/include/gingerdyke/proxy/exchange.hpp
@@ -9,6 +9,35 @@
 
 namespace gingerdyke::proxy
 {
+/// \brief What this VM may tell the caller about a request.
+enum class trace
+{
+	/// No replica has run it.
+	not_run,
+	/// A replica ran it or may have.
+	may_have_run,
+};
+
+/// \brief One attempt under way.
+struct attempt
+{
+	routing::replica_ptr to;
+	std::shared_ptr<upstream_link> link;
+	answer_head head;
+	std::string body;
+	instant sent_at;
+
+	/// From sending to the head of the answer.
+	duration first_byte{};
+	routing::size_step size;
+
+	/// What was known before it was sent; true again where this replica did not run it.
+	trace trace_before{trace::not_run};
+
+	/// The answer's body is a stream of events.
+	bool is_stream{};
+};
+
 /// \brief One request. Decides where it goes, whether it goes again, and what its caller is told.
 class exchange : public active_request, public std::enable_shared_from_this<exchange>
 {
@@ -21,32 +50,6 @@
 	void cancel() override;
 
   private:
-	/// What this VM may tell the caller about the request.
-	enum class trace
-	{
-		/// No replica has run it.
-		not_run,
-		/// A replica ran it or may have.
-		may_have_run,
-	};
-
-	/// One attempt under way.
-	struct attempt
-	{
-		routing::replica_ptr to;
-		std::shared_ptr<upstream_link> link;
-		answer_head head;
-		std::string body;
-		instant sent_at;
-		duration first_byte{};
-		routing::size_step size;
-
-		/// What was known before it was sent; true again where this replica did not run it.
-		trace trace_before{};
-		bool head_came{};
-		bool is_stream{};
-	};
-
 	// Admission.
 	[[nodiscard]] bool admit();
 	[[nodiscard]] bool admit_key();
--- a/include/gingerdyke/proxy/listener.hpp
+++ b/include/gingerdyke/proxy/listener.hpp
@@ -36,7 +36,6 @@
 	void accept();
 	void sweep();
 
-	asio::io_context& context_;
 	std::shared_ptr<const caller_link_host> host_;
 	tcp::acceptor acceptor_;
 	asio::steady_timer pause_;
--- a/src/control/coordinator.cpp
+++ b/src/control/coordinator.cpp
@@ -21,7 +21,7 @@
 } // namespace
 
 coordinator::coordinator(proxy::gateway& gateway, row_store& registry, registry_layout layout, peer self,
-	std::string reporter, random_source random, coordinator_tuning tuning)
+	std::string reporter, const random_source& random, coordinator_tuning tuning)
 	: gateway_(gateway), layout_(std::move(layout)), self_(std::move(self)), reporter_(std::move(reporter)),
 	  tuning_(tuning), sources_(self_.vm, self_.domain), store_(gateway.context(), registry, sources_),
 	  relay_(gateway.context(), [this](const std::string& table) { return cache_of(table); }),
--- a/src/proxy/caller_link.cpp
+++ b/src/proxy/caller_link.cpp
@@ -80,7 +80,7 @@
 	{
 		bytes += answer.body;
 	}
-	write(std::move(bytes));
+	write(bytes);
 	finish_answer(stays);
 }
 
@@ -324,7 +324,7 @@
 	send({status, {}, {{"Content-Type", "text/plain"}}, why + "\n"});
 }
 
-void caller_link::write(std::string bytes)
+void caller_link::write(std::string_view bytes)
 {
 	pending_ += bytes;
 	if (!write_under_way_)
--- a/src/proxy/exchange_answers.cpp
+++ b/src/proxy/exchange_answers.cpp
@@ -29,7 +29,6 @@
 void exchange::on_head(answer_head head)
 {
 	const auto& names = shared_.names();
-	attempt_->head_came = true;
 	attempt_->first_byte = steady_now() - attempt_->sent_at;
 	attempt_->head = std::move(head);
 	const auto& came = attempt_->head;
--- a/src/proxy/listener.cpp
+++ b/src/proxy/listener.cpp
@@ -19,7 +19,7 @@
 } // namespace
 
 listener::listener(asio::io_context& context, std::shared_ptr<const caller_link_host> host)
-	: context_(context), host_(std::move(host)), acceptor_(context), pause_(context), sweep_at_(first_sweep)
+	: host_(std::move(host)), acceptor_(context), pause_(context), sweep_at_(first_sweep)
 {
 }
 
