--- a/include/gingerdyke/control/shared_store.hpp
+++ b/include/gingerdyke/control/shared_store.hpp
@@ -13,14 +13,19 @@
 	/// A copy that is older than its VM waits at the registry, by more than this, is not good enough: the VM
 	/// may have lost the registry. With the time between two polls this has to leave time, within the users'
 	/// 2 s, to learn of a change elsewhere.
-	duration copy_margin = std::chrono::milliseconds{400};
+	duration copy_margin = std::chrono::milliseconds{600};
 
 	/// A poll of another VM waits this part of what it would wait at the registry: polls within a failure
 	/// domain cost next to nothing.
-	double wait_share = 0.55;
+	double wait_share = 0.4;
 
-	/// A VM that has just started may have to read a table itself before it can give it whole.
-	duration whole_wait = std::chrono::milliseconds{700};
+	/// A VM that has just started may have to read a table itself before it can give it whole. Who waits for
+	/// it is not ready meanwhile, so not for long: then the registry is asked.
+	duration whole_wait = std::chrono::milliseconds{250};
+
+	/// Sources that one call tries before it asks the registry: one where a VM waits to become ready.
+	unsigned sources_to_follow = 5;
+	unsigned sources_to_start = 1;
 
 	/// An answer is awaited this long beyond the wait.
 	duration answer_limit = std::chrono::milliseconds{250};
@@ -49,8 +54,9 @@
 		duration wait{};
 		done_hook done;
 
-		/// Sources that failed in this call.
+		/// Sources that failed in this call, and the most that may.
 		unsigned failures{};
+		unsigned most_failures{};
 	};
 
 	void read(read_call call);
--- a/include/gingerdyke/limits/attempt_budget.hpp
+++ b/include/gingerdyke/limits/attempt_budget.hpp
@@ -50,6 +50,15 @@
 		return true;
 	}
 
+	/// \brief Gives back the attempt that was taken last: it was not sent.
+	void give_back()
+	{
+		if (!further_.empty())
+		{
+			further_.pop_back();
+		}
+	}
+
 	/// \brief Further attempts that may be sent now.
 	[[nodiscard]] double left(instant now)
 	{
--- a/include/gingerdyke/proxy/exchange.hpp
+++ b/include/gingerdyke/proxy/exchange.hpp
@@ -34,6 +34,9 @@
 	/// What was known before it was sent; true again where this replica did not run it.
 	trace trace_before{trace::not_run};
 
+	/// The connection is up: the request may have left.
+	bool connected{};
+
 	/// The answer's body is a stream of events.
 	bool is_stream{};
 };
@@ -67,12 +70,14 @@
 	void note_result(routing::replica_result result);
 
 	// What the replica does.
+	void on_connected();
 	void on_head(answer_head head);
 	void on_not_run();
 	void on_body(std::string_view bytes);
 	void on_events(std::string_view bytes);
 	void on_end();
 	void on_fault(upstream_fault fault);
+	void on_not_connected();
 	[[nodiscard]] rollout::answer_sample sample_of(bool failed) const;
 	[[nodiscard]] bool is_foreign(const answer_head& head) const;
 	[[nodiscard]] bool wants_larger_model(const answer_head& head);
@@ -113,6 +118,7 @@
 	std::string last_replica_;
 	trace trace_{trace::not_run};
 	unsigned attempts_ = 0;
+	unsigned failed_connections_ = 0;
 	duration first_byte_{};
 	bool answer_begun_ = false;
 	bool over_ = false;
--- a/include/gingerdyke/proxy/gateway.hpp
+++ b/include/gingerdyke/proxy/gateway.hpp
@@ -35,6 +35,9 @@
 	/// A connection that is not up by then is given up: a thousand times the users' usual time.
 	duration connect_limit = std::chrono::milliseconds{400};
 
+	/// Replicas tried, at most, to which no connection came up: nothing was sent, so they are no attempts.
+	unsigned failed_connections = 6;
+
 	/// An attempt is not begun with less than this left: it could only end too late.
 	duration least_time = std::chrono::milliseconds{20};
 
@@ -70,7 +73,7 @@
   public:
 	/// \param log Told how each request ended.
 	gateway(asio::io_context& context, header_names names, fleet_bounds bounds, failure_domain_id own_domain,
-		random_source random, request_log& log, gateway_tuning tuning = {});
+		random_source random, request_log& log, routing::size_tuning sizes = {}, gateway_tuning tuning = {});
 
 	/// \brief Takes a newer configuration; an older one or the same is ignored.
 	/// \returns Whether it was taken.
--- a/include/gingerdyke/proxy/upstream_link.hpp
+++ b/include/gingerdyke/proxy/upstream_link.hpp
@@ -31,6 +31,8 @@
 /// \brief What a link tells about the request that it carries. After `ended` or `failed` nothing follows.
 struct upstream_hooks
 {
+	/// The connection is up and the request begins to leave.
+	std::function<void()> connected;
 	std::function<void(answer_head)> began;
 	std::function<void(std::string_view bytes)> brought;
 	std::function<void()> ended;
--- a/include/gingerdyke/routing/replica_selector.hpp
+++ b/include/gingerdyke/routing/replica_selector.hpp
@@ -26,7 +26,8 @@
 	double ejection_rate = 0.35;
 	double ejection_multiple = 2.5;
 
-	/// Consecutive failures without an answer (refused, reset, silent) that eject a replica.
+	/// Consecutive failures without an answer that eject a replica; a connection that does not come up ejects
+	/// it at once.
 	unsigned ejection_streak = 2;
 
 	/// First ejection; doubled each time up to the longest. The first is short: a replica that restarts is
@@ -52,8 +53,10 @@
 	failed,
 	/// It refused: full.
 	refused,
-	/// No answer: connection refused or reset, or silence.
+	/// No answer: connection reset, or silence.
 	no_answer,
+	/// No connection came up.
+	not_connected,
 };
 
 /// \brief What a choice depends on.
--- a/src/control/coordinator.cpp
+++ b/src/control/coordinator.cpp
@@ -200,6 +200,7 @@
 			log_findings("replica's row not understood", entry.error());
 		}
 	}
+	log::write(log::level::info, "replicas read", {{"count", entries.size()}});
 	gateway_.replicas().replace_all(std::move(entries), proxy::steady_now());
 	relay_.on_change(layout_.replica_table);
 }
--- a/src/control/shared_store.cpp
+++ b/src/control/shared_store.cpp
@@ -5,12 +5,6 @@
 
 namespace gingerdyke::control
 {
-namespace
-{
-/// Sources that one call tries before it ends as failed.
-constexpr unsigned most_sources = 5;
-} // namespace
-
 shared_store::shared_store(proxy::asio::io_context& context, row_store& registry, source_selector& sources,
 	shared_store_tuning tuning)
 	: context_(context), registry_(registry), sources_(sources), tuning_(tuning)
@@ -19,13 +13,13 @@
 
 void shared_store::read_all(const std::string& table, std::function<void(store_result<row_batch>)> done)
 {
-	read({table, std::nullopt, tuning_.whole_wait, std::move(done)});
+	read({table, std::nullopt, tuning_.whole_wait, std::move(done), 0, tuning_.sources_to_start});
 }
 
 void shared_store::follow(const std::string& table, row_version after, duration wait,
 	std::function<void(store_result<row_batch>)> done)
 {
-	read({table, after, wait, std::move(done)});
+	read({table, after, wait, std::move(done), 0, tuning_.sources_to_follow});
 }
 
 void shared_store::change(const row_change& what, std::function<void(store_result<change_answer>)> done)
@@ -46,7 +40,7 @@
 {
 	const auto source = sources_.choose(proxy::steady_now());
 	note_source(source);
-	if (source && call.failures < most_sources)
+	if (source && call.failures < call.most_failures)
 	{
 		read_peer(*source, std::move(call));
 	}
@@ -86,9 +80,9 @@
 	relay_poll poll;
 	poll.table = call.table;
 	poll.after = call.after;
-	poll.wait =
-		duration{static_cast<duration::rep>(static_cast<double>(call.wait.count()) * tuning_.wait_share)};
-	const auto limit = poll.wait + tuning_.answer_limit;
+	const auto share = call.after ? tuning_.wait_share : 1.0;
+	poll.wait = duration{static_cast<duration::rep>(static_cast<double>(call.wait.count()) * share)};
+	const auto limit = poll.wait + (call.after ? tuning_.answer_limit : duration{0});
 	const auto sent_at = proxy::steady_now();
 	client_of(from)->call(poll, limit,
 		[this, from, sent_at, wait = poll.wait, call = std::move(call)](
@@ -109,7 +103,8 @@
 		call.done(std::move(result));
 		return;
 	}
-	const bool is_fresh = result && result->age <= call.wait + tuning_.copy_margin;
+	// A whole table comes late only; it is judged by what follows.
+	const bool is_fresh = result && (!call.after || result->age <= call.wait + tuning_.copy_margin);
 	if (is_fresh)
 	{
 		sources_.note_good(from);
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -281,10 +281,12 @@
 	trace_ = trace::may_have_run;
 	attempt_->link = shared_.pool().take(to, route_->may_run_again(), now);
 	shared_.selector().note_sent(to->id, prompt_.work());
-	arm_attempt_timer(first_byte_limit());
+	attempt_->connected = attempt_->link->was_used();
+	arm_attempt_timer(attempt_->connected ? first_byte_limit() : shared_.tuning().connect_limit);
 
 	const auto self = shared_from_this();
 	upstream_hooks hooks;
+	hooks.connected = [self] { self->on_connected(); };
 	hooks.began = [self](answer_head head) { self->on_head(std::move(head)); };
 	hooks.brought = [self](std::string_view bytes) { self->on_body(bytes); };
 	hooks.ended = [self] { self->on_end(); };
--- a/src/proxy/exchange_answers.cpp
+++ b/src/proxy/exchange_answers.cpp
@@ -26,6 +26,12 @@
 }
 } // namespace
 
+void exchange::on_connected()
+{
+	attempt_->connected = true;
+	arm_attempt_timer(first_byte_limit());
+}
+
 void exchange::on_head(answer_head head)
 {
 	const auto& names = shared_.names();
@@ -216,7 +222,8 @@
 	}
 	if (fault == upstream_fault::not_connected)
 	{
-		trace_ = attempt_->trace_before;
+		on_not_connected();
+		return;
 	}
 	// A connection kept too long tells nothing about its replica.
 	const bool is_stale_link = fault == upstream_fault::no_answer && attempt_->link->was_used();
@@ -229,6 +236,26 @@
 	try_again_or([this, fault] { give_up(bad_gateway, name_of(fault)); });
 }
 
+/// Nothing was sent, so it counts neither as an attempt nor against the budget.
+void exchange::on_not_connected()
+{
+	trace_ = attempt_->trace_before;
+	note_result(routing::replica_result::not_connected);
+	tried_.push_back(attempt_->to->id);
+	end_attempt(false);
+	--attempts_;
+	if (attempts_ > 0)
+	{
+		shared_.budget(service_id_).give_back();
+	}
+	if (++failed_connections_ >= shared_.tuning().failed_connections)
+	{
+		give_up(bad_gateway, name_of(upstream_fault::not_connected));
+		return;
+	}
+	dispatch();
+}
+
 duration exchange::first_byte_limit() const
 {
 	const auto& tuning = shared_.tuning();
@@ -253,6 +280,11 @@
 
 void exchange::on_attempt_timer()
 {
+	if (!attempt_->connected)
+	{
+		on_not_connected();
+		return;
+	}
 	// Where nothing else can be tried, what is under way may still come.
 	if (!may_try_again() || !route_->may_run_again() || shared_.budget(service_id_).left(steady_now()) < 1)
 	{
--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -18,6 +18,13 @@
 	log::write(log::level::info, "replica ejected",
 		{{"replica", id.str()}, {"failure_rate", rate}, {"for_ms", milliseconds_of(span)}});
 }
+void log_replica(const routing::replica& one, routing::replica_change change)
+{
+	log::write(log::level::info, "replica",
+		{{"replica", one.id.str()}, {"service", one.service.str()}, {"address", one.at.str()},
+			{"version", one.version}, {"change", routing::name_of(change)}});
+}
+
 void log_shift(const rollout::shift_plan& plan, bool suspended)
 {
 	log::write(suspended ? log::level::warn : log::level::info,
@@ -28,12 +35,13 @@
 } // namespace
 
 gateway::gateway(asio::io_context& context, header_names names, fleet_bounds bounds,
-	failure_domain_id own_domain, random_source random, request_log& log, gateway_tuning tuning)
+	failure_domain_id own_domain, random_source random, request_log& log, routing::size_tuning sizes,
+	gateway_tuning tuning)
 	: context_(context), names_(std::move(names)), bounds_(bounds), log_(log), tuning_(tuning),
 	  replicas_([this](const routing::replica& one, routing::replica_change change)
 		  { on_replica_change(one, change); }),
 	  selector_(replicas_, std::move(own_domain), random, log_ejection), pool_(context, names_.request_id),
-	  versions_(std::move(random), log_shift)
+	  versions_(std::move(random), log_shift), sizes_(sizes)
 {
 }
 
@@ -99,9 +107,11 @@
 
 void gateway::on_replica_change(const routing::replica& one, routing::replica_change change)
 {
-	log::write(log::level::info, "replica",
-		{{"replica", one.id.str()}, {"service", one.service.str()}, {"address", one.at.str()},
-			{"version", one.version}, {"change", routing::name_of(change)}});
+	// The first reading of the registry is told as a whole.
+	if (replicas_.known())
+	{
+		log_replica(one, change);
+	}
 	if (change == routing::replica_change::gone)
 	{
 		pool_.drop(one.id);
--- a/src/proxy/upstream_link.cpp
+++ b/src/proxy/upstream_link.cpp
@@ -112,6 +112,8 @@
 			set_connection_options(self->socket_);
 			self->read();
 			self->write();
+			const auto hooks = self->hooks_;
+			hooks->connected();
 		});
 }
 
--- a/src/routing/replica_selector.cpp
+++ b/src/routing/replica_selector.cpp
@@ -129,7 +129,9 @@
 void replica_selector::note_result(const replica& one, replica_result result, duration took, instant now)
 {
 	auto& known = states_[one.id];
-	const bool failed = result == replica_result::failed || result == replica_result::no_answer;
+	const bool is_unreachable = result == replica_result::not_connected;
+	const bool failed =
+		result == replica_result::failed || result == replica_result::no_answer || is_unreachable;
 	const auto weight = tuning_.rate_weight;
 	const auto value = failed ? 1.0 : 0.0;
 	known.failure_rate += weight * (value - known.failure_rate);
@@ -148,6 +150,10 @@
 	{
 		++known.streak;
 	}
+	if (is_unreachable)
+	{
+		known.streak = tuning_.ejection_streak;
+	}
 	const auto bound = std::max(tuning_.ejection_rate, tuning_.ejection_multiple * service_rate);
 	if (failed && (known.streak >= tuning_.ejection_streak || known.failure_rate > bound))
 	{
--- a/tests/proxy/exchange.cpp
+++ b/tests/proxy/exchange.cpp
@@ -95,6 +95,28 @@
 	CHECK(contains(answer, "Retry-After: 0.250\r\n"));
 }
 
+TEST_CASE(
+	"a replica that can't be reached costs no attempt, not even of a request that runs once", "[exchange]")
+{
+	proxy_world world;
+	scripted_replica good{world.context, answers(answer_with("200 OK", "x"))};
+	world.start({{"plain", &good}});
+	auto gone = *world.gateway().replicas().of(service_id{"plain"}).front();
+	proxy::tcp::acceptor probe{world.context, {proxy::asio::ip::address_v4::loopback(), 0}};
+	gone.at.port = probe.local_endpoint().port();
+	probe.close();
+	for (const auto* id : {"gone1", "gone2", "gone3"})
+	{
+		gone.id = replica_id{id};
+		world.gateway().replicas().put(gone, proxy::steady_now());
+	}
+	for (int i = 0; i < 4; ++i)
+	{
+		CHECK(world.ask(request_to("POST", "/unsafe/a", "body")).ends_with("x"));
+	}
+	CHECK(good.requests().size() == 4);
+}
+
 TEST_CASE("a request that may be repeated goes to another replica after a failure", "[exchange]")
 {
 	proxy_world world;
