The threshold of confidence follows the engines' load; engines are waited for longer

Change: 50 while the largest model's first bytes take up to 4 times an idle small prompt's, down to 30 at 10 times; first bytes awaited for 1.2 of the objective, pauses for 1.6 of the longest in time.

--- a/include/gingerdyke/proxy/gateway.hpp
+++ b/include/gingerdyke/proxy/gateway.hpp
@@ -19,15 +19,17 @@
 /// \brief Tuning of the data path; each figure with its reason.
 struct gateway_tuning
 {
-	/// An attempt that may be repeated is given up without a first byte after this part of the objective:
-	/// what is left must do for another attempt.
-	double first_byte_share = 0.7;
+	/// An attempt that may be repeated is given up without a first byte after this part of the objective.
+	/// Below 1 it gave up requests that a busy engine was about to answer, and made others wait
+	/// (docs/rounds.md, 9).
+	double first_byte_share = 1.2;
 
 	/// The same for answers that come whole; their times spread up to seven times the mean.
 	double whole_answer_share = 1.7;
 
-	/// A stream that pauses for this multiple of the longest pause in time goes on elsewhere.
-	double pause_share = 1.0;
+	/// A stream that pauses for this multiple of the longest pause in time goes on elsewhere; reason as
+	/// above.
+	double pause_share = 1.6;
 
 	/// Shortest of the limits above, for routes with a very short objective.
 	duration shortest_limit = std::chrono::milliseconds{150};
@@ -114,7 +116,7 @@
 	[[nodiscard]] routing::replica_selector& selector() noexcept { return selector_; }
 	[[nodiscard]] upstream_pool& pool() noexcept { return pool_; }
 	[[nodiscard]] rollout::version_shift& versions() noexcept { return versions_; }
-	[[nodiscard]] const routing::size_policy& sizes() const noexcept { return sizes_; }
+	[[nodiscard]] routing::size_policy& sizes() noexcept { return sizes_; }
 	[[nodiscard]] const header_names& names() const noexcept { return names_; }
 	[[nodiscard]] const gateway_tuning& tuning() const noexcept { return tuning_; }
 	[[nodiscard]] asio::io_context& context() noexcept { return context_; }
--- a/src/proxy/exchange_answers.cpp
+++ b/src/proxy/exchange_answers.cpp
@@ -49,7 +49,9 @@
 		return;
 	}
 	const bool failed = came.status >= first_failure;
-	shared_.note_answer(*attempt_->to, sample_of(failed));
+	const auto sample = sample_of(failed);
+	shared_.note_answer(*attempt_->to, sample);
+	shared_.sizes().note_answer(*route_, attempt_->size, sample.relative_time);
 	note_result(failed ? routing::replica_result::failed : routing::replica_result::answered);
 	if (failed && may_try_again() && shared_.budget(service_id_).left(steady_now()) >= 1)
 	{
