--- a/include/gingerdyke/base/units.hpp
+++ b/include/gingerdyke/base/units.hpp
@@ -57,6 +57,12 @@
 /// \brief All spans of time inside the state machines.
 using duration = std::chrono::microseconds;
 
+/// \brief A span in milliseconds, for logs.
+[[nodiscard]] constexpr double to_milliseconds(duration span) noexcept
+{
+	return std::chrono::duration<double, std::milli>(span).count();
+}
+
 /// \brief Tag clock of the state machines; time is always handed in, never read.
 struct node_clock
 {
--- a/src/control/own_rows.cpp
+++ b/src/control/own_rows.cpp
@@ -1,32 +1,10 @@
 // SPDX-License-Identifier: MIT
 // Rows of our own table, as JSON.
-#include <gingerdyke/base/json_source.hpp>
 #include <gingerdyke/control/coordinator.hpp>
+#include <gingerdyke/control/row_json.hpp>
 
 namespace gingerdyke::control
 {
-namespace
-{
-tl::unexpected<findings> unreadable(const row& from, const std::string& why)
-{
-	return tl::make_unexpected(findings{{{from.table + "/" + from.key, "", 0}, why}});
-}
-
-/// Parses a row and reads it; whatever is missing or of a wrong type becomes a finding.
-template <typename T, typename Read>
-checked<T> read_json(const row& from, const Read& read)
-{
-	try
-	{
-		return read(json::parse(from.value));
-	}
-	catch (const json::exception& error)
-	{
-		return unreadable(from, error.what());
-	}
-}
-} // namespace
-
 std::string write_plan(const rollout::shift_plan& plan)
 {
 	return json{{"service", plan.service.str()}, {"from", plan.from_version}, {"to", plan.to_version},
--- a/src/control/shared_store.cpp
+++ b/src/control/shared_store.cpp
@@ -114,7 +114,7 @@
 	sources_.note_bad(from, proxy::steady_now());
 	log::write(log::level::info, "source given up",
 		{{"vm", from.vm.str()}, {"table", call.table}, {"why", result ? "old copy" : name_of(result.error())},
-			{"age_ms", result ? std::chrono::duration<double, std::milli>(result->age).count() : 0.0}});
+			{"age_ms", result ? to_milliseconds(result->age) : 0.0}});
 	++call.failures;
 	// Its other calls would only end later.
 	client_of(from)->abandon();
--- a/src/proxy/caller_link.cpp
+++ b/src/proxy/caller_link.cpp
@@ -11,6 +11,10 @@
 /// Bytes of further requests that are taken in while one is answered; beyond them the caller has to wait.
 constexpr std::size_t pipelined_bytes = 65536;
 
+/// Bytes that may wait to be written to a caller. One that reads slower than its answer comes is given up
+/// beyond them: the users' largest answers have a few thousand bytes, and a VM has 160 MB.
+constexpr std::size_t most_pending = 4U << 20U;
+
 /// A caller that has its last answer gets this long to close; then the connection is closed here.
 constexpr duration close_wait = std::chrono::seconds{1};
 
@@ -327,6 +331,11 @@
 void caller_link::write(std::string_view bytes)
 {
 	pending_ += bytes;
+	if (pending_.size() > most_pending)
+	{
+		// Posted: whoever passes bytes on must not be cancelled in the middle of it.
+		asio::post(socket_.get_executor(), [self = shared_from_this()] { self->on_gone(); });
+	}
 	if (!write_under_way_)
 	{
 		write_next();
@@ -421,6 +430,10 @@
 
 void caller_link::on_gone()
 {
+	if (state_ == state::closed)
+	{
+		return;
+	}
 	if (const auto active = std::exchange(active_, nullptr))
 	{
 		active->cancel();
--- a/src/proxy/exchange_answers.cpp
+++ b/src/proxy/exchange_answers.cpp
@@ -81,7 +81,7 @@
 	// the order of magnitude of the users' engines. Only ratios of two versions are compared.
 	constexpr double idle_ms = 20;
 	constexpr double tokens_per_ms = 50;
-	const auto took = std::chrono::duration<double, std::milli>(attempt_->first_byte).count();
+	const auto took = to_milliseconds(attempt_->first_byte);
 	rollout::answer_sample sample;
 	sample.route = route_->id.str();
 	sample.model = route_->models.empty() ? std::string{} : route_->models[attempt_->size.index].str();
--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -8,15 +8,10 @@
 {
 namespace
 {
-double milliseconds_of(duration span)
-{
-	return std::chrono::duration<double, std::milli>(span).count();
-}
-
 void log_ejection(const replica_id& id, double rate, duration span)
 {
 	log::write(log::level::info, "replica ejected",
-		{{"replica", id.str()}, {"failure_rate", rate}, {"for_ms", milliseconds_of(span)}});
+		{{"replica", id.str()}, {"failure_rate", rate}, {"for_ms", to_milliseconds(span)}});
 }
 void log_replica(const routing::replica& one, routing::replica_change change)
 {
--- a/src/proxy/request_log.cpp
+++ b/src/proxy/request_log.cpp
@@ -5,14 +5,6 @@
 
 namespace gingerdyke::proxy
 {
-namespace
-{
-double milliseconds_of(duration span)
-{
-	return std::chrono::duration<double, std::milli>(span).count();
-}
-} // namespace
-
 const char* name_of(request_outcome outcome) noexcept
 {
 	switch (outcome)
@@ -61,8 +53,8 @@
 		{{"request", line.id}, {"route", line.route}, {"workspace", line.workspace},
 			{"replica", line.replica}, {"model", line.model}, {"outcome", name_of(line.outcome)},
 			{"status", line.status}, {"reason", line.reason}, {"attempts", line.attempts},
-			{"took_ms", milliseconds_of(line.took)}, {"first_byte_ms", milliseconds_of(line.first_byte)},
-			{"config", line.config}, {"config_age_ms", milliseconds_of(line.config_age)},
+			{"took_ms", to_milliseconds(line.took)}, {"first_byte_ms", to_milliseconds(line.first_byte)},
+			{"config", line.config}, {"config_age_ms", to_milliseconds(line.config_age)},
 			{"lines_left_out", left_out_}});
 }
 
--- a/tests/proxy/exchange.cpp
+++ b/tests/proxy/exchange.cpp
@@ -375,3 +375,24 @@
 	CHECK(world.ask(request_to("POST", "/stream/a", "p")).starts_with("HTTP/1.1 503 "));
 	CHECK(replica.requests().empty());
 }
+
+TEST_CASE("a caller that does not read its answer is given up, and its replica stopped", "[exchange][stream]")
+{
+	proxy_world world;
+	scripted_replica replica{world.context, answers(stream_head() + event_chunk(1))};
+	world.start({{"engine", &replica}});
+	proxy::tcp::socket caller{world.context};
+	scripted_caller::send_without_reading(
+		caller, world.port(), request_to("POST", "/stream/a", "p", "Model: *\r\n"));
+	world.run_until([&] { return replica.requests().size() == 1; });
+	const std::string large(60000, 'x');
+	for (int id = 2; replica.ended() == 0; ++id)
+	{
+		// Far more than the kernel's buffers and the bound together.
+		REQUIRE(id < 2000);
+		replica.send_more(proxy::write_chunk("id: " + std::to_string(id) + "\ndata: " + large + "\n\n"));
+		world.context.restart();
+		world.context.poll();
+	}
+	CHECK(world.log().count(proxy::request_outcome::abandoned) == 1);
+}
--- a/tests/support/scripted_peer.cpp
+++ b/tests/support/scripted_peer.cpp
@@ -133,6 +133,13 @@
 	proxy::asio::write(state_->socket, proxy::asio::buffer(bytes), ignored);
 }
 
+void scripted_caller::send_without_reading(
+	proxy::tcp::socket& socket, std::uint16_t port, const std::string& bytes)
+{
+	socket.connect(loopback(port));
+	proxy::asio::write(socket, proxy::asio::buffer(bytes));
+}
+
 void scripted_caller::leave()
 {
 	proxy::error_code ignored;
--- a/tests/support/scripted_peer.hpp
+++ b/tests/support/scripted_peer.hpp
@@ -88,6 +88,10 @@
 
 	void leave();
 
+	/// \brief Sends a request and never reads.
+	static void send_without_reading(
+		proxy::tcp::socket& socket, std::uint16_t port, const std::string& bytes);
+
 	/// \brief All bytes that came.
 	[[nodiscard]] const std::string& received() const noexcept { return state_->received; }
 
