--- a/include/gingerdyke/control/coordinator.hpp
+++ b/include/gingerdyke/control/coordinator.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <gingerdyke/control/relay_server.hpp>
+#include <gingerdyke/control/report_board.hpp>
 #include <gingerdyke/control/shared_store.hpp>
 #include <gingerdyke/control/table_follower.hpp>
 #include <gingerdyke/proxy/gateway.hpp>
@@ -20,9 +21,13 @@
 	/// Table in which replicas register.
 	std::string replica_table;
 
-	/// Table of our own: the VMs, and plans and evidence of version shifts.
+	/// Table of our own: the VMs, and the plans of version shifts.
 	std::string own_table;
 
+	/// Table of our own: what VMs saw of new versions. It changes often, and only the VMs that read the
+	/// registry for others need it.
+	std::string evidence_table;
+
 	/// What a row of the operators' table says.
 	using operator_news = std::variant<std::monostate, routing::catalog_ptr, rollout::shift_order>;
 
@@ -46,6 +51,9 @@
 	/// Replicas and our own rows: news comes at once all the same.
 	duration other_wait = std::chrono::seconds{4};
 
+	/// Evidence, which is rare: a call that waits longer costs less.
+	duration evidence_wait = std::chrono::seconds{10};
+
 	/// Changes of replicas are gathered this long, so that many at once cost one call.
 	duration gather = std::chrono::milliseconds{150};
 
@@ -76,6 +84,7 @@
 	void on_replicas(const std::vector<row>& rows);
 	void on_own_rows(const std::vector<row>& rows);
 	void on_plan_row(const row& one);
+	void on_evidence_rows(const std::vector<row>& rows);
 	void on_evidence_row(const row& one);
 	void on_vm_row(const row& one);
 	void register_self();
@@ -87,6 +96,15 @@
 	void write(const rollout::shift_write& what);
 	void on_written(store_result<change_answer> answer);
 
+	// What VMs that read through each other tell one another.
+	[[nodiscard]] shared_store_hooks store_hooks();
+	[[nodiscard]] relay_server_hooks server_hooks();
+	[[nodiscard]] std::optional<peer_report> report_with(const std::string& table) const;
+	void on_report(const peer_report& report);
+	[[nodiscard]] peer_summary summary_for(const std::string& reporter);
+	void on_summary(const peer_summary& summary);
+	void note_work_of_others(const std::vector<routing::replica_work>& work);
+
 	proxy::gateway& gateway_;
 	registry_layout layout_;
 	peer self_;
@@ -95,6 +113,7 @@
 	source_selector sources_;
 	shared_store store_;
 	relay_server relay_;
+	report_board board_;
 	std::map<vm_id, peer> vms_;
 	proxy::asio::steady_timer register_timer_;
 	proxy::asio::steady_timer write_timer_;
@@ -102,6 +121,7 @@
 	table_follower operators_;
 	table_follower replicas_;
 	table_follower own_;
+	table_follower evidence_;
 	bool rest_started_ = false;
 };
 
--- /dev/null
+++ b/include/gingerdyke/control/peer_report.hpp
@@ -0,0 +1,34 @@
+// SPDX-License-Identifier: MIT
+// What a VM tells the VM that it reads the registry through, and what it is told in return.
+#pragma once
+
+#include <gingerdyke/rollout/version_shift.hpp>
+#include <gingerdyke/routing/replica_selector.hpp>
+#include <string>
+#include <vector>
+
+namespace gingerdyke::control
+{
+/// \brief What one VM sees that others can use.
+struct peer_report
+{
+	/// Name and incarnation of the VM that reports.
+	std::string reporter;
+
+	/// Work that it has open at replicas.
+	std::vector<routing::replica_work> work;
+
+	/// What it saw of new versions under way.
+	std::vector<rollout::shift_evidence> evidence;
+};
+
+/// \brief What a VM knows of all the others that report to it.
+struct peer_summary
+{
+	/// Work that VMs other than the one that is told have open at replicas.
+	std::vector<routing::replica_work> work;
+
+	/// New versions that it found bad.
+	std::vector<rollout::shift_suspension> suspended;
+};
+} // namespace gingerdyke::control
--- a/include/gingerdyke/control/relay_client.hpp
+++ b/include/gingerdyke/control/relay_client.hpp
@@ -13,8 +13,10 @@
 {
   public:
 	using done_hook = std::function<void(store_result<row_batch>)>;
+	using summary_hook = std::function<void(const peer_summary&)>;
 
-	relay_client(proxy::asio::io_context& context, peer to);
+	/// \param summarised Told what the other VM knows, where a call came with a report.
+	relay_client(proxy::asio::io_context& context, peer to, summary_hook summarised);
 
 	/// \brief Makes a call.
 	/// \param limit Time after which it counts as unreachable.
@@ -39,6 +41,7 @@
 
 	proxy::asio::io_context& context_;
 	peer to_;
+	summary_hook summarised_;
 	std::shared_ptr<frame_link> link_;
 	std::map<std::int64_t, open_call> calls_;
 	std::int64_t next_call_ = 1;
--- a/include/gingerdyke/control/relay_codec.hpp
+++ b/include/gingerdyke/control/relay_codec.hpp
@@ -2,6 +2,7 @@
 // Frames with which VMs read the registry through each other: four bytes of length, then a Thrift struct.
 #pragma once
 
+#include <gingerdyke/control/peer_report.hpp>
 #include <gingerdyke/control/row_store.hpp>
 #include <optional>
 #include <string>
@@ -21,6 +22,9 @@
 
 	/// How long to wait where there is no news.
 	duration wait{};
+
+	/// What the VM that calls has to tell; none where another call of it tells.
+	std::optional<peer_report> report;
 };
 
 /// \brief The answer to a call.
@@ -28,6 +32,9 @@
 {
 	std::int64_t call{};
 	store_result<row_batch> result{row_batch{}};
+
+	/// There where the call came with a report.
+	std::optional<peer_summary> summary;
 };
 
 /// Largest frame, in bytes: a whole table of the size to design for (1,600 replicas) takes half a megabyte.
--- a/include/gingerdyke/control/relay_server.hpp
+++ b/include/gingerdyke/control/relay_server.hpp
@@ -9,13 +9,24 @@
 
 namespace gingerdyke::control
 {
+/// \brief What a `relay_server` asks of its owner.
+struct relay_server_hooks
+{
+	/// Finds the copy of a table, or null.
+	std::function<const table_cache*(const std::string& table)> find;
+
+	/// Takes a VM's report.
+	std::function<void(const peer_report&)> reported;
+
+	/// What a VM that reported is told.
+	std::function<peer_summary(const std::string& reporter)> summarise;
+};
+
 /// \brief Answers polls; those without news wait until there is some or their time is over.
 class relay_server
 {
   public:
-	/// \param find Finds the copy of a table, or null.
-	relay_server(
-		proxy::asio::io_context& context, std::function<const table_cache*(const std::string& table)> find);
+	relay_server(proxy::asio::io_context& context, relay_server_hooks hooks);
 
 	/// \brief Begins to listen.
 	/// \returns What stands against it; none where it listens.
@@ -42,7 +53,7 @@
 	void answer_overdue();
 
 	proxy::asio::io_context& context_;
-	std::function<const table_cache*(const std::string&)> find_;
+	relay_server_hooks hooks_;
 	proxy::tcp::acceptor acceptor_;
 	proxy::asio::steady_timer timer_;
 	std::list<waiting_poll> waiting_;
--- a/include/gingerdyke/control/shared_store.hpp
+++ b/include/gingerdyke/control/shared_store.hpp
@@ -31,12 +31,25 @@
 	duration answer_limit = std::chrono::milliseconds{250};
 };
 
+/// \brief What a `shared_store` exchanges with the VMs that it reads through.
+struct shared_store_hooks
+{
+	/// What this VM reports with a call for changes of a table; none with most tables.
+	std::function<std::optional<peer_report>(const std::string& table)> report;
+
+	/// Told what the other VM knows.
+	std::function<void(const peer_summary&)> summarised;
+
+	/// Told when this VM begins to read the registry itself, and when it no longer does.
+	std::function<void(bool reads_registry)> moved;
+};
+
 /// \brief A `row_store` that reads from the registry or from another VM's copy, and writes to the registry.
 class shared_store : public row_store
 {
   public:
 	shared_store(proxy::asio::io_context& context, row_store& registry, source_selector& sources,
-		shared_store_tuning tuning = {});
+		shared_store_hooks hooks, shared_store_tuning tuning = {});
 
 	void read_all(const std::string& table, std::function<void(store_result<row_batch>)> done) override;
 	void follow(const std::string& table, row_version after, duration wait,
@@ -69,6 +82,7 @@
 	proxy::asio::io_context& context_;
 	row_store& registry_;
 	source_selector& sources_;
+	shared_store_hooks hooks_;
 	shared_store_tuning tuning_;
 	std::map<vm_id, std::shared_ptr<relay_client>> clients_;
 	std::optional<std::string> last_source_;
--- a/include/gingerdyke/control/source_selector.hpp
+++ b/include/gingerdyke/control/source_selector.hpp
@@ -20,6 +20,9 @@
 	failure_domain_id domain;
 	routing::address at;
 
+	/// What its link carries; a reader sends every change to all VMs of its failure domain.
+	unsigned link_mbps{};
+
 	auto operator<=>(const peer&) const = default;
 };
 
@@ -38,12 +41,13 @@
 	std::size_t far_sources = 3;
 };
 
-/// \brief Chooses the source to read from. All VMs of a failure domain rank it alike, by a hash, so that they
-/// mostly agree who reads; where they don't, a few calls are made too many.
+/// \brief Chooses the source to read from. All VMs of a failure domain rank it alike, by link and then by a
+/// hash, so that they mostly agree who reads; where they don't, a few calls are made too many.
 class source_selector
 {
   public:
-	source_selector(vm_id self, failure_domain_id domain, source_tuning tuning = {});
+	/// \param self This VM as others see it.
+	explicit source_selector(peer self, source_tuning tuning = {});
 
 	/// \brief Takes the VMs that are known; itself need not be among them.
 	void set_peers(std::vector<peer> peers);
@@ -57,9 +61,6 @@
 	/// \brief Notes that a source answered.
 	void note_good(const std::optional<peer>& source);
 
-	/// \brief VMs known, itself included.
-	[[nodiscard]] std::size_t vm_count() const noexcept { return peers_.size() + 1; }
-
   private:
 	struct rest
 	{
@@ -70,8 +71,7 @@
 	[[nodiscard]] bool rests(const std::string& name, instant now) const;
 	[[nodiscard]] bool reads_itself(instant now) const;
 
-	vm_id self_;
-	failure_domain_id domain_;
+	peer self_;
 	source_tuning tuning_;
 
 	/// All peers in the order in which they are asked: the own failure domain first.
--- a/include/gingerdyke/control/table_follower.hpp
+++ b/include/gingerdyke/control/table_follower.hpp
@@ -48,6 +48,7 @@
 	table_follower(proxy::asio::io_context& context, row_store& store, std::string table,
 		random_source random, follower_hooks hooks, follower_tuning tuning = {});
 
+	/// \brief Begins to follow the table, or goes on after a stop; it is then read whole again.
 	void start();
 	void stop();
 
@@ -60,6 +61,7 @@
 	void follow();
 	void on_all(store_result<row_batch> result, instant sent_at);
 	void on_changes(store_result<row_batch> result, instant sent_at);
+	[[nodiscard]] bool is_over(unsigned run) const noexcept { return stopped_ || run != run_; }
 	[[nodiscard]] static instant newest_at(instant sent_at, const row_batch& batch);
 	void confirm_cache(instant sent_at, const row_batch& batch);
 	void note_success(instant sent_at, const row_batch& batch);
@@ -81,6 +83,9 @@
 	std::optional<row_version> known_;
 	duration pause_;
 	bool is_lost_ = false;
-	bool stopped_ = false;
+	bool stopped_ = true;
+
+	/// Counts the starts: what was called before a stop is not heard after it.
+	unsigned run_ = 0;
 };
 } // namespace gingerdyke::control
--- a/include/gingerdyke/proxy/exchange.hpp
+++ b/include/gingerdyke/proxy/exchange.hpp
@@ -31,6 +31,9 @@
 	duration first_byte{};
 	routing::size_step size;
 
+	/// Work that the replica was counted to have with it; see `prompt::work`.
+	double work{};
+
 	/// What was known before it was sent; true again where this replica did not run it.
 	trace trace_before{trace::not_run};
 
@@ -62,6 +65,7 @@
 	void dispatch();
 	[[nodiscard]] routing::replica_ptr choose_replica() const;
 	[[nodiscard]] bool has_room(const routing::replica& one) const;
+	[[nodiscard]] double model_weight() const;
 	[[nodiscard]] header_fields fields_for(const routing::replica& to) const;
 	[[nodiscard]] bool may_try_again() const;
 	void send_to(const routing::replica_ptr& to);
--- a/include/gingerdyke/proxy/prompt.hpp
+++ b/include/gingerdyke/proxy/prompt.hpp
@@ -16,6 +16,9 @@
 	/// Most tokens to generate; 0 where the request does not say.
 	double tokens_out{};
 
+	/// Tokens of all parts but the last.
+	double shared_tokens{};
+
 	/// Hash of all parts but the last, which is the request's own; 0: nothing is shared.
 	std::uint64_t shared_parts{};
 
--- a/include/gingerdyke/rollout/version_shift.hpp
+++ b/include/gingerdyke/rollout/version_shift.hpp
@@ -9,6 +9,7 @@
 #include <gingerdyke/routing/replica_set.hpp>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -98,6 +99,23 @@
 	std::map<std::string, shift_counts> by_group;
 };
 
+/// \brief Evidence with the VM that saw it.
+struct reported_evidence
+{
+	/// Name and incarnation of the VM; empty: this VM.
+	std::string reporter;
+	shift_evidence evidence;
+};
+
+/// \brief The verdict of a VM that a new version is bad.
+struct shift_suspension
+{
+	service_id service;
+
+	/// The order that the shift carries out.
+	row_version order;
+};
+
 /// \brief Tuning of `version_shift`.
 struct shift_tuning
 {
@@ -149,11 +167,19 @@
 	/// How far an answer moves the estimate of the old version's quantile, as a part of it.
 	double quantile_step = 0.08;
 
-	/// Least time between two reports of evidence by one VM.
+	/// Least time between two writes of evidence by one VM.
 	duration report_pause = std::chrono::milliseconds{300};
 
-	/// VMs act on the same news at random moments within this time, so that mostly only one has to.
+	/// Evidence is written again when its bad answers have grown by this factor: each write is priced, and
+	/// a good version's few bad answers change nothing. A verdict is late by at most a third of them.
+	double report_growth = 1.5;
+
+	/// VMs that read the registry act on the same news at random moments within this time, so that mostly
+	/// only one has to.
 	duration spread = std::chrono::milliseconds{250};
+
+	/// The others act later by this time, and within a spread of this: only where no reader did.
+	duration reader_advantage = std::chrono::milliseconds{900};
 };
 
 /// \brief Something to write to the registry.
@@ -162,8 +188,8 @@
 	/// The plan as it is to be, on the condition that its row is still the one it names.
 	std::optional<shift_plan> plan;
 
-	/// This VM's evidence.
-	std::optional<shift_evidence> evidence;
+	/// What this VM saw, and what VMs that read through it told it.
+	std::vector<reported_evidence> evidence;
 };
 
 /// \brief The shifts of all services as this VM knows them.
@@ -178,9 +204,25 @@
 	void on_order(const shift_order& order, instant now);
 	void on_plan(const shift_plan& plan, instant now);
 
-	/// \brief Takes another VM's evidence; it replaces what that VM reported before.
+	/// \brief Takes another VM's evidence from the registry; it replaces what that VM reported before.
 	void on_evidence(const std::string& reporter, const shift_evidence& evidence, instant now);
 
+	/// \brief Takes the evidence of a VM that reads through this one, which is to write it for it.
+	void on_relayed_evidence(const std::string& reporter, const shift_evidence& evidence, instant now);
+
+	/// \brief Takes another VM's verdict: the new version is suspended here too.
+	void on_suspension(const shift_suspension& suspension, instant now);
+
+	/// \brief What this VM saw of new versions under way, for the VM that writes it.
+	[[nodiscard]] std::vector<shift_evidence> own_evidence() const;
+
+	/// \brief The verdicts in force here on shifts under way.
+	[[nodiscard]] std::vector<shift_suspension> suspensions() const;
+
+	/// \brief Says whether this VM reads the registry itself, perhaps for others; at first it does. Such a VM
+	/// writes evidence, and is the first to write plans.
+	void note_reads_registry(bool does) { reads_registry_ = does; }
+
 	/// \brief Takes the replicas of a service, to know which version it has without any order.
 	void note_replicas(const service_id& service, const std::vector<routing::replica_ptr>& replicas);
 
@@ -209,7 +251,7 @@
 	/// \brief The share of sessions on the new version now; for status and tests.
 	[[nodiscard]] double share(const service_id& service, instant now) const;
 
-	/// \brief Whether this VM has evidence about a service that it has not reported.
+	/// \brief Whether this VM has evidence about a service to write.
 	[[nodiscard]] bool has_evidence(const service_id& service) const;
 
 	/// \brief The plan in force for a service, or null.
@@ -233,8 +275,14 @@
 		std::map<std::string, shift_counts> own;
 		std::map<std::string, std::map<std::string, shift_counts>> others;
 		std::map<std::string, base_counts> base;
-		bool has_news_to_report{};
-		instant reported_at;
+
+		/// VMs whose evidence this one writes, and those among them with news.
+		std::set<std::string> relayed;
+		std::set<std::string> unwritten;
+
+		/// Bad answers in the evidence that was written last, and when.
+		std::uint64_t written_bad{};
+		instant written_at;
 
 		/// When this VM acts on the state of the plan; none: nothing to do.
 		std::optional<instant> act_at;
@@ -246,6 +294,12 @@
 	[[nodiscard]] bool looks_bad(const service_state& state) const;
 	[[nodiscard]] bool is_bad_group(
 		const service_state& state, const std::string& group, const shift_counts& seen) const;
+	bool keep_evidence(service_state& state, const std::string& reporter, const shift_evidence& evidence);
+	[[nodiscard]] std::uint64_t bad_to_write(const service_state& state) const;
+	[[nodiscard]] bool evidence_grew(const service_state& state) const;
+	[[nodiscard]] std::vector<reported_evidence> take_evidence(
+		const service_id& service, service_state& state, instant now);
+	void suspend(service_state& state);
 	void note_base(service_state& state, const answer_sample& answer);
 	[[nodiscard]] bool is_slow(const service_state& state, const answer_sample& answer) const;
 	[[nodiscard]] std::optional<shift_plan> next_plan(const service_state& state, instant now) const;
@@ -258,6 +312,7 @@
 	news_hook news_;
 	shift_tuning tuning_;
 	std::map<service_id, service_state> services_;
+	bool reads_registry_ = true;
 
 	/// The registry's clock less ours, by the freshest answer.
 	std::optional<duration> clock_offset_;
--- a/include/gingerdyke/routing/catalog.hpp
+++ b/include/gingerdyke/routing/catalog.hpp
@@ -92,11 +92,15 @@
 	/// Connections that one replica accepts from all VMs together; 0: no bound stated.
 	unsigned connections_per_replica{};
 
-	/// Requests that one engine runs at once; 0: not an engine.
-	unsigned engine_slots{};
+	/// Its replicas are engines that batch requests and keep parts of prompts.
+	bool is_engine{};
 
 	/// Empty where the service is no engine.
 	std::vector<priced_model> models;
+
+	/// \brief The share of the dearest model's price that a model costs: about the share of its time too. 1
+	/// where the model or its price is not known.
+	[[nodiscard]] double relative_cost(const model_id& model) const;
 };
 
 /// \brief A workspace with the keys that belong to it.
@@ -154,8 +158,6 @@
 	/// \brief A service by its name, or null.
 	[[nodiscard]] const service* find_service(const service_id& id) const;
 
-	[[nodiscard]] const std::vector<service>& services() const noexcept { return data_.services; }
-
 	[[nodiscard]] const caller_limits& limits() const noexcept { return data_.limits; }
 
 	[[nodiscard]] bool needs_keys() const noexcept { return data_.needs_keys; }
--- a/include/gingerdyke/routing/replica_selector.hpp
+++ b/include/gingerdyke/routing/replica_selector.hpp
@@ -13,11 +13,17 @@
 /// \brief Tuning of `replica_selector`.
 struct selector_tuning
 {
-	/// Affinity gives way where the favoured replica has more work from here than this multiple of the mean.
-	double affinity_bound = 1.6;
+	/// Replicas drawn at random beside the favoured one. What is known of their load is some tenths of a
+	/// second old and known to many VMs: among all of them, each VM would find the same least loaded one.
+	unsigned drawn = 3;
 
-	/// Tokens at a replica that never count as overload; about two prompts of the users' larger kind.
-	double affinity_floor = 24000;
+	/// Affinity gives way where another replica has less work by this many tokens, beside those of the shared
+	/// parts that it would have to read: about what the users' engines read in 0.8 s with their largest
+	/// model.
+	double affinity_margin = 16000;
+
+	/// The work of other VMs counts for this long after it was told.
+	duration elsewhere_lifetime = std::chrono::seconds{2};
 
 	/// Weight of a new result in a replica's failure rate: about the last 8 results count.
 	double rate_weight = 0.12;
@@ -59,6 +65,15 @@
 	not_connected,
 };
 
+/// \brief Work open at a replica.
+struct replica_work
+{
+	replica_id replica;
+
+	/// Tokens to read; see `proxy::prompt::work`.
+	double tokens{};
+};
+
 /// \brief What a choice depends on.
 struct selection
 {
@@ -67,6 +82,12 @@
 	/// Hash of the shared parts of the prompt; 0: none.
 	std::uint64_t affinity{};
 
+	/// The work that it would be to read the shared parts again.
+	double shared_work{};
+
+	/// Replicas are engines: the work open at each counts, not the number of requests.
+	bool is_engine{};
+
 	/// Whether a replica may be used: its version, its room, not tried already.
 	std::function<bool(const replica&)> usable;
 };
@@ -95,12 +116,15 @@
 	/// \param took Time to the first byte of the answer, where there was one.
 	void note_result(const replica& one, replica_result result, duration took, instant now);
 
+	/// \brief Work that this VM has open, for other VMs.
+	[[nodiscard]] std::vector<replica_work> open_work() const;
+
+	/// \brief Takes the work that other VMs have open, in place of what was known of it.
+	void note_elsewhere(const std::vector<replica_work>& work, instant now);
+
 	/// \brief Forgets a replica that is gone.
 	void forget(const replica_id& id);
 
-	/// \brief Requests open from here at a replica.
-	[[nodiscard]] unsigned open_requests(const replica_id& id) const;
-
   private:
 	struct state
 	{
@@ -116,7 +140,8 @@
 	using candidates = std::vector<const replica_ptr*>;
 
 	[[nodiscard]] candidates usable(const selection& what, instant now) const;
-	[[nodiscard]] replica_ptr by_affinity(const candidates& from, std::uint64_t affinity) const;
+	[[nodiscard]] replica_ptr by_work(const candidates& from, const selection& what, instant now) const;
+	[[nodiscard]] double work_at(const replica& one, instant now) const;
 	[[nodiscard]] replica_ptr by_load(const candidates& from) const;
 	[[nodiscard]] double cost_of(const replica& one) const;
 	[[nodiscard]] const state* find(const replica_id& id) const;
@@ -129,5 +154,9 @@
 	selector_tuning tuning_;
 	std::map<replica_id, state> states_;
 	std::map<service_id, double> service_rates_;
+
+	/// Work that other VMs have open, and when it was told.
+	std::map<replica_id, double> elsewhere_;
+	instant elsewhere_at_;
 };
 } // namespace gingerdyke::routing
--- a/src/control/coordinator.cpp
+++ b/src/control/coordinator.cpp
@@ -1,5 +1,6 @@
 // SPDX-License-Identifier: MIT
 // Connects the registry to the data path.
+#include <algorithm>
 #include <gingerdyke/control/coordinator.hpp>
 #include <gingerdyke/log/log.hpp>
 
@@ -8,7 +9,6 @@
 namespace
 {
 const std::string plan_prefix = "plan/";
-const std::string evidence_prefix = "evidence/";
 const std::string vm_prefix = "vm/";
 
 void log_findings(const char* what, const findings& list)
@@ -23,9 +23,9 @@
 coordinator::coordinator(proxy::gateway& gateway, row_store& registry, registry_layout layout, peer self,
 	std::string reporter, const random_source& random, coordinator_tuning tuning)
 	: gateway_(gateway), layout_(std::move(layout)), self_(std::move(self)), reporter_(std::move(reporter)),
-	  tuning_(tuning), sources_(self_.vm, self_.domain), store_(gateway.context(), registry, sources_),
-	  relay_(gateway.context(), [this](const std::string& table) { return cache_of(table); }),
-	  register_timer_(gateway.context()), write_timer_(gateway.context()), expire_timer_(gateway.context()),
+	  tuning_(tuning), sources_(self_), store_(gateway.context(), registry, sources_, store_hooks()),
+	  relay_(gateway.context(), server_hooks()), register_timer_(gateway.context()),
+	  write_timer_(gateway.context()), expire_timer_(gateway.context()),
 	  operators_(gateway.context(), store_, layout_.operator_table, random,
 		  {[this](const auto& rows) { on_operator_rows(rows); },
 			  [this](const auto& rows) { on_operator_rows(rows); },
@@ -50,7 +50,12 @@
 	  own_(gateway.context(), store_, layout_.own_table, random,
 		  {[this](const auto& rows) { on_own_rows(rows); }, [this](const auto& rows) { on_own_rows(rows); },
 			  [](instant, registry_time) {}, [](store_error) {}},
-		  {.wait = tuning.other_wait, .gather = tuning.gather})
+		  {.wait = tuning.other_wait, .gather = tuning.gather}),
+	  evidence_(gateway.context(), registry, layout_.evidence_table, random,
+		  {[this](const auto& rows) { on_evidence_rows(rows); },
+			  [this](const auto& rows) { on_evidence_rows(rows); }, [](instant, registry_time) {},
+			  [](store_error) {}},
+		  {.wait = tuning.evidence_wait, .gather = tuning.gather})
 {
 }
 
@@ -81,6 +86,7 @@
 	operators_.stop();
 	replicas_.stop();
 	own_.stop();
+	evidence_.stop();
 	relay_.stop();
 	write_timer_.cancel();
 	expire_timer_.cancel();
@@ -217,10 +223,6 @@
 		{
 			on_plan_row(one);
 		}
-		else if (one.key.starts_with(evidence_prefix) && !one.removed)
-		{
-			on_evidence_row(one);
-		}
 	}
 	std::vector<peer> peers;
 	for (const auto& [id, vm] : vms_)
@@ -262,15 +264,28 @@
 	}
 }
 
+void coordinator::on_evidence_rows(const std::vector<row>& rows)
+{
+	for (const auto& one : rows)
+	{
+		if (!one.removed)
+		{
+			on_evidence_row(one);
+		}
+	}
+	arm();
+}
+
 void coordinator::on_evidence_row(const row& one)
 {
-	if (one.key.ends_with("/" + reporter_))
+	const auto reporter = one.key.substr(one.key.rfind('/') + 1);
+	if (reporter == reporter_)
 	{
 		return;
 	}
 	if (const auto evidence = read_evidence(one))
 	{
-		gateway_.versions().on_evidence(one.key, *evidence, proxy::steady_now());
+		gateway_.versions().on_evidence(reporter, *evidence, proxy::steady_now());
 	}
 	else
 	{
@@ -336,10 +351,11 @@
 			{{"service", what.plan->service.str()}, {"state", rollout::name_of(what.plan->state)},
 				{"on_row_version", what.plan->row.value()}});
 	}
-	if (what.evidence)
+	for (const auto& one : what.evidence)
 	{
-		const auto key = evidence_prefix + what.evidence->service.str() + "/" + reporter_;
-		change.puts.push_back({layout_.own_table, key, write_evidence(*what.evidence)});
+		const auto& reporter = one.reporter.empty() ? reporter_ : one.reporter;
+		const auto key = one.evidence.service.str() + "/" + reporter;
+		change.puts.push_back({layout_.evidence_table, key, write_evidence(one.evidence)});
 	}
 	store_.change(change, [this](store_result<change_answer> answer) { on_written(std::move(answer)); });
 }
@@ -357,4 +373,93 @@
 		on_own_rows(answer->rows);
 	}
 }
+
+shared_store_hooks coordinator::store_hooks()
+{
+	shared_store_hooks hooks;
+	hooks.report = [this](const std::string& table) { return report_with(table); };
+	hooks.summarised = [this](const peer_summary& summary) { on_summary(summary); };
+	hooks.moved = [this](bool reads_registry)
+	{
+		gateway_.versions().note_reads_registry(reads_registry);
+		if (reads_registry)
+		{
+			evidence_.start();
+		}
+		else
+		{
+			evidence_.stop();
+		}
+		arm();
+	};
+	return hooks;
+}
+
+relay_server_hooks coordinator::server_hooks()
+{
+	relay_server_hooks hooks;
+	hooks.find = [this](const std::string& table) { return cache_of(table); };
+	hooks.reported = [this](const peer_report& report) { on_report(report); };
+	hooks.summarise = [this](const std::string& reporter) { return summary_for(reporter); };
+	return hooks;
+}
+
+/// The operators' table is the one that is asked for most often.
+std::optional<peer_report> coordinator::report_with(const std::string& table) const
+{
+	if (table != layout_.operator_table)
+	{
+		return std::nullopt;
+	}
+	return peer_report{reporter_, gateway_.selector().open_work(), gateway_.versions().own_evidence()};
+}
+
+void coordinator::on_report(const peer_report& report)
+{
+	const auto now = proxy::steady_now();
+	board_.take(report.reporter, report.work, now);
+	note_work_of_others(board_.work_of_others(reporter_, now));
+	for (const auto& one : report.evidence)
+	{
+		gateway_.versions().on_relayed_evidence(report.reporter, one, now);
+	}
+	if (!report.evidence.empty())
+	{
+		arm();
+	}
+}
+
+peer_summary coordinator::summary_for(const std::string& reporter)
+{
+	const auto now = proxy::steady_now();
+	board_.take(reporter_, gateway_.selector().open_work(), now);
+	return {board_.work_of_others(reporter, now), gateway_.versions().suspensions()};
+}
+
+void coordinator::on_summary(const peer_summary& summary)
+{
+	note_work_of_others(summary.work);
+	for (const auto& one : summary.suspended)
+	{
+		gateway_.versions().on_suspension(one, proxy::steady_now());
+	}
+	if (!summary.suspended.empty())
+	{
+		arm();
+	}
+}
+
+/// Those that report here are of one failure domain; the others have about as much work open for each VM.
+void coordinator::note_work_of_others(const std::vector<routing::replica_work>& work)
+{
+	const auto near = std::count_if(
+		vms_.begin(), vms_.end(), [this](const auto& entry) { return entry.second.domain == self_.domain; });
+	const auto scale = near == 0 ? 1.0 : static_cast<double>(vms_.size()) / static_cast<double>(near);
+	auto scaled = work;
+	for (auto& one : scaled)
+	{
+		one.tokens *= scale;
+	}
+	gateway_.selector().note_elsewhere(scaled, proxy::steady_now());
+}
 } // namespace gingerdyke::control
--- a/src/control/own_rows.cpp
+++ b/src/control/own_rows.cpp
@@ -38,7 +38,9 @@
 
 std::string write_vm(const peer& vm)
 {
-	return json{{"vm", vm.vm.str()}, {"domain", vm.domain.str()}, {"address", vm.at.str()}}.dump();
+	return json{{"vm", vm.vm.str()}, {"domain", vm.domain.str()}, {"address", vm.at.str()},
+		{"link_mbps", vm.link_mbps}}
+		.dump();
 }
 
 checked<peer> read_vm(const row& from)
@@ -52,7 +54,8 @@
 				return unreadable(from, "address is not IP:PORT");
 			}
 			return peer{vm_id{value.at("vm").get<std::string>()},
-				failure_domain_id{value.at("domain").get<std::string>()}, *at};
+				failure_domain_id{value.at("domain").get<std::string>()}, *at,
+				value.at("link_mbps").get<unsigned>()};
 		});
 }
 
--- a/src/control/relay_client.cpp
+++ b/src/control/relay_client.cpp
@@ -5,7 +5,8 @@
 
 namespace gingerdyke::control
 {
-relay_client::relay_client(proxy::asio::io_context& context, peer to) : context_(context), to_(std::move(to))
+relay_client::relay_client(proxy::asio::io_context& context, peer to, summary_hook summarised)
+	: context_(context), to_(std::move(to)), summarised_(std::move(summarised))
 {
 }
 
@@ -71,6 +72,10 @@
 		abandon();
 		return;
 	}
+	if (answer->summary)
+	{
+		summarised_(*answer->summary);
+	}
 	end_call(answer->call, std::move(answer->result));
 }
 
--- a/src/control/relay_codec.cpp
+++ b/src/control/relay_codec.cpp
@@ -71,6 +71,105 @@
 }
 } // namespace
 
+namespace
+{
+std::vector<wire::RelayWork> written(const std::vector<routing::replica_work>& work)
+{
+	std::vector<wire::RelayWork> all;
+	all.reserve(work.size());
+	for (const auto& one : work)
+	{
+		auto& added = all.emplace_back();
+		added.replica = one.replica.str();
+		added.tokens = static_cast<std::int64_t>(one.tokens);
+	}
+	return all;
+}
+
+std::vector<routing::replica_work> read(const std::vector<wire::RelayWork>& work)
+{
+	std::vector<routing::replica_work> all;
+	all.reserve(work.size());
+	for (const auto& one : work)
+	{
+		all.push_back({replica_id{one.replica}, static_cast<double>(one.tokens)});
+	}
+	return all;
+}
+
+wire::RelayEvidence written(const rollout::shift_evidence& evidence)
+{
+	wire::RelayEvidence message;
+	message.service_name = evidence.service.str();
+	message.order = evidence.order.value();
+	for (const auto& [group, counts] : evidence.by_group)
+	{
+		auto& added = message.groups.emplace_back();
+		added.group = group;
+		added.answers = static_cast<std::int64_t>(counts.answers);
+		added.failed = static_cast<std::int64_t>(counts.failed);
+		added.slow = static_cast<std::int64_t>(counts.slow);
+	}
+	return message;
+}
+
+rollout::shift_evidence read(const wire::RelayEvidence& message)
+{
+	rollout::shift_evidence evidence{service_id{message.service_name}, row_version{message.order}, {}};
+	for (const auto& one : message.groups)
+	{
+		evidence.by_group[one.group] = {static_cast<std::uint64_t>(one.answers),
+			static_cast<std::uint64_t>(one.failed), static_cast<std::uint64_t>(one.slow)};
+	}
+	return evidence;
+}
+
+wire::RelayReport written(const peer_report& report)
+{
+	wire::RelayReport message;
+	message.reporter = report.reporter;
+	message.work = written(report.work);
+	for (const auto& one : report.evidence)
+	{
+		message.evidence.push_back(written(one));
+	}
+	return message;
+}
+
+peer_report read(const wire::RelayReport& message)
+{
+	peer_report report{message.reporter, read(message.work), {}};
+	for (const auto& one : message.evidence)
+	{
+		report.evidence.push_back(read(one));
+	}
+	return report;
+}
+
+wire::RelaySummary written(const peer_summary& summary)
+{
+	wire::RelaySummary message;
+	message.work = written(summary.work);
+	for (const auto& one : summary.suspended)
+	{
+		auto& added = message.suspended.emplace_back();
+		added.service_name = one.service.str();
+		added.order = one.order.value();
+	}
+	return message;
+}
+
+peer_summary read(const wire::RelaySummary& message)
+{
+	peer_summary summary{read(message.work), {}};
+	for (const auto& one : message.suspended)
+	{
+		summary.suspended.push_back({service_id{one.service_name}, row_version{one.order}});
+	}
+	return summary;
+}
+} // namespace
+
 std::string write_frame(const relay_poll& poll)
 {
 	wire::RelayPoll message;
@@ -79,6 +178,10 @@
 	message.whole = !poll.after.has_value();
 	message.after = poll.after.value_or(row_version{0}).value();
 	message.wait_us = poll.wait.count();
+	if (poll.report)
+	{
+		message.__set_report(written(*poll.report));
+	}
 	return frame_of(message);
 }
 
@@ -86,6 +189,10 @@
 {
 	wire::RelayAnswer message;
 	message.call = answer.call;
+	if (answer.summary)
+	{
+		message.__set_summary(written(*answer.summary));
+	}
 	if (!answer.result)
 	{
 		message.outcome = outcome_of(answer.result.error());
@@ -133,6 +240,10 @@
 		poll.after = row_version{message->after};
 	}
 	poll.wait = duration{message->wait_us};
+	if (message->__isset.report)
+	{
+		poll.report = read(message->report);
+	}
 	return poll;
 }
 
@@ -145,6 +256,10 @@
 	}
 	relay_answer answer;
 	answer.call = message->call;
+	if (message->__isset.summary)
+	{
+		answer.summary = read(message->summary);
+	}
 	if (message->outcome != outcome_rows)
 	{
 		answer.result = tl::make_unexpected(error_of(message->outcome));
--- a/src/control/relay_server.cpp
+++ b/src/control/relay_server.cpp
@@ -14,9 +14,8 @@
 constexpr duration longest_wait = std::chrono::seconds{10};
 } // namespace
 
-relay_server::relay_server(
-	proxy::asio::io_context& context, std::function<const table_cache*(const std::string&)> find)
-	: context_(context), find_(std::move(find)), acceptor_(context), timer_(context)
+relay_server::relay_server(proxy::asio::io_context& context, relay_server_hooks hooks)
+	: context_(context), hooks_(std::move(hooks)), acceptor_(context), timer_(context)
 {
 }
 
@@ -63,6 +62,10 @@
 		log::write(log::level::warn, "relay: frame not understood", {{"bytes", frame.size()}});
 		return;
 	}
+	if (poll->report)
+	{
+		hooks_.reported(*poll->report);
+	}
 	waiting_poll one{*poll, from, proxy::steady_now() + std::clamp(poll->wait, duration{0}, longest_wait)};
 	if (has_answer(*poll) || one.poll.wait <= duration{0})
 	{
@@ -75,7 +78,7 @@
 
 bool relay_server::has_answer(const relay_poll& poll) const
 {
-	const auto* cache = find_(poll.table);
+	const auto* cache = hooks_.find(poll.table);
 	return cache != nullptr && cache->known() && (!poll.after || cache->has_news(*poll.after));
 }
 
@@ -86,11 +89,15 @@
 	{
 		return;
 	}
-	const auto* cache = find_(to.poll.table);
+	const auto* cache = hooks_.find(to.poll.table);
 	relay_answer made;
 	made.call = to.poll.call;
 	made.result = cache == nullptr ? tl::make_unexpected(store_error::unavailable)
 								   : cache->read(to.poll.after, proxy::steady_now());
+	if (to.poll.report)
+	{
+		made.summary = hooks_.summarise(to.poll.report->reporter);
+	}
 	link->send(write_frame(made));
 }
 
--- a/src/control/shared_store.cpp
+++ b/src/control/shared_store.cpp
@@ -6,8 +6,8 @@
 namespace gingerdyke::control
 {
 shared_store::shared_store(proxy::asio::io_context& context, row_store& registry, source_selector& sources,
-	shared_store_tuning tuning)
-	: context_(context), registry_(registry), sources_(sources), tuning_(tuning)
+	shared_store_hooks hooks, shared_store_tuning tuning)
+	: context_(context), registry_(registry), sources_(sources), hooks_(std::move(hooks)), tuning_(tuning)
 {
 }
 
@@ -80,6 +80,7 @@
 	relay_poll poll;
 	poll.table = call.table;
 	poll.after = call.after;
+	poll.report = call.after ? hooks_.report(call.table) : std::nullopt;
 	const auto share = call.after ? tuning_.wait_share : 1.0;
 	poll.wait = duration{static_cast<duration::rep>(static_cast<double>(call.wait.count()) * share)};
 	const auto limit = poll.wait + (call.after ? tuning_.answer_limit : duration{0});
@@ -128,6 +129,7 @@
 	{
 		log::write(log::level::info, "reading from", {{"source", name}});
 		last_source_ = std::move(name);
+		hooks_.moved(!source);
 	}
 }
 
@@ -136,7 +138,7 @@
 	auto& known = clients_[to.vm];
 	if (!known || known->to() != to)
 	{
-		known = std::make_shared<relay_client>(context_, to);
+		known = std::make_shared<relay_client>(context_, to, hooks_.summarised);
 	}
 	return known;
 }
--- a/src/control/source_selector.cpp
+++ b/src/control/source_selector.cpp
@@ -11,9 +11,11 @@
 /// Name under which the registry itself rests; no VM has an empty name.
 const std::string registry_name;
 
-std::uint64_t rank_of(const vm_id& vm)
+/// Whether a VM is asked before another one of its failure domain.
+bool ranks_before(const peer& a, const peer& b)
 {
-	return stable_hash(vm.str());
+	return a.link_mbps != b.link_mbps ? a.link_mbps > b.link_mbps
+									  : stable_hash(a.vm.str()) < stable_hash(b.vm.str());
 }
 
 const std::string& name_of(const std::optional<peer>& source)
@@ -22,20 +24,17 @@
 }
 } // namespace
 
-source_selector::source_selector(vm_id self, failure_domain_id domain, source_tuning tuning)
-	: self_(std::move(self)), domain_(std::move(domain)), tuning_(tuning)
-{
-}
+source_selector::source_selector(peer self, source_tuning tuning) : self_(std::move(self)), tuning_(tuning) {}
 
 void source_selector::set_peers(std::vector<peer> peers)
 {
-	std::erase_if(peers, [this](const peer& one) { return one.vm == self_; });
+	std::erase_if(peers, [this](const peer& one) { return one.vm == self_.vm; });
 	std::sort(peers.begin(), peers.end(),
 		[this](const peer& a, const peer& b)
 		{
-			const bool a_is_near = a.domain == domain_;
-			const bool b_is_near = b.domain == domain_;
-			return a_is_near != b_is_near ? a_is_near : rank_of(a.vm) < rank_of(b.vm);
+			const bool a_is_near = a.domain == self_.domain;
+			const bool b_is_near = b.domain == self_.domain;
+			return a_is_near != b_is_near ? a_is_near : ranks_before(a, b);
 		});
 	peers_ = std::move(peers);
 }
@@ -50,7 +49,7 @@
 	std::size_t far = 0;
 	for (const auto& one : peers_)
 	{
-		if (one.domain != domain_ && (!registry_rests || ++far > tuning_.far_sources))
+		if (one.domain != self_.domain && (!registry_rests || ++far > tuning_.far_sources))
 		{
 			break;
 		}
@@ -64,10 +63,9 @@
 
 bool source_selector::reads_itself(instant now) const
 {
-	const auto own_rank = rank_of(self_);
 	const auto before = std::count_if(peers_.begin(), peers_.end(),
 		[&](const peer& one)
-		{ return one.domain == domain_ && rank_of(one.vm) < own_rank && !rests(one.vm.str(), now); });
+		{ return one.domain == self_.domain && ranks_before(one, self_) && !rests(one.vm.str(), now); });
 	return static_cast<std::size_t>(before) < tuning_.readers;
 }
 
--- a/src/control/table_follower.cpp
+++ b/src/control/table_follower.cpp
@@ -31,7 +31,13 @@
 
 void table_follower::start()
 {
-	call();
+	if (stopped_)
+	{
+		stopped_ = false;
+		++run_;
+		next_.reset();
+		call();
+	}
 }
 
 void table_follower::stop()
@@ -56,22 +62,30 @@
 {
 	const auto sent_at = proxy::steady_now();
 	store_.read_all(cache_.table(),
-		[this, sent_at](store_result<row_batch> result) { on_all(std::move(result), sent_at); });
+		[this, sent_at, run = run_](store_result<row_batch> result)
+		{
+			if (!is_over(run))
+			{
+				on_all(std::move(result), sent_at);
+			}
+		});
 }
 
 void table_follower::follow()
 {
 	const auto sent_at = proxy::steady_now();
 	store_.follow(cache_.table(), *next_, tuning_.wait,
-		[this, sent_at](store_result<row_batch> result) { on_changes(std::move(result), sent_at); });
+		[this, sent_at, run = run_](store_result<row_batch> result)
+		{
+			if (!is_over(run))
+			{
+				on_changes(std::move(result), sent_at);
+			}
+		});
 }
 
 void table_follower::on_all(store_result<row_batch> result, instant sent_at)
 {
-	if (stopped_)
-	{
-		return;
-	}
 	if (!result)
 	{
 		note_failure(result.error());
@@ -95,10 +109,6 @@
 
 void table_follower::on_changes(store_result<row_batch> result, instant sent_at)
 {
-	if (stopped_)
-	{
-		return;
-	}
 	if (!result)
 	{
 		note_failure(result.error());
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -174,16 +174,16 @@
 		give_up(unavailable, "retry budget used up");
 		return;
 	}
+	if (attempts_ == 0)
+	{
+		size_ = shared_.sizes().first(*route_, route_->attempts > 1 && route_->may_run_again());
+	}
 	const auto replica = choose_replica();
 	if (!replica)
 	{
 		give_up(unavailable, "no replica");
 		return;
 	}
-	if (attempts_ == 0)
-	{
-		size_ = shared_.sizes().first(*route_, route_->attempts > 1 && route_->may_run_again());
-	}
 	send_to(replica);
 }
 
@@ -192,7 +192,11 @@
 	const auto now = steady_now();
 	auto& versions = shared_.versions();
 	std::string version = versions.version_for(service_id_, session_point_, now);
-	routing::selection what{service_id_, route_->keeps_prefixes ? prompt_.shared_parts : 0, {}};
+	routing::selection what;
+	what.service = service_id_;
+	what.affinity = route_->keeps_prefixes ? prompt_.shared_parts : 0;
+	what.shared_work = prompt_.shared_tokens * model_weight();
+	what.is_engine = service_ != nullptr && service_->is_engine;
 	what.usable = [&](const routing::replica& one)
 	{
 		const bool was_tried = std::find(tried_.begin(), tried_.end(), one.id) != tried_.end();
@@ -220,6 +224,21 @@
 	return shared_.pool().open(one.id) < std::max(2U, limit / sharing_vms);
 }
 
+/// A smaller model does the same work in less of an engine's time.
+double exchange::model_weight() const
+{
+	if (service_ == nullptr)
+	{
+		return 1;
+	}
+	if (!route_->models.empty())
+	{
+		return service_->relative_cost(route_->models[size_.index]);
+	}
+	const auto* named = request_.find(shared_.names().model);
+	return named == nullptr ? 1 : service_->relative_cost(model_id{*named});
+}
+
 header_fields exchange::fields_for(const routing::replica& to) const
 {
 	const auto& names = shared_.names();
@@ -280,7 +299,8 @@
 	// From here on a replica may run it at any moment, whatever is heard of it.
 	trace_ = trace::may_have_run;
 	attempt_->link = shared_.pool().take(to, route_->may_run_again(), now);
-	shared_.selector().note_sent(to->id, prompt_.work());
+	attempt_->work = prompt_.work() * model_weight();
+	shared_.selector().note_sent(to->id, attempt_->work);
 	attempt_->connected = attempt_->link->was_used();
 	arm_attempt_timer(attempt_->connected ? first_byte_limit() : shared_.tuning().connect_limit);
 
@@ -312,7 +332,7 @@
 		return;
 	}
 	attempt_timer_.cancel();
-	shared_.selector().note_over(attempt_->to->id, prompt_.work());
+	shared_.selector().note_over(attempt_->to->id, attempt_->work);
 	if (!answered_whole)
 	{
 		attempt_->link->close();
--- a/src/proxy/prompt.cpp
+++ b/src/proxy/prompt.cpp
@@ -1,5 +1,6 @@
 // SPDX-License-Identifier: MIT
 // What a request tells about its prompt.
+#include <algorithm>
 #include <charconv>
 #include <gingerdyke/base/crypto.hpp>
 #include <gingerdyke/proxy/prompt.hpp>
@@ -14,6 +15,20 @@
 	std::from_chars(text.data(), text.data() + text.size(), number);
 	return static_cast<double>(number);
 }
+
+/// Sum over parts written `ID:TOKENS,ID:TOKENS`.
+double tokens_of(std::string_view parts)
+{
+	double sum = 0;
+	while (!parts.empty())
+	{
+		const auto part = parts.substr(0, parts.find(','));
+		const auto colon = part.find(':');
+		sum += colon == std::string_view::npos ? 0 : read_number(part.substr(colon + 1));
+		parts.remove_prefix(std::min(parts.size(), part.size() + 1));
+	}
+	return sum;
+}
 } // namespace
 
 prompt read_prompt(const std::string* token_counts, const std::string* parts)
@@ -34,7 +49,9 @@
 		const auto last = parts->rfind(',');
 		if (last != std::string::npos)
 		{
-			read.shared_parts = stable_hash(std::string_view{*parts}.substr(0, last));
+			const auto shared = std::string_view{*parts}.substr(0, last);
+			read.shared_parts = stable_hash(shared);
+			read.shared_tokens = tokens_of(shared);
 		}
 	}
 	return read;
--- a/src/rollout/version_shift.cpp
+++ b/src/rollout/version_shift.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <gingerdyke/rollout/sequential_test.hpp>
 #include <gingerdyke/rollout/version_shift.hpp>
+#include <utility>
 
 namespace gingerdyke::rollout
 {
@@ -38,6 +39,28 @@
 	return {a.answers + b.answers, a.failed + b.failed, a.slow + b.slow};
 }
 
+using group_counts = std::map<std::string, shift_counts>;
+
+std::uint64_t answers_in(const group_counts& groups)
+{
+	std::uint64_t sum = 0;
+	for (const auto& [group, counts] : groups)
+	{
+		sum += counts.answers;
+	}
+	return sum;
+}
+
+std::uint64_t bad_in(const group_counts& groups)
+{
+	std::uint64_t sum = 0;
+	for (const auto& [group, counts] : groups)
+	{
+		sum += counts.failed + counts.slow;
+	}
+	return sum;
+}
+
 std::string commonest_version(
 	const std::vector<routing::replica_ptr>& replicas, const std::optional<shift_order>& order)
 {
@@ -115,6 +138,9 @@
 		state.suspended = false;
 		state.own.clear();
 		state.others.clear();
+		state.relayed.clear();
+		state.unwritten.clear();
+		state.written_bad = 0;
 	}
 	state.plan = plan;
 	state.stable_version = plan.state == shift_state::completed ? plan.to_version : plan.from_version;
@@ -125,12 +151,82 @@
 void version_shift::on_evidence(const std::string& reporter, const shift_evidence& evidence, instant now)
 {
 	auto& state = services_[evidence.service];
+	if (keep_evidence(state, reporter, evidence))
+	{
+		judge(state, now);
+	}
+}
+
+void version_shift::on_relayed_evidence(
+	const std::string& reporter, const shift_evidence& evidence, instant now)
+{
+	auto& state = services_[evidence.service];
+	if (keep_evidence(state, reporter, evidence))
+	{
+		state.relayed.insert(reporter);
+		state.unwritten.insert(reporter);
+		judge(state, now);
+	}
+}
+
+/// \returns Whether it tells more than what is known of that VM: its ways here may overtake one another.
+bool version_shift::keep_evidence(
+	service_state& state, const std::string& reporter, const shift_evidence& evidence)
+{
 	if (!state.plan || state.plan->order != evidence.order)
+	{
+		return false;
+	}
+	auto& known = state.others[reporter];
+	if (answers_in(evidence.by_group) <= answers_in(known))
+	{
+		return false;
+	}
+	known = evidence.by_group;
+	return true;
+}
+
+void version_shift::on_suspension(const shift_suspension& suspension, instant now)
+{
+	const auto found = services_.find(suspension.service);
+	if (found == services_.end())
 	{
 		return;
 	}
-	state.others[reporter] = evidence.by_group;
-	judge(state, now);
+	auto& state = found->second;
+	const bool concerns_plan = state.plan && state.plan->order == suspension.order &&
+							   state.plan->state == shift_state::running && !state.suspended;
+	if (concerns_plan)
+	{
+		suspend(state);
+		state.act_at = now + random_delay();
+	}
+}
+
+std::vector<shift_evidence> version_shift::own_evidence() const
+{
+	std::vector<shift_evidence> all;
+	for (const auto& [service, state] : services_)
+	{
+		if (state.plan && state.plan->state == shift_state::running && !state.own.empty())
+		{
+			all.push_back({service, state.plan->order, state.own});
+		}
+	}
+	return all;
+}
+
+std::vector<shift_suspension> version_shift::suspensions() const
+{
+	std::vector<shift_suspension> all;
+	for (const auto& [service, state] : services_)
+	{
+		if (state.plan && state.plan->state == shift_state::running && state.suspended)
+		{
+			all.push_back({service, state.plan->order});
+		}
+	}
+	return all;
 }
 
 void version_shift::note_replicas(
@@ -180,9 +276,9 @@
 	auto& slowness = state.own[slowness_group(answer)];
 	++slowness.answers;
 	slowness.slow += slow ? 1 : 0;
+	state.unwritten.insert(std::string{});
 	if (answer.failed || slow)
 	{
-		state.has_news_to_report = true;
 		judge(state, now);
 	}
 }
@@ -251,11 +347,9 @@
 	std::vector<shift_write> writes;
 	for (auto& [service, state] : services_)
 	{
-		if (state.has_news_to_report && state.plan && now - state.reported_at >= tuning_.report_pause)
+		if (evidence_grew(state) && now - state.written_at >= tuning_.report_pause)
 		{
-			state.has_news_to_report = false;
-			state.reported_at = now;
-			writes.push_back({std::nullopt, shift_evidence{service, state.plan->order, state.own}});
+			writes.push_back({std::nullopt, take_evidence(service, state, now)});
 		}
 		if (!state.act_at || *state.act_at > now)
 		{
@@ -264,7 +358,7 @@
 		if (auto plan = next_plan(state, now))
 		{
 			plan->service = service;
-			writes.push_back({std::move(plan), std::nullopt});
+			writes.push_back({std::move(plan), {}});
 			state.act_at = now + write_again + random_delay();
 			continue;
 		}
@@ -283,9 +377,9 @@
 		{
 			consider(*state.act_at);
 		}
-		if (state.has_news_to_report && state.plan)
+		if (evidence_grew(state))
 		{
-			consider(state.reported_at + tuning_.report_pause);
+			consider(state.written_at + tuning_.report_pause);
 		}
 	}
 	return next;
@@ -300,7 +394,44 @@
 bool version_shift::has_evidence(const service_id& service) const
 {
 	const auto* state = find(service);
-	return state != nullptr && state->has_news_to_report;
+	return state != nullptr && evidence_grew(*state);
+}
+
+std::uint64_t version_shift::bad_to_write(const service_state& state) const
+{
+	auto sum = bad_in(state.own);
+	for (const auto& reporter : state.relayed)
+	{
+		const auto found = state.others.find(reporter);
+		sum += found == state.others.end() ? 0 : bad_in(found->second);
+	}
+	return sum;
+}
+
+bool version_shift::evidence_grew(const service_state& state) const
+{
+	if (!reads_registry_ || !state.plan || state.plan->state != shift_state::running ||
+		state.unwritten.empty())
+	{
+		return false;
+	}
+	const auto bad = bad_to_write(state);
+	const auto grown = static_cast<double>(state.written_bad) * tuning_.report_growth;
+	return bad > state.written_bad && static_cast<double>(bad) >= grown;
+}
+
+std::vector<reported_evidence> version_shift::take_evidence(
+	const service_id& service, service_state& state, instant now)
+{
+	std::vector<reported_evidence> taken;
+	for (const auto& reporter : std::exchange(state.unwritten, {}))
+	{
+		const auto& groups = reporter.empty() ? state.own : state.others[reporter];
+		taken.push_back({reporter, {service, state.plan->order, groups}});
+	}
+	state.written_bad = bad_to_write(state);
+	state.written_at = now;
+	return taken;
 }
 
 const shift_plan* version_shift::plan_of(const service_id& service) const
@@ -447,9 +578,14 @@
 	{
 		return;
 	}
+	suspend(state);
+	state.act_at = reads_registry_ ? now : now + random_delay();
+}
+
+void version_shift::suspend(service_state& state)
+{
 	state.suspended = true;
 	news_(*state.plan, true);
-	state.act_at = now;
 }
 
 void version_shift::schedule(service_state& state, instant now)
@@ -459,7 +595,9 @@
 
 duration version_shift::random_delay() const
 {
-	return duration{
-		static_cast<duration::rep>(random_unit(random_) * static_cast<double>(tuning_.spread.count()))};
+	const auto spread = reads_registry_ ? tuning_.spread : tuning_.reader_advantage;
+	const auto least = reads_registry_ ? duration{0} : tuning_.reader_advantage;
+	const auto part = random_unit(random_) * static_cast<double>(spread.count());
+	return least + duration{static_cast<duration::rep>(part)};
 }
 } // namespace gingerdyke::rollout
--- a/src/routing/catalog.cpp
+++ b/src/routing/catalog.cpp
@@ -62,6 +62,18 @@
 	return found == by_service_.end() ? nullptr : found->second;
 }
 
+double service::relative_cost(const model_id& model) const
+{
+	double dearest = 0;
+	double cost = 0;
+	for (const auto& one : models)
+	{
+		dearest = std::max(dearest, one.cost);
+		cost = one.model == model ? one.cost : cost;
+	}
+	return cost > 0 ? cost / dearest : 1;
+}
+
 const service_id& pick_service(const route& route, std::uint64_t point)
 {
 	std::uint64_t total = 0;
--- a/src/routing/replica_selector.cpp
+++ b/src/routing/replica_selector.cpp
@@ -21,7 +21,7 @@
 	{
 		return nullptr;
 	}
-	return what.affinity != 0 ? by_affinity(from, what.affinity) : by_load(from);
+	return what.is_engine ? by_work(from, what, now) : by_load(from);
 }
 
 replica_selector::candidates replica_selector::usable(const selection& what, instant now) const
@@ -46,21 +46,13 @@
 	return static_cast<double>(open.size()) < floor ? all : open;
 }
 
-replica_ptr replica_selector::by_affinity(const candidates& from, std::uint64_t affinity) const
+namespace
+{
+/// The replica that all VMs favour for the same shared parts (rendezvous hashing).
+const replica_ptr* favoured(const std::vector<const replica_ptr*>& from, std::uint64_t affinity)
 {
-	double total = 0;
-	for (const auto* one : from)
-	{
-		const auto* known = find((*one)->id);
-		total += known == nullptr ? 0 : known->open_tokens;
-	}
-	const auto mean = total / static_cast<double>(from.size());
-	const auto bound = std::max(tuning_.affinity_floor, tuning_.affinity_bound * mean);
-
 	const replica_ptr* best = nullptr;
 	std::uint64_t best_score = 0;
-	const replica_ptr* best_open = nullptr;
-	std::uint64_t best_open_score = 0;
 	for (const auto* one : from)
 	{
 		const auto score = mix_hash(affinity, stable_hash((*one)->id.str()));
@@ -69,15 +61,40 @@
 			best = one;
 			best_score = score;
 		}
-		const auto* known = find((*one)->id);
-		const bool has_room = known == nullptr || known->open_tokens <= bound;
-		if (has_room && (best_open == nullptr || score > best_open_score))
+	}
+	return best;
+}
+} // namespace
+
+replica_ptr replica_selector::by_work(const candidates& from, const selection& what, instant now) const
+{
+	const replica_ptr* best = nullptr;
+	double best_work = 0;
+	if (what.affinity != 0)
+	{
+		best = favoured(from, what.affinity);
+		best_work = work_at(**best, now) - what.shared_work - tuning_.affinity_margin;
+	}
+	for (unsigned i = 0; i < tuning_.drawn; ++i)
+	{
+		const auto* one = from[random_below(random_, from.size())];
+		const auto work = work_at(**one, now);
+		if (best == nullptr || work < best_work)
 		{
-			best_open = one;
-			best_open_score = score;
+			best = one;
+			best_work = work;
 		}
 	}
-	return best_open != nullptr ? *best_open : *best;
+	return *best;
+}
+
+double replica_selector::work_at(const replica& one, instant now) const
+{
+	const auto* known = find(one.id);
+	const auto own = known == nullptr ? 0 : known->open_tokens;
+	const auto elsewhere = elsewhere_.find(one.id);
+	const bool is_told = elsewhere != elsewhere_.end() && now - elsewhere_at_ <= tuning_.elsewhere_lifetime;
+	return own + (is_told ? elsewhere->second : 0);
 }
 
 replica_ptr replica_selector::by_load(const candidates& from) const
@@ -183,10 +200,27 @@
 	states_.erase(id);
 }
 
-unsigned replica_selector::open_requests(const replica_id& id) const
+std::vector<replica_work> replica_selector::open_work() const
+{
+	std::vector<replica_work> all;
+	for (const auto& [id, known] : states_)
+	{
+		if (known.open_tokens > 0)
+		{
+			all.push_back({id, known.open_tokens});
+		}
+	}
+	return all;
+}
+
+void replica_selector::note_elsewhere(const std::vector<replica_work>& work, instant now)
 {
-	const auto* known = find(id);
-	return known == nullptr ? 0 : known->open;
+	elsewhere_.clear();
+	for (const auto& one : work)
+	{
+		elsewhere_[one.replica] = one.tokens;
+	}
+	elsewhere_at_ = now;
 }
 
 const replica_selector::state* replica_selector::find(const replica_id& id) const
--- a/tests/control/control.cpp
+++ b/tests/control/control.cpp
@@ -3,6 +3,7 @@
 #include "../support/event_loop.hpp"
 #include <gingerdyke/control/relay_client.hpp>
 #include <gingerdyke/control/relay_server.hpp>
+#include <gingerdyke/control/report_board.hpp>
 #include <gingerdyke/control/table_cache.hpp>
 
 using namespace gingerdyke;
@@ -30,7 +31,24 @@
 
 peer make_peer(const char* name, const char* domain = "a", std::uint16_t port = 1)
 {
-	return {vm_id{name}, failure_domain_id{domain}, {"127.0.0.1", port}};
+	return {vm_id{name}, failure_domain_id{domain}, {"127.0.0.1", port}, 0};
+}
+
+/// A server of one copy that has nothing to do with reports.
+relay_server_hooks serving(const table_cache& cache)
+{
+	relay_server_hooks hooks;
+	hooks.find = [&cache](const std::string& table) { return table == cache.table() ? &cache : nullptr; };
+	hooks.reported = [](const peer_report&) {};
+	hooks.summarise = [](const std::string&) { return peer_summary{}; };
+	return hooks;
+}
+
+/// A port that is free: the kernel's own choice, found by binding once.
+std::uint16_t free_port(proxy::asio::io_context& context)
+{
+	proxy::tcp::acceptor probe{context, {proxy::asio::ip::address_v4::loopback(), 0}};
+	return probe.local_endpoint().port();
 }
 
 const instant start{seconds{100}};
@@ -66,7 +84,7 @@
 	std::vector<std::pair<std::string, source_selector>> selectors;
 	for (const auto& one : all)
 	{
-		selectors.emplace_back(one.vm.str(), source_selector{one.vm, one.domain});
+		selectors.emplace_back(one.vm.str(), source_selector{one});
 		selectors.back().second.set_peers(all);
 	}
 	const auto reader_of = [&](const source_selector& of, const std::string& self)
@@ -98,7 +116,7 @@
 TEST_CASE(
 	"a VM that the registry turns away reads another VM's copy, of its own failure domain first", "[sources]")
 {
-	source_selector alone{vm_id{"vm1"}, failure_domain_id{"a"}};
+	source_selector alone{make_peer("vm1")};
 	CHECK_FALSE(alone.choose(start));
 	alone.set_peers({make_peer("far", "b")});
 	CHECK_FALSE(alone.choose(start));
@@ -136,17 +154,15 @@
 	table_cache cache{"t"};
 	cache.replace({make_row("a", 3)}, row_version{3});
 	cache.confirm(proxy::steady_now(), registry_time{1}, proxy::steady_now());
-	relay_server server{context, [&](const std::string& table) { return table == "t" ? &cache : nullptr; }};
-	// Ports for tests: the kernel's own choice, found by binding once.
-	proxy::tcp::acceptor probe{context, {proxy::asio::ip::address_v4::loopback(), 0}};
-	const auto port = probe.local_endpoint().port();
-	probe.close();
+	relay_server server{context, serving(cache)};
+	const auto port = free_port(context);
 	REQUIRE_FALSE(server.listen({"127.0.0.1", port}));
-	const auto client = std::make_shared<relay_client>(context, make_peer("other", "a", port));
+	const auto client =
+		std::make_shared<relay_client>(context, make_peer("other", "a", port), [](const peer_summary&) {});
 	std::optional<store_result<row_batch>> got;
 	const auto take = [&](store_result<row_batch> result) { got = std::move(result); };
 
-	client->call({0, "t", row_version{3}, seconds{10}}, seconds{20}, take);
+	client->call({0, "t", row_version{3}, seconds{10}, {}}, seconds{20}, take);
 	context.run_for(milliseconds{20});
 	CHECK_FALSE(got);
 	cache.apply({make_row("b", 4)}, row_version{4});
@@ -156,10 +172,73 @@
 	CHECK((*got)->rows.front().table == "t");
 
 	got.reset();
-	client->call({0, "t", row_version{4}, seconds{10}}, seconds{20}, take);
+	client->call({0, "t", row_version{4}, seconds{10}, {}}, seconds{20}, take);
 	context.restart();
 	context.run_for(milliseconds{20});
 	server.stop();
 	test::run_until(context, [&] { return got.has_value(); });
 	CHECK(got->error() == store_error::unreachable);
 }
+
+TEST_CASE("the VM with the largest link reads the registry for its failure domain", "[sources]")
+{
+	auto large = make_peer("vm3");
+	large.link_mbps = 200;
+	const std::vector<peer> all{make_peer("vm1"), make_peer("vm2"), large, make_peer("vm4")};
+	for (const auto& one : all)
+	{
+		source_selector selector{one};
+		selector.set_peers(all);
+		const auto source = selector.choose(start);
+		CHECK((source ? source->vm : one.vm) == large.vm);
+	}
+}
+
+TEST_CASE(
+	"work that others have open is summed up without the asker's, and only while it is fresh", "[reports]")
+{
+	report_board board;
+	board.take("a", {{replica_id{"r1"}, 100}, {replica_id{"r2"}, 10}}, start);
+	board.take("b", {{replica_id{"r1"}, 50}}, start);
+	board.take("a", {{replica_id{"r1"}, 70}}, start + milliseconds{200});
+	const auto for_c = board.work_of_others("c", start + milliseconds{300});
+	REQUIRE(for_c.size() == 1);
+	CHECK(for_c.front().tokens == 120);
+	CHECK(board.work_of_others("a", start + milliseconds{300}).front().tokens == 50);
+	CHECK(board.work_of_others("b", start + milliseconds{1600}).front().tokens == 70);
+	CHECK(board.work_of_others("c", start + seconds{5}).empty());
+}
+
+TEST_CASE("a report goes with a poll, and a summary comes back", "[reports]")
+{
+	proxy::asio::io_context context{1};
+	table_cache cache{"t"};
+	cache.replace({make_row("a", 3)}, row_version{3});
+	cache.confirm(proxy::steady_now(), registry_time{1}, proxy::steady_now());
+	std::optional<peer_report> reported;
+	auto hooks = serving(cache);
+	hooks.reported = [&](const peer_report& report) { reported = report; };
+	hooks.summarise = [](const std::string& reporter) {
+		return peer_summary{{{replica_id{"for " + reporter}, 7}}, {{service_id{"s"}, row_version{12}}}};
+	};
+	relay_server server{context, hooks};
+	const auto port = free_port(context);
+	REQUIRE_FALSE(server.listen({"127.0.0.1", port}));
+	std::optional<peer_summary> summary;
+	const auto client = std::make_shared<relay_client>(
+		context, make_peer("other", "a", port), [&](const peer_summary& one) { summary = one; });
+	const rollout::shift_evidence seen{service_id{"s"}, row_version{12}, {{"route r", {9, 2, 1}}}};
+	client->call(
+		{0, "t", row_version{3}, milliseconds{1}, peer_report{"me", {{replica_id{"r1"}, 40}}, {seen}}},
+		seconds{20}, [](const store_result<row_batch>&) {});
+	test::run_until(context, [&] { return summary.has_value(); });
+	CHECK(summary->work.front().replica.str() == "for me");
+	CHECK(summary->suspended.front().order.value() == 12);
+	REQUIRE(reported);
+	CHECK(reported->work.front().tokens == 40);
+	REQUIRE(reported->evidence.size() == 1);
+	CHECK(reported->evidence.front().by_group.at("route r").answers == 9);
+	CHECK(reported->evidence.front().by_group.at("route r").failed == 2);
+	server.stop();
+	client->abandon();
+}
--- a/tests/platform/platform.cpp
+++ b/tests/platform/platform.cpp
@@ -51,7 +51,7 @@
 	controlled_vm(proxy_world& world, const platform::standin::registry& registry, const std::string& name)
 		: client(world.context, registry.at()),
 		  coordinator(world.gateway(), client, platform::layout(),
-			  {vm_id{name}, failure_domain_id{"a"}, free_address(world.context)}, name + "-1",
+			  {vm_id{name}, failure_domain_id{"a"}, free_address(world.context), 0}, name + "-1",
 			  seeded_random{4})
 	{
 		REQUIRE_FALSE(coordinator.start());
--- a/tests/rollout/version_shift.cpp
+++ b/tests/rollout/version_shift.cpp
@@ -201,6 +201,75 @@
 	CHECK(measured_share(one) == 0);
 }
 
+TEST_CASE("a VM that reads for others writes their evidence with its own, and only as it grows", "[shift]")
+{
+	vm one{1};
+	const auto plan = begin(one);
+	one.see("v1", 100, 0);
+	one.pass(seconds{11});
+	const auto evidence_due = [&]
+	{
+		one.pass(milliseconds{400});
+		std::vector<reported_evidence> all;
+		for (auto& write : one.shift.due(one.now))
+		{
+			all.insert(all.end(), write.evidence.begin(), write.evidence.end());
+		}
+		return all;
+	};
+	const auto relay = [&](const char* reporter, std::uint64_t answers, std::uint64_t failed)
+	{
+		one.shift.on_relayed_evidence(
+			reporter, {service, plan.order, {{"route route", {answers, failed, 0}}}}, one.now);
+	};
+	relay("a", 20, 0);
+	CHECK(evidence_due().empty());
+	relay("a", 40, 2);
+	one.see("v2", 20, 0);
+	const auto first = evidence_due();
+	REQUIRE(first.size() == 2);
+	CHECK(first[0].reporter.empty());
+	CHECK(first[1].reporter == "a");
+	CHECK(first[1].evidence.by_group.at("route route").answers == 40);
+	relay("a", 50, 2);
+	relay("a", 45, 9);
+	CHECK(evidence_due().empty());
+	relay("b", 30, 1);
+	CHECK(evidence_due().size() == 2);
+	one.shift.note_reads_registry(false);
+	relay("b", 60, 4);
+	CHECK(evidence_due().empty());
+}
+
+TEST_CASE("what is relayed and comes from the registry as well counts once", "[shift]")
+{
+	vm one{1};
+	const auto plan = begin(one);
+	one.see("v1", 100, 0);
+	one.pass(seconds{11});
+	const shift_evidence seen{service, plan.order, {{"route route", {4, 2, 0}}}};
+	for (int i = 0; i < 20; ++i)
+	{
+		one.shift.on_relayed_evidence("a", seen, one.now);
+		one.shift.on_evidence("a", seen, one.now);
+	}
+	CHECK(measured_share(one) > 0);
+}
+
+TEST_CASE("another VM's verdict suspends here too, and a reader writes it first", "[shift]")
+{
+	vm one{1};
+	const auto plan = begin(one);
+	one.pass(seconds{11});
+	one.shift.on_suspension({service, row_version{9}}, one.now);
+	CHECK(measured_share(one) > 0);
+	one.shift.note_reads_registry(false);
+	one.shift.on_suspension({service, plan.order}, one.now);
+	CHECK(measured_share(one) == 0);
+	REQUIRE(one.shift.suspensions().size() == 1);
+	CHECK(*one.shift.next_due() - one.now >= milliseconds{900});
+}
+
 TEST_CASE("a version that is several times slower is suspended, cold caches are not", "[shift]")
 {
 	vm one{1};
--- a/tests/routing/replica_selector.cpp
+++ b/tests/routing/replica_selector.cpp
@@ -29,7 +29,12 @@
 
 	[[nodiscard]] replica_ptr choose(std::uint64_t affinity = 0)
 	{
-		return selector.choose({service_id{"s"}, affinity, [](const replica&) { return true; }}, now);
+		selection what;
+		what.service = service_id{"s"};
+		what.affinity = affinity;
+		what.is_engine = affinity != 0;
+		what.usable = [](const replica&) { return true; };
+		return selector.choose(what, now);
 	}
 
 	instant now{seconds{50}};
@@ -64,6 +69,35 @@
 	CHECK(world.choose(42)->id == favoured);
 }
 
+TEST_CASE("work that other VMs have open counts, until it is old", "[selector]")
+{
+	selector_world world{6};
+	const auto favoured = world.choose(42)->id;
+	world.selector.note_elsewhere({{favoured, 200000}}, world.now);
+	CHECK(world.choose(42)->id != favoured);
+	world.now += seconds{3};
+	CHECK(world.choose(42)->id == favoured);
+	world.selector.note_elsewhere({}, world.now);
+	CHECK(world.choose(42)->id == favoured);
+}
+
+TEST_CASE("affinity holds while reading the shared parts elsewhere would be more work", "[selector]")
+{
+	selector_world world{6};
+	selection what;
+	what.service = service_id{"s"};
+	what.affinity = 42;
+	what.shared_work = 50000;
+	what.is_engine = true;
+	what.usable = [](const replica&) { return true; };
+	const auto favoured = world.selector.choose(what, world.now)->id;
+	world.selector.note_sent(favoured, 60000);
+	CHECK(world.selector.choose(what, world.now)->id == favoured);
+	world.selector.note_sent(favoured, 60000);
+	CHECK(world.selector.choose(what, world.now)->id != favoured);
+	CHECK(world.selector.open_work().front().tokens == 120000);
+}
+
 TEST_CASE("work goes to the near replica until it is loaded", "[selector]")
 {
 	selector_world world{3};
--- a/thrift/relay.thrift
+++ b/thrift/relay.thrift
@@ -4,12 +4,50 @@
 
 namespace cpp gingerdyke.wire
 
+// Work that is open at a replica, in tokens read.
+struct RelayWork {
+	1: required string replica
+	2: required i64 tokens
+}
+
+struct RelayCounts {
+	1: required string group
+	2: required i64 answers
+	3: required i64 failed
+	4: required i64 slow
+}
+
+struct RelayEvidence {
+	1: required string service_name
+	2: required i64 order
+	3: required list<RelayCounts> groups
+}
+
+// What a VM tells the one that it reads from.
+struct RelayReport {
+	1: required string reporter
+	2: required list<RelayWork> work
+	3: required list<RelayEvidence> evidence
+}
+
+struct RelaySuspension {
+	1: required string service_name
+	2: required i64 order
+}
+
+// What a VM is told in return.
+struct RelaySummary {
+	1: required list<RelayWork> work
+	2: required list<RelaySuspension> suspended
+}
+
 struct RelayPoll {
 	1: required i64 call
 	2: required string table
 	3: required bool whole
 	4: required i64 after
 	5: required i64 wait_us
+	6: optional RelayReport report
 }
 
 struct RelayRow {
@@ -26,4 +64,5 @@
 	4: required i64 newest
 	5: required i64 registry_time_us
 	6: required i64 age_us
+	7: optional RelaySummary summary
 }
