--- a/include/gingerdyke/control/shared_store.hpp
+++ b/include/gingerdyke/control/shared_store.hpp
@@ -23,8 +23,10 @@
 	/// it is not ready meanwhile, so not for long: then the registry is asked.
 	duration whole_wait = std::chrono::milliseconds{250};
 
-	/// Sources that one call tries before it asks the registry: one where a VM waits to become ready.
-	unsigned sources_to_follow = 5;
+	/// Sources that one call tries before it asks the registry: one where a VM waits to become ready. Where two
+	/// have old copies, the reader has just been lost and the next one has not taken over yet, or the registry
+	/// itself is away: it has to be asked to know.
+	unsigned sources_to_follow = 2;
 	unsigned sources_to_start = 1;
 
 	/// An answer is awaited this long beyond the wait.
@@ -73,6 +75,7 @@
 	};
 
 	void read(read_call call);
+	[[nodiscard]] duration oldest_of(const read_call& call) const;
 	void read_registry(read_call call);
 	void read_peer(const peer& from, read_call call);
 	void on_peer_answer(const peer& from, read_call call, store_result<row_batch> result);
--- a/include/gingerdyke/control/source_selector.hpp
+++ b/include/gingerdyke/control/source_selector.hpp
@@ -32,8 +32,9 @@
 	/// VMs of a failure domain that read the registry themselves.
 	unsigned readers = 1;
 
-	/// A source that failed is left alone for this time, doubled each time up to the longest.
-	duration first_rest = std::chrono::seconds{2};
+	/// A source that failed is left alone for this time, doubled each time up to the longest. The first is
+	/// short: the VM that is next in rank has an old copy itself while it takes over.
+	duration first_rest = std::chrono::milliseconds{500};
 	duration longest_rest = std::chrono::seconds{30};
 
 	/// Sources of other failure domains that are tried where none of the own one is left: bytes between
--- a/include/gingerdyke/control/table_cache.hpp
+++ b/include/gingerdyke/control/table_cache.hpp
@@ -34,6 +34,9 @@
 	/// \brief True once the table was read.
 	[[nodiscard]] bool known() const noexcept { return confirmed_at_.has_value(); }
 
+	/// \brief How long ago the copy was the newest; only where it is known.
+	[[nodiscard]] duration age(instant now) const { return now - *confirmed_at_; }
+
 	[[nodiscard]] const std::string& table() const noexcept { return table_; }
 
   private:
--- a/src/control/relay_codec.cpp
+++ b/src/control/relay_codec.cpp
@@ -178,6 +178,10 @@
 	message.whole = !poll.after.has_value();
 	message.after = poll.after.value_or(row_version{0}).value();
 	message.wait_us = poll.wait.count();
+	if (poll.oldest)
+	{
+		message.__set_oldest_us(poll.oldest->count());
+	}
 	if (poll.report)
 	{
 		message.__set_report(written(*poll.report));
@@ -240,6 +244,10 @@
 		poll.after = row_version{message->after};
 	}
 	poll.wait = duration{message->wait_us};
+	if (message->__isset.oldest_us)
+	{
+		poll.oldest = duration{message->oldest_us};
+	}
 	if (message->__isset.report)
 	{
 		poll.report = read(message->report);
--- a/src/control/relay_server.cpp
+++ b/src/control/relay_server.cpp
@@ -79,7 +79,12 @@
 bool relay_server::has_answer(const relay_poll& poll) const
 {
 	const auto* cache = hooks_.find(poll.table);
-	return cache != nullptr && cache->known() && (!poll.after || cache->has_news(*poll.after));
+	if (cache == nullptr || !cache->known())
+	{
+		return false;
+	}
+	const bool is_useless = poll.oldest && cache->age(proxy::steady_now()) > *poll.oldest;
+	return is_useless || !poll.after || cache->has_news(*poll.after);
 }
 
 void relay_server::answer(const waiting_poll& to)
--- a/src/control/shared_store.cpp
+++ b/src/control/shared_store.cpp
@@ -80,6 +80,7 @@
 	relay_poll poll;
 	poll.table = call.table;
 	poll.after = call.after;
+	poll.oldest = call.after ? std::optional{oldest_of(call)} : std::nullopt;
 	poll.report = call.after ? hooks_.report(call.table) : std::nullopt;
 	const auto share = call.after ? tuning_.wait_share : 1.0;
 	poll.wait = duration{static_cast<duration::rep>(static_cast<double>(call.wait.count()) * share)};
@@ -105,7 +106,7 @@
 		return;
 	}
 	// A whole table comes late only; it is judged by what follows.
-	const bool is_fresh = result && (!call.after || result->age <= call.wait + tuning_.copy_margin);
+	const bool is_fresh = result && (!call.after || result->age <= oldest_of(call));
 	if (is_fresh)
 	{
 		sources_.note_good(from);
@@ -122,6 +123,12 @@
 	read(std::move(call));
 }
 
+/// How old a copy may be that answers a call for changes.
+duration shared_store::oldest_of(const read_call& call) const
+{
+	return call.wait + tuning_.copy_margin;
+}
+
 void shared_store::note_source(const std::optional<peer>& source)
 {
 	auto name = source ? source->vm.str() : std::string{"registry"};
--- a/src/control/table_cache.cpp
+++ b/src/control/table_cache.cpp
@@ -98,7 +98,7 @@
 		[](const row& a, const row& b) { return a.version < b.version; });
 	batch.newest = std::max(newest_, newest_change_);
 	batch.at = now.time_since_epoch() + clock_offset_;
-	batch.age = now - *confirmed_at_;
+	batch.age = age(now);
 	return batch;
 }
 } // namespace gingerdyke::control
--- a/thrift/relay.thrift
+++ b/thrift/relay.thrift
@@ -48,6 +48,7 @@
 	4: required i64 after
 	5: required i64 wait_us
 	6: optional RelayReport report
+	7: optional i64 oldest_us
 }
 
 struct RelayRow {
