VMs wait for the next reader before they ask the registry; calls by the limit for changes

Change: a VM with two or more before it in rank waits 0.55 s and tries two sources again; the reader's call and the age a copy may have follow the deployment's limit for changes (2 s: 0.7 s as before; 3 s: 1.05 s); polls between VMs are shorter instead.

--- a/include/gingerdyke/control/coordinator.hpp
+++ b/include/gingerdyke/control/coordinator.hpp
@@ -45,7 +45,7 @@
 struct coordinator_tuning
 {
 	/// The configuration is asked for this often even without news: others read it through this VM, and have
-	/// to notice within the users' 2 s that this VM has lost the registry.
+	/// to notice in time that this VM has lost the registry. For a limit of 2 s; see `tuning_for`.
 	duration operator_wait = std::chrono::milliseconds{700};
 
 	/// Replicas and our own rows: news comes at once all the same.
@@ -64,6 +64,11 @@
 	duration register_again = std::chrono::milliseconds{700};
 };
 
+/// \brief Tuning for a deployment.
+/// \param change_limit A change of the configuration is to be in force everywhere within this time. The shorter,
+/// the more calls to the registry.
+[[nodiscard]] coordinator_tuning tuning_for(duration change_limit);
+
 /// \brief Follows the registry for a gateway, itself or through another VM, and lets other VMs do so.
 class coordinator
 {
--- a/include/gingerdyke/control/shared_store.hpp
+++ b/include/gingerdyke/control/shared_store.hpp
@@ -17,7 +17,15 @@
 
 	/// A poll of another VM waits this part of what it would wait at the registry: polls within a failure
 	/// domain cost next to nothing.
-	double wait_share = 0.4;
+	double wait_share = 0.25;
+
+	/// A VM with at least this many before it in rank first waits, then tries two sources once more: by then
+	/// the next one in rank has taken over. Without that, all VMs of a failure domain ask the registry when
+	/// they lose their reader.
+	std::size_t patient_from = 2;
+
+	/// That wait: the rest of a source that failed, and a little.
+	duration patience = std::chrono::milliseconds{550};
 
 	/// A VM that has just started may have to read a table itself before it can give it whole. Who waits for
 	/// it is not ready meanwhile, so not for long: then the registry is asked.
@@ -73,10 +81,15 @@
 		/// Sources that failed in this call, and the most that may.
 		unsigned failures{};
 		unsigned most_failures{};
+
+		/// It has waited for another reader to take over.
+		bool has_waited{};
 	};
 
 	void read(read_call call);
 	[[nodiscard]] duration oldest_of(const read_call& call) const;
+	[[nodiscard]] bool should_wait(const read_call& call) const;
+	void wait_for_reader(read_call call);
 	void read_registry(read_call call);
 	void read_peer(const peer& from, read_call call);
 	void on_peer_answer(const peer& from, read_call call, store_result<row_batch> result);
--- a/include/gingerdyke/control/source_selector.hpp
+++ b/include/gingerdyke/control/source_selector.hpp
@@ -56,6 +56,9 @@
 	/// \brief The VM to read from; none: the registry itself.
 	[[nodiscard]] std::optional<peer> choose(instant now) const;
 
+	/// \brief VMs of the own failure domain that are asked before this one.
+	[[nodiscard]] std::size_t position() const;
+
 	/// \brief Notes that a source failed or has an old copy; none: the registry itself.
 	void note_bad(const std::optional<peer>& source, instant now);
 
--- a/src/control/coordinator.cpp
+++ b/src/control/coordinator.cpp
@@ -20,6 +20,20 @@
 }
 } // namespace
 
+coordinator_tuning tuning_for(duration change_limit)
+{
+	// A reader's call, and what its copy may be older than that: two thirds of the limit. The last third is
+	// for learning of a change elsewhere.
+	constexpr double wait_share = 0.35;
+	constexpr double margin_share = 0.3;
+	const auto part = [change_limit](double share)
+	{ return duration{static_cast<duration::rep>(static_cast<double>(change_limit.count()) * share)}; };
+	coordinator_tuning tuning;
+	tuning.operator_wait = part(wait_share);
+	tuning.sharing.copy_margin = part(margin_share);
+	return tuning;
+}
+
 coordinator::coordinator(proxy::gateway& gateway, row_store& registry, registry_layout layout, peer self,
 	std::string reporter, const random_source& random, coordinator_tuning tuning)
 	: gateway_(gateway), layout_(std::move(layout)), self_(std::move(self)), reporter_(std::move(reporter)),
--- a/src/control/shared_store.cpp
+++ b/src/control/shared_store.cpp
@@ -38,6 +38,11 @@
 
 void shared_store::read(read_call call)
 {
+	if (should_wait(call))
+	{
+		wait_for_reader(std::move(call));
+		return;
+	}
 	const auto source = sources_.choose(proxy::steady_now());
 	note_source(source);
 	if (source && call.failures < call.most_failures)
@@ -50,6 +55,27 @@
 	}
 }
 
+bool shared_store::should_wait(const read_call& call) const
+{
+	const bool is_out_of_sources = call.failures > 0 && call.failures >= call.most_failures;
+	return is_out_of_sources && call.after && !call.has_waited && sources_.position() >= tuning_.patient_from;
+}
+
+void shared_store::wait_for_reader(read_call call)
+{
+	call.has_waited = true;
+	call.failures = 0;
+	const auto timer = std::make_shared<proxy::asio::steady_timer>(context_, tuning_.patience);
+	timer->async_wait(
+		[this, timer, call = std::move(call)](const proxy::error_code& error) mutable
+		{
+			if (!error)
+			{
+				read(std::move(call));
+			}
+		});
+}
+
 void shared_store::read_registry(read_call call)
 {
 	const auto done = [this, inner = call.done](store_result<row_batch> result)
--- a/src/control/source_selector.cpp
+++ b/src/control/source_selector.cpp
@@ -69,6 +69,13 @@
 	return static_cast<std::size_t>(before) < tuning_.readers;
 }
 
+std::size_t source_selector::position() const
+{
+	const auto before = std::count_if(peers_.begin(), peers_.end(),
+		[this](const peer& one) { return one.domain == self_.domain && ranks_before(one, self_); });
+	return static_cast<std::size_t>(before);
+}
+
 void source_selector::note_bad(const std::optional<peer>& source, instant now)
 {
 	auto& known = rests_[name_of(source)];
