Failure domains that fall silent are left alone; unacknowledged requests are taken back sooner

In the cut domain itself more than half of all replicas were ejected, so that the floor let all of them be used again. Ruled out: retry budget (not used up), ejection times (the first is 1.5 s). Change: two replicas of a failure domain that fail without an answer within 1.5 s, with no answer from that domain between, set it aside for that time, before the floor is looked at; bytes of a request that may run again may stay unacknowledged for 0.9 s instead of 3; silent connections are probed after 1 s instead of 2.

--- a/include/gingerdyke/proxy/asio.hpp
+++ b/include/gingerdyke/proxy/asio.hpp
@@ -33,6 +33,9 @@
 /// gone is noticed within seconds.
 void set_connection_options(tcp::socket& socket);
 
+/// \brief Sets how long sent bytes may stay unacknowledged before a connection counts as broken.
+void set_unacknowledged_limit(tcp::socket& socket, duration limit);
+
 /// \brief Opens an acceptor at an address.
 /// \param backlog Connections that wait to be accepted.
 /// \returns What stands against it; none where it listens.
--- a/include/gingerdyke/proxy/gateway.hpp
+++ b/include/gingerdyke/proxy/gateway.hpp
@@ -37,6 +37,10 @@
 	/// A connection that is not up by then is given up: a thousand times the users' usual time.
 	duration connect_limit = std::chrono::milliseconds{400};
 
+	/// A request that may run again is taken from a replica that does not acknowledge its bytes for this long:
+	/// three losses in a row on the users' links take longer. Others wait as long as the connection does.
+	duration unacknowledged_limit = std::chrono::milliseconds{900};
+
 	/// Replicas tried, at most, to which no connection came up: nothing was sent, so they are no attempts.
 	unsigned failed_connections = 6;
 
--- a/include/gingerdyke/proxy/upstream_link.hpp
+++ b/include/gingerdyke/proxy/upstream_link.hpp
@@ -50,6 +50,9 @@
 
 	/// The answer has no body whatever its head says.
 	bool is_head{};
+
+	/// How long its bytes may stay unacknowledged before the connection counts as broken.
+	duration unacknowledged_limit = std::chrono::seconds{3};
 };
 
 /// \brief One connection to a replica.
--- a/include/gingerdyke/routing/replica_selector.hpp
+++ b/include/gingerdyke/routing/replica_selector.hpp
@@ -42,6 +42,11 @@
 	duration first_ejection = std::chrono::milliseconds{1500};
 	duration longest_ejection = std::chrono::seconds{12};
 
+	/// A failure domain counts as dark where this many of its replicas failed without an answer within this
+	/// time, and none answered since: it is cut off more likely than that each of them fails by itself.
+	std::size_t dark_replicas = 2;
+	duration dark_memory = std::chrono::milliseconds{1500};
+
 	/// At least this share of a service's replicas stays in use however they fail.
 	double kept_share = 0.5;
 
@@ -138,6 +143,13 @@
 		double mean_us{};
 	};
 
+	/// What the last attempts tell about a failure domain as a whole.
+	struct domain_state
+	{
+		/// Replicas that failed without an answer since the last answer, and when.
+		std::map<replica_id, instant> silent;
+	};
+
 	using candidates = std::vector<const replica_ptr*>;
 
 	[[nodiscard]] candidates usable(const selection& what, instant now) const;
@@ -147,6 +159,8 @@
 	[[nodiscard]] double cost_of(const replica& one) const;
 	[[nodiscard]] const state* find(const replica_id& id) const;
 	void eject(const replica& one, state& of, instant now);
+	[[nodiscard]] bool is_dark(const failure_domain_id& domain, instant now) const;
+	void note_domain(const replica& one, replica_result result, instant now);
 
 	const replica_set& replicas_;
 	failure_domain_id own_domain_;
@@ -155,6 +169,7 @@
 	selector_tuning tuning_;
 	std::map<replica_id, state> states_;
 	std::map<service_id, double> service_rates_;
+	std::map<failure_domain_id, domain_state> domains_;
 
 	/// Work that other VMs have open, and when it was told.
 	std::map<replica_id, double> elsewhere_;
--- a/src/proxy/asio.cpp
+++ b/src/proxy/asio.cpp
@@ -7,14 +7,20 @@
 {
 namespace
 {
-/// Seconds of silence before a connection is probed, between probes, and probes until it is given up. A
-/// replica that is silently gone is noticed within 3 s; silence of one request is bounded elsewhere.
-constexpr int probe_idle_s = 2;
+/// Seconds of silence before a connection is probed, between probes, and probes until it is given up. A peer
+/// that is silently gone is noticed within 3 s: two probes, since one may be lost on the way.
+constexpr int probe_idle_s = 1;
 constexpr int probe_interval_s = 1;
 constexpr int probe_count = 2;
 
-/// Milliseconds that sent bytes may stay unacknowledged: as long as the probes take.
+/// Time that sent bytes may stay unacknowledged, in general: as long as the probes take.
 constexpr unsigned unacknowledged_ms = 3000;
+
+void set_tcp_option(tcp::socket& socket, int name, int value)
+{
+	// What the kernel does not know only makes a dead peer be noticed later.
+	static_cast<void>(::setsockopt(socket.native_handle(), IPPROTO_TCP, name, &value, sizeof(value)));
+}
 } // namespace
 
 void set_connection_options(tcp::socket& socket)
@@ -22,13 +28,16 @@
 	error_code ignored;
 	socket.set_option(tcp::no_delay{true}, ignored);
 	socket.set_option(asio::socket_base::keep_alive{true}, ignored);
-	const auto fd = socket.native_handle();
-	const auto set = [fd](int name, auto value)
-	{ static_cast<void>(::setsockopt(fd, IPPROTO_TCP, name, &value, sizeof(value))); };
-	set(TCP_KEEPIDLE, probe_idle_s);
-	set(TCP_KEEPINTVL, probe_interval_s);
-	set(TCP_KEEPCNT, probe_count);
-	set(TCP_USER_TIMEOUT, unacknowledged_ms);
+	set_tcp_option(socket, TCP_KEEPIDLE, probe_idle_s);
+	set_tcp_option(socket, TCP_KEEPINTVL, probe_interval_s);
+	set_tcp_option(socket, TCP_KEEPCNT, probe_count);
+	set_tcp_option(socket, TCP_USER_TIMEOUT, unacknowledged_ms);
+}
+
+void set_unacknowledged_limit(tcp::socket& socket, duration limit)
+{
+	const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(limit).count();
+	set_tcp_option(socket, TCP_USER_TIMEOUT, static_cast<int>(ms));
 }
 
 error_code open_acceptor(tcp::acceptor& acceptor, const std::string& ip, std::uint16_t port, int backlog)
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -340,7 +340,12 @@
 	hooks.brought = [self](std::string_view bytes) { self->on_body(bytes); };
 	hooks.ended = [self] { self->on_end(); };
 	hooks.failed = [self](upstream_fault fault) { self->on_fault(fault); };
-	attempt_->link->send({write_request(request_, fields_for(*to)), id_, request_.method == "HEAD"}, hooks);
+	upstream_request what{write_request(request_, fields_for(*to)), id_, request_.method == "HEAD"};
+	if (route_->may_run_again())
+	{
+		what.unacknowledged_limit = shared_.tuning().unacknowledged_limit;
+	}
+	attempt_->link->send(std::move(what), hooks);
 }
 
 void exchange::try_again_or(const std::function<void()>& otherwise)
--- a/src/proxy/upstream_link.cpp
+++ b/src/proxy/upstream_link.cpp
@@ -119,6 +119,7 @@
 
 void upstream_link::write()
 {
+	set_unacknowledged_limit(socket_, request_.unacknowledged_limit);
 	// The bytes outlive the call even where the link is given up meanwhile.
 	const auto bytes = std::make_shared<std::string>(std::move(request_.bytes));
 	asio::async_write(socket_, asio::buffer(*bytes),
--- a/src/routing/replica_selector.cpp
+++ b/src/routing/replica_selector.cpp
@@ -28,12 +28,18 @@
 {
 	candidates open;
 	candidates all;
+	candidates dark;
 	for (const auto& one : replicas_.of(what.service))
 	{
 		if (one->leaving || !what.usable(*one))
 		{
 			continue;
 		}
+		if (is_dark(one->domain, now))
+		{
+			dark.push_back(&one);
+			continue;
+		}
 		all.push_back(&one);
 		const auto* known = find(one->id);
 		if (known == nullptr || known->ejected_until <= now)
@@ -41,6 +47,10 @@
 			open.push_back(&one);
 		}
 	}
+	if (all.empty())
+	{
+		return dark;
+	}
 	// Where most look bad, the fault is more likely common to all: ejection would only add overload.
 	const auto floor = tuning_.kept_share * static_cast<double>(all.size());
 	return static_cast<double>(open.size()) < floor ? all : open;
@@ -145,6 +155,7 @@
 
 void replica_selector::note_result(const replica& one, replica_result result, duration took, instant now)
 {
+	note_domain(one, result, now);
 	auto& known = states_[one.id];
 	const bool is_unreachable = result == replica_result::not_connected;
 	const bool failed =
@@ -178,6 +189,31 @@
 	}
 }
 
+void replica_selector::note_domain(const replica& one, replica_result result, instant now)
+{
+	auto& silent = domains_[one.domain].silent;
+	if (result != replica_result::no_answer && result != replica_result::not_connected)
+	{
+		silent.clear();
+		return;
+	}
+	std::erase_if(silent, [&](const auto& entry) { return now - entry.second > tuning_.dark_memory; });
+	silent[one.id] = now;
+}
+
+bool replica_selector::is_dark(const failure_domain_id& domain, instant now) const
+{
+	const auto found = domains_.find(domain);
+	if (found == domains_.end())
+	{
+		return false;
+	}
+	const auto& silent = found->second.silent;
+	const auto lately = std::count_if(silent.begin(), silent.end(),
+		[&](const auto& entry) { return now - entry.second <= tuning_.dark_memory; });
+	return static_cast<std::size_t>(lately) >= tuning_.dark_replicas;
+}
+
 void replica_selector::eject(const replica& one, state& of, instant now)
 {
 	if (of.ejected_until > now)
--- a/tests/routing/replica_selector.cpp
+++ b/tests/routing/replica_selector.cpp
@@ -148,3 +148,53 @@
 	}
 	CHECK(world.ejections == 0);
 }
+
+TEST_CASE("a failure domain in which two replicas fall silent is left alone, until one answers or time passes",
+	"[selector]")
+{
+	selector_world world{6};
+	const auto fail = [&](const char* id)
+	{
+		world.selector.note_result(
+			*world.replicas.find(replica_id{id}), replica_result::not_connected, duration{}, world.now);
+	};
+	fail("r1");
+	// One silent replica says nothing of the others.
+	std::set<replica_id> used;
+	for (std::uint64_t prompt = 1; prompt <= 40; ++prompt)
+	{
+		used.insert(world.choose(prompt)->id);
+	}
+	CHECK(used.size() == 5);
+	fail("r2");
+	for (std::uint64_t prompt = 1; prompt <= 40; ++prompt)
+	{
+		CHECK(world.choose(prompt)->id.str() == "r0");
+	}
+	SECTION("one of its replicas answers")
+	{
+		world.selector.note_result(*world.replicas.find(replica_id{"r3"}), replica_result::answered,
+			milliseconds{10}, world.now);
+	}
+	SECTION("time passes") { world.now += milliseconds{1600}; }
+	used.clear();
+	for (std::uint64_t prompt = 1; prompt <= 40; ++prompt)
+	{
+		used.insert(world.choose(prompt)->id);
+	}
+	CHECK(used.size() >= 4);
+}
+
+TEST_CASE("where all failure domains are dark all replicas stay in use", "[selector]")
+{
+	selector_world world{3};
+	for (const auto* id : {"r1", "r2"})
+	{
+		world.selector.note_result(
+			*world.replicas.find(replica_id{id}), replica_result::no_answer, duration{}, world.now);
+	}
+	selection far;
+	far.service = service_id{"s"};
+	far.usable = [](const replica& one) { return one.domain.str() == "far"; };
+	CHECK(world.selector.choose(far, world.now) != nullptr);
+}
