A fault soak of real processes; stand-ins of a replica and an operator; logic that stood twice stands once

Soak: drawn faults (18 kinds, overlapping) on four VM processes between stand-in callers, replicas and registry, with a proxy on the links to the registry, to each replica and from the callers; the judge works from what callers and replicas saw, and has a test for each promise, kept and broken.

--- a/include/gingerdyke/control/coordinator.hpp
+++ b/include/gingerdyke/control/coordinator.hpp
@@ -90,6 +90,7 @@
 	void on_operator_rows(const std::vector<row>& rows);
 	void on_replica_rows(const std::vector<row>& rows);
 	void on_replicas(const std::vector<row>& rows);
+	[[nodiscard]] std::vector<routing::replica> read_replicas(const std::vector<row>& rows) const;
 	void on_own_rows(const std::vector<row>& rows);
 	void on_plan_row(const row& one);
 	void follow_evidence();
--- a/include/gingerdyke/proxy/gateway.hpp
+++ b/include/gingerdyke/proxy/gateway.hpp
@@ -12,6 +12,7 @@
 #include <gingerdyke/routing/replica_selector.hpp>
 #include <gingerdyke/routing/replica_set.hpp>
 #include <gingerdyke/routing/size_policy.hpp>
+#include <algorithm>
 #include <map>
 
 namespace gingerdyke::proxy
@@ -44,6 +45,10 @@
 	/// Replicas tried, at most, to which no connection came up: nothing was sent, so they are no attempts.
 	unsigned failed_connections = 6;
 
+	/// Connections to one replica that a VM may have whatever its share of the replica's limit is: a share
+	/// that is smaller would make requests wait while other VMs use none.
+	unsigned least_connections = 4;
+
 	/// An attempt is not begun with less than this left: it could only end too late.
 	duration least_time = std::chrono::milliseconds{20};
 
@@ -113,6 +118,12 @@
 	/// \brief Calls a hook once, later, as soon as `ready` holds.
 	void when_ready(std::function<void()> hook) { ready_hooks_.push_back(std::move(hook)); }
 
+	/// \brief Takes how many VMs share the replicas, this one included.
+	void note_vms(std::size_t count) { vm_count_ = std::max<unsigned>(1, static_cast<unsigned>(count)); }
+
+	/// \brief VMs that share the replicas; until they are known as many as a small deployment has.
+	[[nodiscard]] unsigned vm_count() const noexcept { return vm_count_; }
+
 	/// \brief Answers a caller's request.
 	[[nodiscard]] std::shared_ptr<active_request> handle(request what, std::shared_ptr<answer_sink> to);
 
@@ -156,5 +167,6 @@
 	std::function<void()> evidence_hook_;
 	std::vector<std::function<void()>> ready_hooks_;
 	std::optional<instant> stop_began_;
+	unsigned vm_count_ = 6;
 };
 } // namespace gingerdyke::proxy
--- a/include/gingerdyke/rollout/version_shift.hpp
+++ b/include/gingerdyke/rollout/version_shift.hpp
@@ -305,6 +305,10 @@
 	void suspend(service_state& state);
 	void note_base(service_state& state, const answer_sample& answer);
 	[[nodiscard]] bool is_slow(const service_state& state, const answer_sample& answer) const;
+	[[nodiscard]] static bool has_new_order(const service_state& state);
+
+	/// How long until a plan is to be declared completed; negative: it should have been.
+	[[nodiscard]] duration time_to_completion(const shift_plan& plan, instant now) const;
 	[[nodiscard]] std::optional<shift_plan> next_plan(const service_state& state, instant now) const;
 	[[nodiscard]] std::optional<instant> moment_to_act(const service_state& state, instant now) const;
 	void judge(service_state& state, instant now);
--- /dev/null
+++ b/soak/history.cpp
@@ -0,0 +1,190 @@
+// SPDX-License-Identifier: MIT
+// What callers and replicas saw, and the promises that it is checked against.
+#include "history.hpp"
+
+#include <algorithm>
+#include <standin/deployment.hpp>
+
+namespace gingerdyke::soak
+{
+namespace
+{
+constexpr int ok = 200;
+constexpr int too_many = 429;
+constexpr int unavailable = 503;
+
+/// A key that was taken away must not work longer than this; the settings of the VMs say the same.
+constexpr std::chrono::seconds revocation_limit{5};
+
+/// Once a VM has shown a configuration, requests sent later than this must not see an older one.
+constexpr std::chrono::milliseconds downgrade_limit{250};
+
+/// Requests sent later than this after a stop began may be refused by a closing connection.
+constexpr std::chrono::seconds stop_limit{3};
+
+bool is_refusal(int status)
+{
+	return status == unavailable || status == too_many;
+}
+} // namespace
+
+void history::sent(const sent_request& what)
+{
+	requests_[what.id].sent = what;
+}
+
+void history::answered(const std::string& id, const received_answer& answer)
+{
+	requests_[id].answer = answer;
+}
+
+void history::ran(const platform::standin::replica_run& run, instant at)
+{
+	const auto found = requests_.find(run.request_id);
+	if (found == requests_.end())
+	{
+		broken("only what callers sent runs", run.request_id + " at " + run.replica);
+		return;
+	}
+	found->second.runs.push_back({run, at});
+}
+
+void history::broken(const std::string& promise, const std::string& what)
+{
+	broken_.push_back(promise + ": " + what);
+}
+
+std::size_t history::served_count() const
+{
+	return static_cast<std::size_t>(std::count_if(requests_.begin(), requests_.end(),
+		[](const auto& entry) { return entry.second.answer && entry.second.answer->status == ok; }));
+}
+
+std::vector<std::string> history::judge() const
+{
+	auto found = broken_;
+	for (const auto& [id, one] : requests_)
+	{
+		judge_request(one, found);
+		judge_body(one, found);
+		judge_key(one, found);
+	}
+	judge_versions(found);
+	judge_stops(found);
+	return found;
+}
+
+void history::judge_request(const record& one, findings& into) const
+{
+	const auto& id = one.sent.id;
+	if (one.sent.kind == request_kind::once && one.runs.size() > 1)
+	{
+		into.push_back("at most once: " + id + " ran " + std::to_string(one.runs.size()) + " times");
+	}
+	const bool was_refused = one.answer && is_refusal(one.answer->status);
+	if (one.sent.kind == request_kind::once && was_refused && !one.runs.empty())
+	{
+		into.push_back("a refusal is true: " + id + " was refused and ran at " + one.runs.front().run.replica);
+	}
+	for (const auto& seen : one.runs)
+	{
+		if (seen.run.path != one.sent.path)
+		{
+			into.push_back("requests are passed on unchanged: " + id + " ran as " + seen.run.path);
+		}
+		if (seen.run.has_key || seen.run.workspace != platform::standin::workspace_name)
+		{
+			into.push_back("replicas learn the workspace and not the key: " + id);
+		}
+	}
+}
+
+void history::judge_body(const record& one, findings& into)
+{
+	if (!one.answer || one.answer->status != ok || !one.answer->is_whole)
+	{
+		return;
+	}
+	const auto& id = one.sent.id;
+	auto expected = platform::standin::whole_body(id);
+	if (one.sent.kind == request_kind::stream)
+	{
+		expected.clear();
+		for (int i = 1; i <= platform::standin::events_per_stream; ++i)
+		{
+			expected += platform::standin::stream_event(id, i);
+		}
+	}
+	if (one.answer->body != expected)
+	{
+		into.push_back("a complete answer is whole and the caller's own: " + id + " got '" +
+					   one.answer->body.substr(0, 200) + "'");
+	}
+}
+
+void history::judge_key(const record& one, findings& into) const
+{
+	const auto removed = removed_keys_.find(one.sent.key);
+	if (removed == removed_keys_.end())
+	{
+		return;
+	}
+	const bool too_late = one.sent.at - removed->second > revocation_limit;
+	if (too_late && !one.runs.empty())
+	{
+		into.push_back("a key that was taken away stops working: " + one.sent.id);
+	}
+}
+
+/// For each life of a VM, requests in the order in which they were sent.
+void history::judge_versions(findings& into) const
+{
+	struct effect
+	{
+		instant sent;
+		instant seen;
+		int version;
+		std::string id;
+	};
+	std::map<std::pair<std::string, unsigned>, std::vector<effect>> by_life;
+	for (const auto& [id, one] : requests_)
+	{
+		if (one.sent.version && one.answer && one.answer->status == ok)
+		{
+			by_life[{one.sent.vm, one.sent.life}].push_back(
+				{one.sent.at, one.answer->at, *one.sent.version, id});
+		}
+	}
+	for (const auto& [life, effects] : by_life)
+	{
+		for (const auto& older : effects)
+		{
+			const bool goes_back = std::any_of(effects.begin(), effects.end(),
+				[&](const effect& newer)
+				{ return newer.version > older.version && older.sent > newer.seen + downgrade_limit; });
+			if (goes_back)
+			{
+				into.push_back("a configuration never goes back: " + older.id + " at " + life.first);
+			}
+		}
+	}
+}
+
+void history::judge_stops(findings& into) const
+{
+	for (const auto& stop : stops_)
+	{
+		for (const auto& [id, one] : requests_)
+		{
+			const bool concerns = one.sent.vm == stop.vm && one.sent.life == stop.life &&
+								  one.sent.at < stop.begun + stop_limit && !one.runs.empty();
+			const bool was_cut = one.answer && !one.answer->timed_out && !one.answer->is_whole &&
+								 one.answer->at >= stop.begun;
+			if (concerns && was_cut)
+			{
+				into.push_back("a planned stop cuts nothing: " + id + " at " + stop.vm);
+			}
+		}
+	}
+}
+} // namespace gingerdyke::soak
--- /dev/null
+++ b/soak/history.hpp
@@ -0,0 +1,112 @@
+// SPDX-License-Identifier: MIT
+// What callers and replicas saw in one run of the soak, and the promises that it is checked against.
+#pragma once
+
+#include <gingerdyke/base/units.hpp>
+#include <map>
+#include <optional>
+#include <set>
+#include <standin/replica.hpp>
+#include <string>
+#include <vector>
+
+namespace gingerdyke::soak
+{
+/// \brief Which promise a request is to test.
+enum class request_kind
+{
+	/// Must not run more than once.
+	once,
+	/// May run again.
+	repeatable,
+	/// Streamed, goes on elsewhere where it breaks.
+	stream,
+};
+
+/// \brief What a caller sends.
+struct sent_request
+{
+	std::string id;
+	request_kind kind{};
+	std::string path;
+	std::string key;
+
+	/// VM that it was sent to, and the life of its process.
+	std::string vm;
+	unsigned life{};
+	instant at;
+
+	/// Version of the configuration whose own route it takes; none: a route that all have.
+	std::optional<int> version;
+};
+
+/// \brief What a caller got.
+struct received_answer
+{
+	/// 0: the connection ended, or nothing came in time.
+	int status{};
+	std::string body;
+
+	/// The answer came to its proper end.
+	bool is_whole{};
+
+	/// The caller waited until its own limit.
+	bool timed_out{};
+	instant at;
+};
+
+/// \brief A planned stop with nothing else going on.
+struct quiet_stop
+{
+	std::string vm;
+	unsigned life{};
+	instant begun;
+};
+
+/// \brief Collects, and judges at the end.
+class history
+{
+  public:
+	void sent(const sent_request& what);
+	void answered(const std::string& id, const received_answer& answer);
+	void ran(const platform::standin::replica_run& run, instant at);
+	void key_removed(const std::string& key, instant at) { removed_keys_[key] = at; }
+	void stopped(const quiet_stop& stop) { stops_.push_back(stop); }
+
+	/// \brief Something that must not happen and needs no judging.
+	void broken(const std::string& promise, const std::string& what);
+
+	[[nodiscard]] std::size_t request_count() const noexcept { return requests_.size(); }
+	[[nodiscard]] std::size_t served_count() const;
+
+	/// \brief Judges everything.
+	/// \returns Broken promises, each with the request that shows it.
+	[[nodiscard]] std::vector<std::string> judge() const;
+
+  private:
+	struct seen_run
+	{
+		platform::standin::replica_run run;
+		instant at;
+	};
+
+	struct record
+	{
+		sent_request sent;
+		std::optional<received_answer> answer;
+		std::vector<seen_run> runs;
+	};
+
+	using findings = std::vector<std::string>;
+	void judge_request(const record& one, findings& into) const;
+	static void judge_body(const record& one, findings& into);
+	void judge_key(const record& one, findings& into) const;
+	void judge_versions(findings& into) const;
+	void judge_stops(findings& into) const;
+
+	std::map<std::string, record> requests_;
+	std::map<std::string, instant> removed_keys_;
+	std::vector<quiet_stop> stops_;
+	findings broken_;
+};
+} // namespace gingerdyke::soak
--- a/src/control/coordinator.cpp
+++ b/src/control/coordinator.cpp
@@ -194,29 +194,34 @@
 		if (one.removed)
 		{
 			gateway_.replicas().remove(replica_id{one.key}, now);
-			continue;
-		}
-		auto entry = layout_.read_replica_row(one);
-		if (entry)
-		{
-			gateway_.replicas().put(std::move(*entry), now);
-		}
-		else
-		{
-			log_findings("replica's row not understood", entry.error());
 		}
 	}
+	for (auto& entry : read_replicas(rows))
+	{
+		gateway_.replicas().put(std::move(entry), now);
+	}
 	relay_.on_change(layout_.replica_table);
 	expire_replicas();
 }
 
 void coordinator::on_replicas(const std::vector<row>& rows)
+{
+	auto entries = read_replicas(rows);
+	log::write(log::level::info, "replicas read", {{"count", entries.size()}});
+	gateway_.take_replicas(std::move(entries), proxy::steady_now());
+	relay_.on_change(layout_.replica_table);
+}
+
+std::vector<routing::replica> coordinator::read_replicas(const std::vector<row>& rows) const
 {
 	std::vector<routing::replica> entries;
 	for (const auto& one : rows)
 	{
-		auto entry = layout_.read_replica_row(one);
-		if (entry)
+		if (one.removed)
+		{
+			continue;
+		}
+		if (auto entry = layout_.read_replica_row(one))
 		{
 			entries.push_back(std::move(*entry));
 		}
@@ -225,9 +230,7 @@
 			log_findings("replica's row not understood", entry.error());
 		}
 	}
-	log::write(log::level::info, "replicas read", {{"count", entries.size()}});
-	gateway_.take_replicas(std::move(entries), proxy::steady_now());
-	relay_.on_change(layout_.replica_table);
+	return entries;
 }
 
 void coordinator::on_own_rows(const std::vector<row>& rows)
@@ -249,6 +252,7 @@
 		peers.push_back(vm);
 	}
 	sources_.set_peers(std::move(peers));
+	gateway_.note_vms(vms_.size());
 	if (!std::exchange(looked_for_self_, true))
 	{
 		register_self();
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -247,10 +247,9 @@
 	{
 		return true;
 	}
-	// Replicas reset connections beyond their limit, which counts those of all VMs: one VM leaves room for as
-	// many others as a small deployment has.
-	constexpr unsigned sharing_vms = 6;
-	return shared_.pool().open(one.id) < std::max(2U, limit / sharing_vms);
+	// Replicas reset connections beyond their limit, which counts those of all VMs.
+	const auto share = limit / shared_.vm_count();
+	return shared_.pool().open(one.id) < std::max(shared_.tuning().least_connections, share);
 }
 
 /// A smaller model does the same work in less of an engine's time.
@@ -312,7 +311,8 @@
 bool exchange::may_try_again() const
 {
 	return attempts_ < route_->attempts && time_left() >= shared_.tuning().least_time &&
-		   (trace_ == trace::not_run || route_->may_run_again());
+		   (trace_ == trace::not_run || route_->may_run_again()) &&
+		   shared_.budget(service_id_).left(steady_now()) >= 1;
 }
 
 void exchange::send_to(const routing::replica_ptr& to)
@@ -350,7 +350,7 @@
 
 void exchange::try_again_or(const std::function<void()>& otherwise)
 {
-	if (!may_try_again() || shared_.budget(service_id_).left(steady_now()) < 1)
+	if (!may_try_again())
 	{
 		otherwise();
 		return;
--- a/src/proxy/exchange_answers.cpp
+++ b/src/proxy/exchange_answers.cpp
@@ -53,7 +53,7 @@
 	shared_.note_answer(*attempt_->to, sample);
 	shared_.sizes().note_answer(*route_, attempt_->size, sample.relative_time);
 	note_result(failed ? routing::replica_result::failed : routing::replica_result::answered);
-	if (failed && may_try_again() && shared_.budget(service_id_).left(steady_now()) >= 1)
+	if (failed && may_try_again())
 	{
 		tried_.push_back(attempt_->to->id);
 		end_attempt(false);
@@ -123,10 +123,6 @@
 	{
 		return false;
 	}
-	if (shared_.budget(service_id_).left(steady_now()) < 1)
-	{
-		return false;
-	}
 	double confidence = 0;
 	const auto read = std::from_chars(text->data(), text->data() + text->size(), confidence);
 	if (read.ec != std::errc{} || confidence >= attempt_->size.escalate_below)
@@ -288,7 +284,7 @@
 		return;
 	}
 	// Where nothing else can be tried, what is under way may still come.
-	if (!may_try_again() || !route_->may_run_again() || shared_.budget(service_id_).left(steady_now()) < 1)
+	if (!may_try_again() || !route_->may_run_again())
 	{
 		return;
 	}
--- a/src/rollout/version_shift.cpp
+++ b/src/rollout/version_shift.cpp
@@ -519,10 +519,21 @@
 	return log_evidence_against(seen.answers, seen.failed, tolerated) > tuning_.verdict;
 }
 
+bool version_shift::has_new_order(const service_state& state)
+{
+	return state.order && (!state.plan || state.plan->order < state.order->order);
+}
+
+duration version_shift::time_to_completion(const shift_plan& plan, instant now) const
+{
+	const auto spare = std::max(
+		tuning_.least_spare, std::chrono::duration_cast<duration>(plan.length * tuning_.spare_share));
+	return plan.started + plan.length - spare - registry_now(now);
+}
+
 std::optional<shift_plan> version_shift::next_plan(const service_state& state, instant now) const
 {
-	const bool is_new_order = state.order && (!state.plan || state.plan->order < state.order->order);
-	if (is_new_order)
+	if (has_new_order(state))
 	{
 		if (!clock_offset_ || state.stable_version.empty())
 		{
@@ -547,10 +558,8 @@
 		plan.state = shift_state::rolled_back;
 		return plan;
 	}
-	const auto spare = std::max(
-		tuning_.least_spare, std::chrono::duration_cast<duration>(plan.length * tuning_.spare_share));
 	const auto since_news = now - news_at_;
-	if (registry_now(now) - plan.started >= plan.length - spare && since_news < tuning_.news_limit)
+	if (time_to_completion(plan, now) <= duration{0} && since_news < tuning_.news_limit)
 	{
 		plan.state = shift_state::completed;
 		return plan;
@@ -560,8 +569,7 @@
 
 std::optional<instant> version_shift::moment_to_act(const service_state& state, instant now) const
 {
-	const bool is_new_order = state.order && (!state.plan || state.plan->order < state.order->order);
-	if (is_new_order)
+	if (has_new_order(state))
 	{
 		return now + random_delay();
 	}
@@ -573,10 +581,8 @@
 	{
 		return now + random_delay();
 	}
-	const auto spare = std::max(
-		tuning_.least_spare, std::chrono::duration_cast<duration>(state.plan->length * tuning_.spare_share));
-	const auto left = state.plan->started + state.plan->length - spare - registry_now(now);
-	return now + std::max<duration>(left, duration{0}) + random_delay();
+	const auto left = time_to_completion(*state.plan, now);
+	return now + std::max(left, duration{0}) + random_delay();
 }
 
 void version_shift::judge(service_state& state, instant now)
