--- a/include/gingerdyke/proxy/request_log.hpp
+++ b/include/gingerdyke/proxy/request_log.hpp
@@ -75,9 +75,6 @@
 	/// \brief Requests that ended so.
 	[[nodiscard]] std::uint64_t count(request_outcome outcome) const;
 
-	/// \brief Lines that were left out because of the rate.
-	[[nodiscard]] std::uint64_t left_out() const noexcept { return left_out_; }
-
 	/// \brief Counters in the Prometheus text format.
 	[[nodiscard]] std::string text() const;
 
--- a/src/control/frame_link.cpp
+++ b/src/control/frame_link.cpp
@@ -6,7 +6,8 @@
 {
 namespace
 {
-constexpr std::size_t read_size = 16384;
+/// Bytes asked for by one read; most frames have a few hundred.
+constexpr std::size_t read_size = 4096;
 } // namespace
 
 frame_link::frame_link(proxy::tcp::socket socket, frame_link_hooks hooks)
--- a/src/proxy/caller_link.cpp
+++ b/src/proxy/caller_link.cpp
@@ -6,7 +6,8 @@
 {
 namespace
 {
-constexpr std::size_t read_size = 16384;
+/// Bytes asked for by one read. Each connection holds as many, idle ones too.
+constexpr std::size_t read_size = 4096;
 
 /// Bytes of further requests that are taken in while one is answered; beyond them the caller has to wait.
 constexpr std::size_t pipelined_bytes = 65536;
--- a/src/proxy/upstream_link.cpp
+++ b/src/proxy/upstream_link.cpp
@@ -8,8 +8,9 @@
 {
 namespace
 {
-/// Bytes asked for by one read; a whole answer of a plain service fits.
-constexpr std::size_t read_size = 16384;
+/// Bytes asked for by one read; a whole answer of a plain service mostly fits. Each connection holds as many, idle
+/// ones too, and a VM has a hundred and more.
+constexpr std::size_t read_size = 2048;
 
 /// Largest head of an answer, in bytes; the users' replicas send a few hundred.
 constexpr std::uint32_t largest_head = 65536;
