Evidence is written where more than tolerated is bad, and followed by lasting readers only

Ruled out: nothing is lost for a verdict: a reader judges with its whole failure domain's evidence, written or not. Change: evidence is written once a group has more than the tolerated share; a VM follows it after 1.5 s as a reader.

--- a/include/gingerdyke/control/coordinator.hpp
+++ b/include/gingerdyke/control/coordinator.hpp
@@ -54,6 +54,10 @@
 	/// Evidence, which is rare: a call that waits longer costs less.
 	duration evidence_wait = std::chrono::seconds{10};
 
+	/// A VM reads the registry for this long before it follows evidence: many do so for a moment only, while
+	/// another reader takes over.
+	duration evidence_delay = std::chrono::milliseconds{1500};
+
 	/// Changes of replicas are gathered this long, so that many at once cost one call.
 	duration gather = std::chrono::milliseconds{150};
 
@@ -128,6 +132,7 @@
 	proxy::asio::steady_timer register_timer_;
 	proxy::asio::steady_timer write_timer_;
 	proxy::asio::steady_timer expire_timer_;
+	proxy::asio::steady_timer evidence_timer_;
 	table_follower operators_;
 	table_follower replicas_;
 	table_follower own_;
@@ -135,6 +140,7 @@
 	bool rest_started_ = false;
 	bool looked_for_self_ = false;
 	bool reads_registry_ = false;
+	bool follows_evidence_ = false;
 };
 
 /// \brief Writes a plan as the value of its row.
--- a/include/gingerdyke/rollout/version_shift.hpp
+++ b/include/gingerdyke/rollout/version_shift.hpp
@@ -76,6 +76,9 @@
 	std::uint64_t slow{};
 };
 
+/// \brief Counts by group: failures by route, slowness by model, since both may concern one only.
+using group_counts = std::map<std::string, shift_counts>;
+
 /// \brief One answer, as far as it tells about its version.
 struct answer_sample
 {
@@ -90,13 +93,12 @@
 	double relative_time{};
 };
 
-/// \brief What one VM saw of a new version. Failures are counted by route, slowness by model, since both may
-/// concern one only.
+/// \brief What one VM saw of a new version.
 struct shift_evidence
 {
 	service_id service;
 	row_version order;
-	std::map<std::string, shift_counts> by_group;
+	group_counts by_group;
 };
 
 /// \brief Evidence with the VM that saw it.
@@ -170,8 +172,9 @@
 	/// Least time between two writes of evidence by one VM.
 	duration report_pause = std::chrono::milliseconds{300};
 
-	/// Evidence is written again when its bad answers have grown by this factor: each write is priced, and
-	/// a good version's few bad answers change nothing. A verdict is late by at most a third of them.
+	/// Evidence is written where more than tolerated is bad, and again when its bad answers have grown by this
+	/// factor: each write is priced, and a good version's few bad answers change nothing. A verdict is late by
+	/// at most a third of them.
 	double report_growth = 1.5;
 
 	/// VMs that read the registry act on the same news at random moments within this time, so that mostly
@@ -275,8 +278,8 @@
 		std::optional<shift_order> order;
 		std::optional<shift_plan> plan;
 		bool suspended{};
-		std::map<std::string, shift_counts> own;
-		std::map<std::string, std::map<std::string, shift_counts>> others;
+		group_counts own;
+		std::map<std::string, group_counts> others;
 		std::map<std::string, base_counts> base;
 
 		/// VMs whose evidence this one writes, and those among them with news.
@@ -298,7 +301,9 @@
 	[[nodiscard]] bool is_bad_group(
 		const service_state& state, const std::string& group, const shift_counts& seen) const;
 	bool keep_evidence(service_state& state, const std::string& reporter, const shift_evidence& evidence);
-	[[nodiscard]] std::uint64_t bad_to_write(const service_state& state) const;
+	[[nodiscard]] group_counts evidence_to_write(const service_state& state) const;
+	[[nodiscard]] bool is_suspicious(const service_state& state, const group_counts& seen) const;
+	[[nodiscard]] double tolerated_failures(const service_state& state, const std::string& group) const;
 	[[nodiscard]] bool evidence_grew(const service_state& state) const;
 	[[nodiscard]] std::vector<reported_evidence> take_evidence(
 		const service_id& service, service_state& state, instant now);
--- a/src/control/coordinator.cpp
+++ b/src/control/coordinator.cpp
@@ -40,6 +40,7 @@
 	  tuning_(tuning), sources_(self_), store_(gateway.context(), registry, sources_, store_hooks(), tuning.sharing),
 	  relay_(gateway.context(), server_hooks()), register_timer_(gateway.context()),
 	  write_timer_(gateway.context()), expire_timer_(gateway.context()),
+	  evidence_timer_(gateway.context()),
 	  operators_(gateway.context(), store_, layout_.operator_table, random,
 		  {[this](const auto& rows) { on_operator_rows(rows); },
 			  [this](const auto& rows) { on_operator_rows(rows); },
@@ -103,6 +104,7 @@
 	relay_.stop();
 	write_timer_.cancel();
 	expire_timer_.cancel();
+	evidence_timer_.cancel();
 	register_timer_.cancel();
 }
 
@@ -295,14 +297,26 @@
 /// Each call is priced, and evidence is only there while a shift runs.
 void coordinator::follow_evidence()
 {
-	if (reads_registry_ && gateway_.versions().is_shifting())
+	if (!reads_registry_ || !gateway_.versions().is_shifting())
 	{
-		evidence_.start();
+		follows_evidence_ = false;
+		evidence_timer_.cancel();
+		evidence_.stop();
+		return;
 	}
-	else
+	if (std::exchange(follows_evidence_, true))
 	{
-		evidence_.stop();
+		return;
 	}
+	evidence_timer_.expires_after(tuning_.evidence_delay);
+	evidence_timer_.async_wait(
+		[this](const proxy::error_code& error)
+		{
+			if (!error)
+			{
+				evidence_.start();
+			}
+		});
 }
 
 void coordinator::on_evidence_rows(const std::vector<row>& rows)
--- a/src/rollout/version_shift.cpp
+++ b/src/rollout/version_shift.cpp
@@ -39,8 +39,6 @@
 	return {a.answers + b.answers, a.failed + b.failed, a.slow + b.slow};
 }
 
-using group_counts = std::map<std::string, shift_counts>;
-
 std::uint64_t answers_in(const group_counts& groups)
 {
 	std::uint64_t sum = 0;
@@ -51,6 +49,14 @@
 	return sum;
 }
 
+void add(const group_counts& more, group_counts& to)
+{
+	for (const auto& [group, counts] : more)
+	{
+		to[group] = to[group] + counts;
+	}
+}
+
 std::uint64_t bad_in(const group_counts& groups)
 {
 	std::uint64_t sum = 0;
@@ -404,17 +410,32 @@
 	return state != nullptr && evidence_grew(*state);
 }
 
-std::uint64_t version_shift::bad_to_write(const service_state& state) const
+group_counts version_shift::evidence_to_write(const service_state& state) const
 {
-	auto sum = bad_in(state.own);
+	auto sum = state.own;
 	for (const auto& reporter : state.relayed)
 	{
 		const auto found = state.others.find(reporter);
-		sum += found == state.others.end() ? 0 : bad_in(found->second);
+		if (found != state.others.end())
+		{
+			add(found->second, sum);
+		}
 	}
 	return sum;
 }
 
+bool version_shift::is_suspicious(const service_state& state, const group_counts& seen) const
+{
+	return std::any_of(seen.begin(), seen.end(),
+		[&](const auto& one)
+		{
+			const auto& [group, counts] = one;
+			const auto answers = static_cast<double>(counts.answers);
+			return static_cast<double>(counts.failed) > answers * tolerated_failures(state, group) ||
+				   static_cast<double>(counts.slow) > answers * tuning_.tolerated_slow;
+		});
+}
+
 bool version_shift::evidence_grew(const service_state& state) const
 {
 	if (!reads_registry_ || !state.plan || state.plan->state != shift_state::running ||
@@ -422,9 +443,10 @@
 	{
 		return false;
 	}
-	const auto bad = bad_to_write(state);
+	const auto seen = evidence_to_write(state);
+	const auto bad = bad_in(seen);
 	const auto grown = static_cast<double>(state.written_bad) * tuning_.report_growth;
-	return bad > state.written_bad && static_cast<double>(bad) >= grown;
+	return bad > state.written_bad && static_cast<double>(bad) >= grown && is_suspicious(state, seen);
 }
 
 std::vector<reported_evidence> version_shift::take_evidence(
@@ -436,7 +458,7 @@
 		const auto& groups = reporter.empty() ? state.own : state.others[reporter];
 		taken.push_back({reporter, {service, state.plan->order, groups}});
 	}
-	state.written_bad = bad_to_write(state);
+	state.written_bad = bad_in(evidence_to_write(state));
 	state.written_at = now;
 	return taken;
 }
@@ -482,13 +504,10 @@
 
 bool version_shift::looks_bad(const service_state& state) const
 {
-	std::map<std::string, shift_counts> seen = state.own;
+	auto seen = state.own;
 	for (const auto& [reporter, by_group] : state.others)
 	{
-		for (const auto& [group, counts] : by_group)
-		{
-			seen[group] = seen[group] + counts;
-		}
+		add(by_group, seen);
 	}
 	return std::any_of(seen.begin(), seen.end(),
 		[&](const auto& one) { return is_bad_group(state, one.first, one.second); });
@@ -502,10 +521,13 @@
 	{
 		return true;
 	}
-	if (seen.failed < tuning_.fewest_bad)
-	{
-		return false;
-	}
+	return seen.failed >= tuning_.fewest_bad &&
+		   log_evidence_against(seen.answers, seen.failed, tolerated_failures(state, group)) >
+			   tuning_.verdict;
+}
+
+double version_shift::tolerated_failures(const service_state& state, const std::string& group) const
+{
 	double base_rate = 0;
 	const auto base = state.base.find(group);
 	if (base != state.base.end() && base->second.counts.answers > 0)
@@ -514,9 +536,7 @@
 		base_rate = static_cast<double>(counts.failed) / static_cast<double>(counts.answers);
 	}
 	constexpr double highest_tolerated = 0.9;
-	const auto tolerated =
-		std::min(highest_tolerated, tuning_.tolerated + tuning_.tolerated_multiple * base_rate);
-	return log_evidence_against(seen.answers, seen.failed, tolerated) > tuning_.verdict;
+	return std::min(highest_tolerated, tuning_.tolerated + tuning_.tolerated_multiple * base_rate);
 }
 
 bool version_shift::has_new_order(const service_state& state)
