Histograms per workspace and route, gauges and calls of the registry on the metrics address; log lines never wait

Change: request_metrics (Boost.Accumulators, one histogram a workspace and a route, no memory before the first value); gauges of the configuration's version and age, replicas and budget; calls to the registry by outcome; an appender for log4cplus that drops and counts a line that the descriptor does not take at once.

--- a/include/gingerdyke/proxy/gateway.hpp
+++ b/include/gingerdyke/proxy/gateway.hpp
@@ -14,6 +14,7 @@
 #include <gingerdyke/routing/size_policy.hpp>
 #include <algorithm>
 #include <map>
+#include <ostream>
 
 namespace gingerdyke::proxy
 {
@@ -133,6 +134,9 @@
 	/// \brief Notes a replica's answer for the shift of its service's version.
 	void note_answer(const routing::replica& from, const rollout::answer_sample& answer);
 
+	/// \brief What is believed now, as gauges in the Prometheus text format.
+	void write_metrics(std::ostream& out, instant now);
+
 	/// \brief The retry budget of a service.
 	[[nodiscard]] limits::attempt_budget& budget(const service_id& service);
 
--- a/include/gingerdyke/proxy/request_log.hpp
+++ b/include/gingerdyke/proxy/request_log.hpp
@@ -5,7 +5,7 @@
 #include <gingerdyke/base/ids.hpp>
 #include <gingerdyke/base/units.hpp>
 #include <gingerdyke/limits/token_bucket.hpp>
-#include <map>
+#include <gingerdyke/proxy/request_metrics.hpp>
 #include <string>
 
 namespace gingerdyke::proxy
@@ -73,16 +73,15 @@
 	void note(const request_line& line, instant now);
 
 	/// \brief Requests that ended so.
-	[[nodiscard]] std::uint64_t count(request_outcome outcome) const;
+	[[nodiscard]] std::uint64_t count(request_outcome outcome) const { return metrics_.count(name_of(outcome)); }
 
-	/// \brief Counters in the Prometheus text format.
+	/// \brief Counters and histograms in the Prometheus text format.
 	[[nodiscard]] std::string text() const;
 
   private:
 	request_log_tuning tuning_;
 	limits::token_bucket lines_;
-	std::map<request_outcome, std::uint64_t> outcomes_;
-	std::map<std::string, std::uint64_t> reasons_;
+	request_metrics metrics_;
 	std::uint64_t served_ = 0;
 	std::uint64_t left_out_ = 0;
 };
--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -1,13 +1,14 @@
 // SPDX-License-Identifier: MIT
 // Structured logs by log4cplus.
+#include "line_appender.hpp"
+
 #include <chrono>
 #include <gingerdyke/log/log.hpp>
-#include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
-#include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
 #include <memory>
+#include <unistd.h>
 
 namespace gingerdyke::log
 {
@@ -43,8 +44,7 @@
 void start(const std::string& lowest)
 {
 	initializer() = std::make_unique<log4cplus::Initializer>();
-	const log4cplus::SharedAppenderPtr appender{new log4cplus::ConsoleAppender(false, true)};
-	appender->setLayout(std::make_unique<log4cplus::PatternLayout>(LOG4CPLUS_TEXT("%m%n")));
+	const log4cplus::SharedAppenderPtr appender{new line_appender{STDOUT_FILENO}};
 	auto logger = log4cplus::Logger::getInstance(LOG4CPLUS_TEXT("gingerdyke"));
 	logger.addAppender(appender);
 	logger.setLogLevel(level_of(upper_case(lowest)));
--- a/src/metrics/histogram.cpp
+++ b/src/metrics/histogram.cpp
@@ -22,23 +22,28 @@
 {
 	using set = acc::accumulator_set<double, acc::stats<acc::tag::density>>;
 
+	impl()
+	{
+		logs(std::log10(lowest));
+		logs(std::log10(highest));
+	}
+
 	set logs{acc::density_cache_size = priming_values, acc::density_num_bins = bins};
 	double sum{};
 	std::size_t count{};
 };
 
-histogram::histogram() : impl_(std::make_unique<impl>())
-{
-	impl_->logs(std::log10(lowest));
-	impl_->logs(std::log10(highest));
-}
-
+histogram::histogram() = default;
 histogram::~histogram() = default;
 histogram::histogram(histogram&&) noexcept = default;
 histogram& histogram::operator=(histogram&&) noexcept = default;
 
 void histogram::add(double value)
 {
+	if (!impl_)
+	{
+		impl_ = std::make_unique<impl>();
+	}
 	impl_->logs(std::log10(std::clamp(value, lowest, highest)));
 	impl_->sum += value;
 	++impl_->count;
@@ -46,18 +51,18 @@
 
 std::size_t histogram::count() const
 {
-	return impl_->count;
+	return impl_ ? impl_->count : 0;
 }
 
 double histogram::sum() const
 {
-	return impl_->sum;
+	return impl_ ? impl_->sum : 0;
 }
 
 std::vector<std::pair<double, std::size_t>> histogram::cumulative() const
 {
 	std::vector<std::pair<double, std::size_t>> result;
-	if (impl_->count == 0)
+	if (!impl_)
 	{
 		return result;
 	}
@@ -85,7 +90,7 @@
 
 double histogram::quantile(double share) const
 {
-	const auto wanted = share * static_cast<double>(impl_->count);
+	const auto wanted = share * static_cast<double>(count());
 	double last = 0;
 	for (const auto& [upper, count] : cumulative())
 	{
--- a/src/metrics/registry.cpp
+++ b/src/metrics/registry.cpp
@@ -1,36 +1,16 @@
 // SPDX-License-Identifier: MIT
 // Counters and histograms per workspace and class.
 #include <gingerdyke/metrics/registry.hpp>
+#include <gingerdyke/metrics/text_format.hpp>
 #include <sstream>
 
 namespace gingerdyke::metrics
 {
 namespace
 {
-constexpr double microseconds_per_second = 1e6;
-
-/// Escapes a label's value as the text format asks.
-std::string label(const std::string& value)
-{
-	std::string result;
-	for (const char c : value)
-	{
-		result += c == '\n' ? "\\n" : c == '"' || c == '\\' ? std::string{'\\', c} : std::string(1, c);
-	}
-	return result;
-}
-
-void write(
-	std::ostringstream& out, const std::string& name, const std::string& labels, const histogram& values)
+std::string labels_of(const workspace_id& workspace, const class_id& request_class)
 {
-	for (const auto& [upper, count] : values.cumulative())
-	{
-		out << name << "_bucket{" << labels << ",le=\"" << upper / microseconds_per_second << "\"} " << count
-			<< "\n";
-	}
-	out << name << "_bucket{" << labels << ",le=\"+Inf\"} " << values.count() << "\n";
-	out << name << "_sum{" << labels << "} " << values.sum() / microseconds_per_second << "\n";
-	out << name << "_count{" << labels << "} " << values.count() << "\n";
+	return write_label("workspace", workspace.str()) + "," + write_label("class", request_class.str());
 }
 } // namespace
 
@@ -54,11 +34,10 @@
 {
 	const std::lock_guard lock{mutex_};
 	std::ostringstream out;
-	out << "# TYPE gingerdyke_requests_total counter\n";
+	write_head(out, "gingerdyke_requests_total", "counter", "Requests by how they ended.");
 	for (const auto& [key, entry] : entries_)
 	{
-		const auto labels =
-			"workspace=\"" + label(key.first.str()) + "\",class=\"" + label(key.second.str()) + "\"";
+		const auto labels = labels_of(key.first, key.second);
 		for (const auto& [outcome, count] : entry.outcomes)
 		{
 			out << "gingerdyke_requests_total{" << labels << ",outcome=\"" << outcome << "\"} " << count
@@ -73,12 +52,10 @@
 	};
 	for (const auto& [name, part] : histograms)
 	{
-		out << "# TYPE " << name << " histogram\n";
+		write_head(out, name, "histogram", "Times in seconds.");
 		for (const auto& [key, entry] : entries_)
 		{
-			const auto labels =
-				"workspace=\"" + label(key.first.str()) + "\",class=\"" + label(key.second.str()) + "\"";
-			write(out, name, labels, entry.*part);
+			write_histogram(out, name, labels_of(key.first, key.second), entry.*part);
 		}
 	}
 	return out.str();
--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: MIT
 // What all requests of a VM share.
 #include <gingerdyke/log/log.hpp>
+#include <gingerdyke/metrics/text_format.hpp>
 #include <gingerdyke/proxy/exchange.hpp>
 #include <gingerdyke/proxy/gateway.hpp>
 
@@ -111,6 +112,29 @@
 	return budgets_.try_emplace(service, bounds_.attempts).first->second;
 }
 
+void gateway::write_metrics(std::ostream& out, instant now)
+{
+	constexpr double microseconds_per_second = 1e6;
+	metrics::write_head(out, "gingerdyke_configuration_version", "gauge", "Configuration in force; 0: none yet.");
+	out << "gingerdyke_configuration_version " << (catalog_ ? catalog_->version().value() : 0) << "\n";
+	if (const auto age = confirmed_age(now))
+	{
+		metrics::write_head(out, "gingerdyke_configuration_age_seconds", "gauge",
+			"Time since the configuration was last known to be the newest.");
+		out << "gingerdyke_configuration_age_seconds "
+			<< static_cast<double>(age->count()) / microseconds_per_second << "\n";
+	}
+	metrics::write_head(out, "gingerdyke_replicas", "gauge", "Replicas known.");
+	out << "gingerdyke_replicas " << replicas_.size() << "\n";
+	metrics::write_head(out, "gingerdyke_further_attempts_left", "gauge",
+		"Attempts beyond the first that a service's budget allows now.");
+	for (auto& [service, budget] : budgets_)
+	{
+		out << "gingerdyke_further_attempts_left{" << metrics::write_label("service", service.str()) << "} "
+			<< budget.left(now) << "\n";
+	}
+}
+
 void gateway::note_answer(const routing::replica& from, const rollout::answer_sample& answer)
 {
 	versions_.note_answer(from.service, from.version, answer, steady_now());
--- a/src/proxy/request_log.cpp
+++ b/src/proxy/request_log.cpp
@@ -1,7 +1,9 @@
 // SPDX-License-Identifier: MIT
 // One line for each request that matters.
 #include <gingerdyke/log/log.hpp>
+#include <gingerdyke/metrics/text_format.hpp>
 #include <gingerdyke/proxy/request_log.hpp>
+#include <sstream>
 
 namespace gingerdyke::proxy
 {
@@ -32,17 +34,10 @@
 
 void request_log::note(const request_line& line, instant now)
 {
-	++outcomes_[line.outcome];
-	if (line.outcome == request_outcome::served)
+	metrics_.note(line);
+	if (line.outcome == request_outcome::served && ++served_ % tuning_.served_sample != 0)
 	{
-		if (++served_ % tuning_.served_sample != 0)
-		{
-			return;
-		}
-	}
-	else
-	{
-		++reasons_[line.reason];
+		return;
 	}
 	if (!lines_.take(1, now))
 	{
@@ -58,31 +53,13 @@
 			{"lines_left_out", left_out_}});
 }
 
-std::uint64_t request_log::count(request_outcome outcome) const
-{
-	const auto found = outcomes_.find(outcome);
-	return found == outcomes_.end() ? 0 : found->second;
-}
-
 std::string request_log::text() const
 {
-	std::string out = "# HELP gingerdyke_requests_total Requests by how they ended.\n"
-					  "# TYPE gingerdyke_requests_total counter\n";
-	for (const auto& [outcome, count] : outcomes_)
-	{
-		out += std::string{"gingerdyke_requests_total{outcome=\""} + name_of(outcome) + "\"} " +
-			   std::to_string(count) + "\n";
-	}
-	out += "# HELP gingerdyke_request_failures_total Requests that were not served, by reason.\n"
-		   "# TYPE gingerdyke_request_failures_total counter\n";
-	for (const auto& [reason, count] : reasons_)
-	{
-		out += "gingerdyke_request_failures_total{reason=\"" + reason + "\"} " + std::to_string(count) + "\n";
-	}
-	out += "# HELP gingerdyke_log_lines_left_out_total Request lines left out because of the rate.\n"
-		   "# TYPE gingerdyke_log_lines_left_out_total counter\n"
-		   "gingerdyke_log_lines_left_out_total " +
-		   std::to_string(left_out_) + "\n";
-	return out;
+	std::ostringstream out;
+	metrics_.write(out);
+	metrics::write_head(out, "gingerdyke_log_lines_left_out_total", "counter",
+		"Request lines left out because of the rate.");
+	out << "gingerdyke_log_lines_left_out_total " << left_out_ << "\n";
+	return out.str();
 }
 } // namespace gingerdyke::proxy
--- /dev/null
+++ b/src/proxy/request_metrics.cpp
@@ -0,0 +1,83 @@
+// SPDX-License-Identifier: MIT
+// Counters of how requests end, and histograms of their times.
+#include <gingerdyke/metrics/text_format.hpp>
+#include <gingerdyke/proxy/request_log.hpp>
+#include <gingerdyke/proxy/request_metrics.hpp>
+
+namespace gingerdyke::proxy
+{
+namespace
+{
+using metrics::write_head;
+using metrics::write_histogram;
+using metrics::write_label;
+
+void write_counter(std::ostream& out, const std::string& name, const std::string& label,
+	const std::map<std::string, std::uint64_t>& counts)
+{
+	for (const auto& [value, count] : counts)
+	{
+		out << name << "{" << write_label(label, value) << "} " << count << "\n";
+	}
+}
+
+template <typename Times>
+void write_times(std::ostream& out, const std::string& name, const std::string& label,
+	const std::map<std::string, Times>& all, metrics::histogram Times::*part)
+{
+	for (const auto& [value, times] : all)
+	{
+		if ((times.*part).count() > 0)
+		{
+			write_histogram(out, name, write_label(label, value), times.*part);
+		}
+	}
+}
+} // namespace
+
+void request_metrics::note(const request_line& line)
+{
+	++outcomes_[name_of(line.outcome)];
+	if (line.outcome != request_outcome::served)
+	{
+		++reasons_[line.reason];
+	}
+	const bool was_answered =
+		line.outcome == request_outcome::served || line.outcome == request_outcome::failed_by_replica;
+	if (!was_answered)
+	{
+		return;
+	}
+	for (auto* of : {&by_workspace_[line.workspace], &by_route_[line.route]})
+	{
+		of->total.add(static_cast<double>(line.took.count()));
+		of->first_byte.add(static_cast<double>(line.first_byte.count()));
+	}
+}
+
+std::uint64_t request_metrics::count(const std::string& outcome) const
+{
+	const auto found = outcomes_.find(outcome);
+	return found == outcomes_.end() ? 0 : found->second;
+}
+
+void request_metrics::write(std::ostream& out) const
+{
+	write_head(out, "gingerdyke_requests_total", "counter", "Requests by how they ended.");
+	write_counter(out, "gingerdyke_requests_total", "outcome", outcomes_);
+	write_head(out, "gingerdyke_request_failures_total", "counter", "Requests that were not served, by reason.");
+	write_counter(out, "gingerdyke_request_failures_total", "reason", reasons_);
+	write_head(out, "gingerdyke_workspace_request_seconds", "histogram",
+		"Time from arrival to the end of the answer, by workspace; empty: no key needed.");
+	write_times(out, "gingerdyke_workspace_request_seconds", "workspace", by_workspace_, &times::total);
+	write_head(out, "gingerdyke_workspace_first_byte_seconds", "histogram",
+		"Time from arrival to the first byte passed on, by workspace.");
+	write_times(out, "gingerdyke_workspace_first_byte_seconds", "workspace", by_workspace_, &times::first_byte);
+	write_head(out, "gingerdyke_route_request_seconds", "histogram",
+		"Time from arrival to the end of the answer, by route.");
+	write_times(out, "gingerdyke_route_request_seconds", "route", by_route_, &times::total);
+	write_head(out, "gingerdyke_route_first_byte_seconds", "histogram",
+		"Time from arrival to the first byte passed on, by route.");
+	write_times(out, "gingerdyke_route_first_byte_seconds", "route", by_route_, &times::first_byte);
+}
+} // namespace gingerdyke::proxy
--- /dev/null
+++ b/tests/proxy/request_metrics.cpp
@@ -0,0 +1,56 @@
+// SPDX-License-Identifier: MIT
+// Counters and histograms of requests.
+#include <catch2/catch.hpp>
+#include <gingerdyke/proxy/request_log.hpp>
+#include <sstream>
+
+using namespace gingerdyke;
+using namespace gingerdyke::proxy;
+using std::chrono::milliseconds;
+
+namespace
+{
+request_line make_line(request_outcome outcome, const char* reason = "")
+{
+	request_line line;
+	line.route = "r\"1";
+	line.workspace = "w1";
+	line.outcome = outcome;
+	line.reason = reason;
+	line.took = milliseconds{200};
+	line.first_byte = milliseconds{20};
+	return line;
+}
+
+std::string text_of(const request_metrics& metrics)
+{
+	std::ostringstream out;
+	metrics.write(out);
+	return out.str();
+}
+
+bool contains(const std::string& text, const std::string& part)
+{
+	return text.find(part) != std::string::npos;
+}
+} // namespace
+
+TEST_CASE("requests are counted by outcome and reason, and timed by workspace and route", "[metrics]")
+{
+	request_metrics metrics;
+	metrics.note(make_line(request_outcome::served));
+	metrics.note(make_line(request_outcome::served));
+	metrics.note(make_line(request_outcome::refused, "no replica"));
+	const auto text = text_of(metrics);
+	CHECK(contains(text, "gingerdyke_requests_total{outcome=\"served\"} 2\n"));
+	CHECK(contains(text, "gingerdyke_request_failures_total{reason=\"no replica\"} 1\n"));
+	CHECK(contains(text, "gingerdyke_workspace_request_seconds_count{workspace=\"w1\"} 2\n"));
+	CHECK(contains(text, "gingerdyke_route_first_byte_seconds_sum{route=\"r\\\"1\"} 0.04\n"));
+	CHECK(contains(text, "# TYPE gingerdyke_route_request_seconds histogram\n"));
+	CHECK(contains(text, "# HELP gingerdyke_route_request_seconds "));
+}
+
+TEST_CASE("without requests there are heads and no values", "[metrics]")
+{
+	CHECK_FALSE(contains(text_of(request_metrics{}), "_count"));
+}
