Old copies rest a short time; the operators' table tells who has lost the registry

Tried first: rests by table, and calls for other tables going on. Change: a VM with an old copy rests 0.5 s, always the same; an old copy of the operators' table, the one asked for most often, ends and rests all tables of that VM, an old copy of another only itself; unreachable ones rest longer each time as before.

--- a/include/gingerdyke/control/coordinator.hpp
+++ b/include/gingerdyke/control/coordinator.hpp
@@ -111,6 +111,7 @@
 	void on_written(store_result<change_answer> answer);
 
 	// What VMs that read through each other tell one another.
+	[[nodiscard]] shared_store_tuning sharing_tuning() const;
 	[[nodiscard]] shared_store_hooks store_hooks();
 	[[nodiscard]] relay_server_hooks server_hooks();
 	[[nodiscard]] std::optional<peer_report> report_with(const std::string& table) const;
--- a/include/gingerdyke/control/shared_store.hpp
+++ b/include/gingerdyke/control/shared_store.hpp
@@ -10,6 +10,10 @@
 /// \brief Tuning of `shared_store`.
 struct shared_store_tuning
 {
+	/// The table that is asked for most often: how old a VM's copy of it is tells whether that VM still has the
+	/// registry. Other tables are read with longer waits, and their copies look good for longer.
+	std::string contact_table;
+
 	/// A copy that is older than its VM waits at the registry, by more than this, is not good enough: the VM
 	/// may have lost the registry. With the time between two polls this has to leave time, within the users'
 	/// 2 s, to learn of a change elsewhere.
@@ -87,6 +91,7 @@
 	};
 
 	void read(read_call call);
+	void give_up_source(const peer& from, const std::string& table, bool answered);
 	[[nodiscard]] duration oldest_of(const read_call& call) const;
 	[[nodiscard]] bool should_wait(const read_call& call) const;
 	void wait_for_reader(read_call call);
--- a/include/gingerdyke/control/source_selector.hpp
+++ b/include/gingerdyke/control/source_selector.hpp
@@ -32,11 +32,14 @@
 	/// VMs of a failure domain that read the registry themselves.
 	unsigned readers = 1;
 
-	/// A source that failed is left alone for this time, doubled each time up to the longest. The first is
-	/// short: the VM that is next in rank has an old copy itself while it takes over.
+	/// A source that can't be reached is left alone for this time, doubled each time up to the longest.
 	duration first_rest = std::chrono::milliseconds{500};
 	duration longest_rest = std::chrono::seconds{30};
 
+	/// A VM with an old copy is not asked for this time. Short, and always the same: it tells so at once, and it
+	/// has a new copy as soon as it finds a reader.
+	duration old_copy_rest = std::chrono::milliseconds{500};
+
 	/// Sources of other failure domains that are tried where none of the own one is left: bytes between
 	/// failure domains are dear.
 	std::size_t far_sources = 3;
@@ -53,14 +56,20 @@
 	/// \brief Takes the VMs that are known; itself need not be among them.
 	void set_peers(std::vector<peer> peers);
 
-	/// \brief The VM to read from; none: the registry itself.
-	[[nodiscard]] std::optional<peer> choose(instant now) const;
+	/// \brief The VM to read a table from; none: the registry itself.
+	[[nodiscard]] std::optional<peer> choose(const std::string& table, instant now) const;
 
 	/// \brief VMs of the own failure domain that are asked before this one.
 	[[nodiscard]] std::size_t position() const;
 
-	/// \brief Notes that a source failed or has an old copy; none: the registry itself.
-	void note_bad(const std::optional<peer>& source, instant now);
+	/// \brief Notes that a source can't be reached; none: the registry itself.
+	void note_unreachable(const std::optional<peer>& source, instant now);
+
+	/// \brief Notes that a VM's copy of a table is old.
+	void note_old(const peer& source, const std::string& table, instant now);
+
+	/// \brief Notes that a VM has lost the registry: none of its copies is to be used.
+	void note_out_of_contact(const peer& source, instant now);
 
 	/// \brief Notes that a source answered.
 	void note_good(const std::optional<peer>& source);
@@ -73,7 +82,8 @@
 	};
 
 	[[nodiscard]] bool rests(const std::string& name, instant now) const;
-	[[nodiscard]] bool reads_itself(instant now) const;
+	[[nodiscard]] bool is_usable(const peer& one, const std::string& table, instant now) const;
+	[[nodiscard]] bool reads_itself(const std::string& table, instant now) const;
 
 	peer self_;
 	source_tuning tuning_;
@@ -81,5 +91,8 @@
 	/// All peers in the order in which they are asked: the own failure domain first.
 	std::vector<peer> peers_;
 	std::map<std::string, rest> rests_;
+
+	/// Until when the copies of VMs are not asked for, by VM and table; an empty name stands for all tables.
+	std::map<std::pair<vm_id, std::string>, instant> old_copies_;
 };
 } // namespace gingerdyke::control
--- a/src/control/coordinator.cpp
+++ b/src/control/coordinator.cpp
@@ -37,7 +37,7 @@
 coordinator::coordinator(proxy::gateway& gateway, row_store& registry, registry_layout layout, peer self,
 	std::string reporter, const random_source& random, coordinator_tuning tuning)
 	: gateway_(gateway), layout_(std::move(layout)), self_(std::move(self)), reporter_(std::move(reporter)),
-	  tuning_(tuning), sources_(self_), store_(gateway.context(), registry, sources_, store_hooks(), tuning.sharing),
+	  tuning_(tuning), sources_(self_), store_(gateway.context(), registry, sources_, store_hooks(), sharing_tuning()),
 	  relay_(gateway.context(), server_hooks()), register_timer_(gateway.context()),
 	  write_timer_(gateway.context()), expire_timer_(gateway.context()),
 	  evidence_timer_(gateway.context()),
@@ -429,6 +429,13 @@
 	}
 }
 
+shared_store_tuning coordinator::sharing_tuning() const
+{
+	auto tuning = tuning_.sharing;
+	tuning.contact_table = layout_.operator_table;
+	return tuning;
+}
+
 shared_store_hooks coordinator::store_hooks()
 {
 	shared_store_hooks hooks;
--- a/src/control/shared_store.cpp
+++ b/src/control/shared_store.cpp
@@ -43,7 +43,7 @@
 		wait_for_reader(std::move(call));
 		return;
 	}
-	const auto source = sources_.choose(proxy::steady_now());
+	const auto source = sources_.choose(call.table, proxy::steady_now());
 	note_source(source);
 	if (source && call.failures < call.most_failures)
 	{
@@ -83,7 +83,7 @@
 		const bool failed = !result && result.error() != store_error::history_gone;
 		if (failed)
 		{
-			sources_.note_bad(std::nullopt, proxy::steady_now());
+			sources_.note_unreachable(std::nullopt, proxy::steady_now());
 		}
 		else
 		{
@@ -139,16 +139,35 @@
 		call.done(std::move(result));
 		return;
 	}
-	sources_.note_bad(from, proxy::steady_now());
 	log::write(log::level::info, "source given up",
 		{{"vm", from.vm.str()}, {"table", call.table}, {"why", result ? "old copy" : name_of(result.error())},
 			{"age_ms", result ? to_milliseconds(result->age) : 0.0}});
 	++call.failures;
-	// Its other calls would only end later.
-	client_of(from)->abandon();
+	give_up_source(from, call.table, result.has_value());
 	read(std::move(call));
 }
 
+/// \param answered It gave a copy, an old one.
+void shared_store::give_up_source(const peer& from, const std::string& table, bool answered)
+{
+	const auto now = proxy::steady_now();
+	if (answered && table != tuning_.contact_table)
+	{
+		sources_.note_old(from, table, now);
+		return;
+	}
+	if (answered)
+	{
+		sources_.note_out_of_contact(from, now);
+	}
+	else
+	{
+		sources_.note_unreachable(from, now);
+	}
+	// Its other calls would only end later, or bring what is no longer true.
+	client_of(from)->abandon();
+}
+
 /// How old a copy may be that answers a call for changes.
 duration shared_store::oldest_of(const read_call& call) const
 {
--- a/src/control/source_selector.cpp
+++ b/src/control/source_selector.cpp
@@ -11,6 +11,9 @@
 /// Name under which the registry itself rests; no VM has an empty name.
 const std::string registry_name;
 
+/// Stands for all tables; no table has an empty name.
+const std::string all_tables;
+
 /// Whether a VM is asked before another one of its failure domain.
 bool ranks_before(const peer& a, const peer& b)
 {
@@ -39,10 +42,10 @@
 	peers_ = std::move(peers);
 }
 
-std::optional<peer> source_selector::choose(instant now) const
+std::optional<peer> source_selector::choose(const std::string& table, instant now) const
 {
 	const bool registry_rests = rests(registry_name, now);
-	if (!registry_rests && reads_itself(now))
+	if (!registry_rests && reads_itself(table, now))
 	{
 		return std::nullopt;
 	}
@@ -53,7 +56,7 @@
 		{
 			break;
 		}
-		if (!rests(one.vm.str(), now))
+		if (is_usable(one, table, now))
 		{
 			return one;
 		}
@@ -61,11 +64,21 @@
 	return std::nullopt;
 }
 
-bool source_selector::reads_itself(instant now) const
+bool source_selector::is_usable(const peer& one, const std::string& table, instant now) const
+{
+	const auto is_old = [&](const std::string& name)
+	{
+		const auto old = old_copies_.find({one.vm, name});
+		return old != old_copies_.end() && old->second > now;
+	};
+	return !rests(one.vm.str(), now) && !is_old(table) && !is_old(all_tables);
+}
+
+bool source_selector::reads_itself(const std::string& table, instant now) const
 {
 	const auto before = std::count_if(peers_.begin(), peers_.end(),
 		[&](const peer& one)
-		{ return one.domain == self_.domain && ranks_before(one, self_) && !rests(one.vm.str(), now); });
+		{ return one.domain == self_.domain && ranks_before(one, self_) && is_usable(one, table, now); });
 	return static_cast<std::size_t>(before) < tuning_.readers;
 }
 
@@ -76,7 +89,7 @@
 	return static_cast<std::size_t>(before);
 }
 
-void source_selector::note_bad(const std::optional<peer>& source, instant now)
+void source_selector::note_unreachable(const std::optional<peer>& source, instant now)
 {
 	auto& known = rests_[name_of(source)];
 	if (known.until > now)
@@ -91,6 +104,16 @@
 	++known.times;
 }
 
+void source_selector::note_old(const peer& source, const std::string& table, instant now)
+{
+	old_copies_[{source.vm, table}] = now + tuning_.old_copy_rest;
+}
+
+void source_selector::note_out_of_contact(const peer& source, instant now)
+{
+	note_old(source, all_tables, now);
+}
+
 void source_selector::note_good(const std::optional<peer>& source)
 {
 	rests_.erase(name_of(source));
--- a/tests/control/control.cpp
+++ b/tests/control/control.cpp
@@ -89,7 +89,7 @@
 	}
 	const auto reader_of = [&](const source_selector& of, const std::string& self)
 	{
-		const auto source = of.choose(start);
+		const auto source = of.choose("t", start);
 		return source ? source->vm.str() : self;
 	};
 	const auto reader = reader_of(selectors[0].second, selectors[0].first);
@@ -99,7 +99,7 @@
 	}
 	for (auto& [name, selector] : selectors)
 	{
-		selector.note_bad(make_peer(reader.c_str()), start);
+		selector.note_unreachable(make_peer(reader.c_str()), start);
 	}
 	std::string next;
 	for (const auto& [name, selector] : selectors)
@@ -117,13 +117,13 @@
 	"a VM that the registry turns away reads another VM's copy, of its own failure domain first", "[sources]")
 {
 	source_selector alone{make_peer("vm1")};
-	CHECK_FALSE(alone.choose(start));
+	CHECK_FALSE(alone.choose("t", start));
 	alone.set_peers({make_peer("far", "b")});
-	CHECK_FALSE(alone.choose(start));
-	alone.note_bad(std::nullopt, start);
-	REQUIRE(alone.choose(start));
-	CHECK(alone.choose(start)->vm.str() == "far");
-	CHECK_FALSE(alone.choose(start + seconds{3}));
+	CHECK_FALSE(alone.choose("t", start));
+	alone.note_unreachable(std::nullopt, start);
+	REQUIRE(alone.choose("t", start));
+	CHECK(alone.choose("t", start)->vm.str() == "far");
+	CHECK_FALSE(alone.choose("t", start + seconds{3}));
 }
 
 TEST_CASE("frames are read back as they were written, and nonsense is no frame", "[relay]")
@@ -180,6 +180,31 @@
 	CHECK(got->error() == store_error::unreachable);
 }
 
+TEST_CASE("a VM with an old copy of one table is soon asked again, and for other tables at once", "[sources]")
+{
+	source_selector second{make_peer("vm2")};
+	const auto first = make_peer("vm1");
+	auto large = first;
+	large.link_mbps = 10;
+	second.set_peers({large});
+	REQUIRE(second.choose("t", start));
+	for (int i = 0; i < 10; ++i)
+	{
+		second.note_old(large, "t", start);
+	}
+	CHECK_FALSE(second.choose("t", start));
+	CHECK(second.choose("other", start));
+	CHECK(second.choose("t", start + milliseconds{500}));
+	second.note_out_of_contact(large, start + seconds{1});
+	CHECK_FALSE(second.choose("other", start + seconds{1}));
+	CHECK(second.choose("other", start + seconds{2}));
+	for (int i = 0; i < 10; ++i)
+	{
+		second.note_unreachable(large, start + seconds{100 * i});
+	}
+	CHECK_FALSE(second.choose("other", start + seconds{900} + milliseconds{600}));
+}
+
 TEST_CASE("the VM with the largest link reads the registry for its failure domain", "[sources]")
 {
 	auto large = make_peer("vm3");
@@ -189,7 +214,7 @@
 	{
 		source_selector selector{one};
 		selector.set_peers(all);
-		const auto source = selector.choose(start);
+		const auto source = selector.choose("t", start);
 		CHECK((source ? source->vm : one.vm) == large.vm);
 	}
 }
