VMs leave sources that read second hand

Ruled out: the registry's lost history (the refusals are in the windows 32 to 36); missing replicas. Change: an answer says whether its VM reads the registry itself; one that does not is used, and its VM rests as an unreachable one does, so that the second in rank stays the reader.

--- a/include/gingerdyke/control/relay_codec.hpp
+++ b/include/gingerdyke/control/relay_codec.hpp
@@ -36,6 +36,9 @@
 	std::int64_t call{};
 	store_result<row_batch> result{row_batch{}};
 
+	/// The VM that answers reads the registry through another one itself.
+	bool is_second_hand{};
+
 	/// There where the call came with a report.
 	std::optional<peer_summary> summary;
 };
--- a/include/gingerdyke/control/row_store.hpp
+++ b/include/gingerdyke/control/row_store.hpp
@@ -40,6 +40,9 @@
 	/// How old the answer was when it was given: 0 from the registry itself, more from another VM's copy.
 	duration age{};
 
+	/// From a VM that reads the registry through another one.
+	bool is_second_hand{};
+
 	/// How long the call was held before it was answered, at least: an answer without news, given after the
 	/// whole wait, tells that there was none all that time.
 	duration held{};
--- a/include/gingerdyke/control/source_selector.hpp
+++ b/include/gingerdyke/control/source_selector.hpp
@@ -71,7 +71,11 @@
 	/// \brief Notes that a VM has lost the registry: none of its copies is to be used.
 	void note_out_of_contact(const peer& source, instant now);
 
-	/// \brief Notes that a source answered.
+	/// \brief Notes that a VM answered that reads the registry through another one. It rests like one that can't
+	/// be reached: two VMs that read each other's copies would both grow old.
+	void note_second_hand(const peer& source, instant now);
+
+	/// \brief Notes that a source answered that reads the registry, or the registry itself.
 	void note_good(const std::optional<peer>& source);
 
   private:
--- a/src/control/coordinator.cpp
+++ b/src/control/coordinator.cpp
@@ -455,6 +455,7 @@
 {
 	relay_server_hooks hooks;
 	hooks.find = [this](const std::string& table) { return cache_of(table); };
+	hooks.reads_registry = [this] { return reads_registry_; };
 	hooks.reported = [this](const peer_report& report) { on_report(report); };
 	hooks.summarise = [this](const std::string& reporter) { return summary_for(reporter); };
 	return hooks;
--- a/src/control/relay_client.cpp
+++ b/src/control/relay_client.cpp
@@ -76,6 +76,10 @@
 	{
 		summarised_(*answer->summary);
 	}
+	if (answer->result)
+	{
+		answer->result->is_second_hand = answer->is_second_hand;
+	}
 	end_call(answer->call, std::move(answer->result));
 }
 
--- a/src/control/relay_codec.cpp
+++ b/src/control/relay_codec.cpp
@@ -193,6 +193,10 @@
 {
 	wire::RelayAnswer message;
 	message.call = answer.call;
+	if (answer.is_second_hand)
+	{
+		message.__set_second_hand(true);
+	}
 	if (answer.summary)
 	{
 		message.__set_summary(written(*answer.summary));
@@ -264,6 +268,7 @@
 	}
 	relay_answer answer;
 	answer.call = message->call;
+	answer.is_second_hand = message->__isset.second_hand && message->second_hand;
 	if (message->__isset.summary)
 	{
 		answer.summary = read(message->summary);
--- a/src/control/shared_store.cpp
+++ b/src/control/shared_store.cpp
@@ -135,7 +135,14 @@
 	const bool is_fresh = result && (!call.after || result->age <= oldest_of(call));
 	if (is_fresh)
 	{
-		sources_.note_good(from);
+		if (result->is_second_hand)
+		{
+			sources_.note_second_hand(from, proxy::steady_now());
+		}
+		else
+		{
+			sources_.note_good(from);
+		}
 		call.done(std::move(result));
 		return;
 	}
--- a/src/control/source_selector.cpp
+++ b/src/control/source_selector.cpp
@@ -114,6 +114,11 @@
 	note_old(source, all_tables, now);
 }
 
+void source_selector::note_second_hand(const peer& source, instant now)
+{
+	note_unreachable(source, now);
+}
+
 void source_selector::note_good(const std::optional<peer>& source)
 {
 	rests_.erase(name_of(source));
--- a/tests/control/control.cpp
+++ b/tests/control/control.cpp
@@ -39,6 +39,7 @@
 {
 	relay_server_hooks hooks;
 	hooks.find = [&cache](const std::string& table) { return table == cache.table() ? &cache : nullptr; };
+	hooks.reads_registry = [] { return true; };
 	hooks.reported = [](const peer_report&) {};
 	hooks.summarise = [](const std::string&) { return peer_summary{}; };
 	return hooks;
@@ -205,6 +206,21 @@
 	CHECK_FALSE(second.choose("other", start + seconds{900} + milliseconds{600}));
 }
 
+TEST_CASE("a VM that reads through another one is left for a reader, longer each time", "[sources]")
+{
+	source_selector second{make_peer("vm2")};
+	auto first = make_peer("vm1");
+	first.link_mbps = 10;
+	second.set_peers({first});
+	second.note_second_hand(first, start);
+	CHECK_FALSE(second.choose("t", start + milliseconds{400}));
+	CHECK(second.choose("t", start + milliseconds{600}));
+	second.note_second_hand(first, start + milliseconds{600});
+	CHECK_FALSE(second.choose("t", start + milliseconds{1500}));
+	second.note_good(first);
+	CHECK(second.choose("t", start + milliseconds{1500}));
+}
+
 TEST_CASE("the VM with the largest link reads the registry for its failure domain", "[sources]")
 {
 	auto large = make_peer("vm3");
--- a/thrift/relay.thrift
+++ b/thrift/relay.thrift
@@ -66,4 +66,5 @@
 	5: required i64 registry_time_us
 	6: required i64 age_us
 	7: optional RelaySummary summary
+	8: optional bool second_hand
 }
