--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BUILD := build/release
 SANITIZE := build/sanitize
 
-.PHONY: capacity experiments all build setup test test-sanitize test-processes demo bench soak golden fuzz lint format thrift clean
+.PHONY: capacity experiments soak-processes all build setup test test-sanitize test-processes demo bench soak golden fuzz lint format thrift clean
 
 all: build
 
@@ -34,6 +34,12 @@
 soak: build
 	GINGERDYKE_HISTORIES=5000 ctest --test-dir $(BUILD) --output-on-failure -R "faults together" -j 4
 
+# Real processes under drawn faults, SEEDS of them from FIRST, six at a time; logs of broken ones stay in soak-logs.
+FIRST ?= 1
+SEEDS ?= 50
+soak-processes: build
+	seq $(FIRST) $$(($(FIRST) + $(SEEDS) - 1)) | xargs -P 6 -I{} $(BUILD)/gingerdyke-soak --seed {} --keep soak-logs
+
 test-processes: build
 	tools/process_tests.py
 
--- a/include/gingerdyke/control/coordinator.hpp
+++ b/include/gingerdyke/control/coordinator.hpp
@@ -69,8 +69,8 @@
 };
 
 /// \brief Tuning for a deployment.
-/// \param change_limit A change of the configuration is to be in force everywhere within this time. The shorter,
-/// the more calls to the registry.
+/// \param change_limit A change of the configuration is to be in force everywhere within this time. The
+/// shorter, the more calls to the registry.
 [[nodiscard]] coordinator_tuning tuning_for(duration change_limit);
 
 /// \brief Follows the registry for a gateway, itself or through another VM, and lets other VMs do so.
--- a/include/gingerdyke/control/relay_codec.hpp
+++ b/include/gingerdyke/control/relay_codec.hpp
@@ -23,7 +23,8 @@
 	/// How long to wait where there is no news.
 	duration wait{};
 
-	/// A copy that is older than this is of no use to the VM that calls: it is answered at once. None: any is.
+	/// A copy that is older than this is of no use to the VM that calls: it is answered at once. None: any
+	/// is.
 	std::optional<duration> oldest;
 
 	/// What the VM that calls has to tell; none where another call of it tells.
--- a/include/gingerdyke/control/shared_store.hpp
+++ b/include/gingerdyke/control/shared_store.hpp
@@ -10,8 +10,8 @@
 /// \brief Tuning of `shared_store`.
 struct shared_store_tuning
 {
-	/// The table that is asked for most often: how old a VM's copy of it is tells whether that VM still has the
-	/// registry. Other tables are read with longer waits, and their copies look good for longer.
+	/// The table that is asked for most often: how old a VM's copy of it is tells whether that VM still has
+	/// the registry. Other tables are read with longer waits, and their copies look good for longer.
 	std::string contact_table;
 
 	/// A copy that is older than its VM waits at the registry, by more than this, is not good enough: the VM
@@ -35,10 +35,11 @@
 	/// it is not ready meanwhile, so not for long: then the registry is asked.
 	duration whole_wait = std::chrono::milliseconds{250};
 
-	/// Sources that one call tries before it asks the registry: one where a VM waits to become ready. Where two
-	/// have old copies, the reader has just been lost and the next one has not taken over yet, or the registry
-	/// itself is away: it has to be asked to know. A VM that starts again while callers come asks the registry
-	/// at once: after a power loss a reader with a link of 10 Mbit/s would send its tables for seconds.
+	/// Sources that one call tries before it asks the registry: one where a VM waits to become ready. Where
+	/// two have old copies, the reader has just been lost and the next one has not taken over yet, or the
+	/// registry itself is away: it has to be asked to know. A VM that starts again while callers come asks
+	/// the registry at once: after a power loss a reader with a link of 10 Mbit/s would send its tables for
+	/// seconds.
 	unsigned sources_to_follow = 2;
 	unsigned sources_to_start = 1;
 
--- a/include/gingerdyke/control/source_selector.hpp
+++ b/include/gingerdyke/control/source_selector.hpp
@@ -36,8 +36,8 @@
 	duration first_rest = std::chrono::milliseconds{500};
 	duration longest_rest = std::chrono::seconds{30};
 
-	/// A VM with an old copy is not asked for this time. Short, and always the same: it tells so at once, and it
-	/// has a new copy as soon as it finds a reader.
+	/// A VM with an old copy is not asked for this time. Short, and always the same: it tells so at once, and
+	/// it has a new copy as soon as it finds a reader.
 	duration old_copy_rest = std::chrono::milliseconds{500};
 
 	/// Sources of other failure domains that are tried where none of the own one is left: bytes between
@@ -71,8 +71,8 @@
 	/// \brief Notes that a VM has lost the registry: none of its copies is to be used.
 	void note_out_of_contact(const peer& source, instant now);
 
-	/// \brief Notes that a VM answered that reads the registry through another one. It rests like one that can't
-	/// be reached: two VMs that read each other's copies would both grow old.
+	/// \brief Notes that a VM answered that reads the registry through another one. It rests like one that
+	/// can't be reached: two VMs that read each other's copies would both grow old.
 	void note_second_hand(const peer& source, instant now);
 
 	/// \brief Notes that a source answered that reads the registry, or the registry itself.
--- a/include/gingerdyke/metrics/histogram.hpp
+++ b/include/gingerdyke/metrics/histogram.hpp
@@ -9,8 +9,8 @@
 
 namespace gingerdyke::metrics
 {
-/// \brief Counts values by size. All histograms have the same bins, so they can be added up. One without values
-/// takes no memory.
+/// \brief Counts values by size. All histograms have the same bins, so they can be added up. One without
+/// values takes no memory.
 class histogram
 {
   public:
--- a/include/gingerdyke/proxy/exchange.hpp
+++ b/include/gingerdyke/proxy/exchange.hpp
@@ -50,7 +50,8 @@
   public:
 	exchange(gateway& shared, request what, std::shared_ptr<answer_sink> to);
 
-	/// \brief Admits the request and sends it on, or refuses it; waits a little where the VM is not ready yet.
+	/// \brief Admits the request and sends it on, or refuses it; waits a little where the VM is not ready
+	/// yet.
 	void start();
 
 	void cancel() override;
--- a/include/gingerdyke/proxy/gateway.hpp
+++ b/include/gingerdyke/proxy/gateway.hpp
@@ -2,6 +2,7 @@
 // What all requests of a VM share: the configuration in force, the replicas, the budgets.
 #pragma once
 
+#include <algorithm>
 #include <gingerdyke/limits/attempt_budget.hpp>
 #include <gingerdyke/proxy/answer_sink.hpp>
 #include <gingerdyke/proxy/header_names.hpp>
@@ -12,7 +13,6 @@
 #include <gingerdyke/routing/replica_selector.hpp>
 #include <gingerdyke/routing/replica_set.hpp>
 #include <gingerdyke/routing/size_policy.hpp>
-#include <algorithm>
 #include <map>
 #include <ostream>
 
@@ -39,8 +39,9 @@
 	/// A connection that is not up by then is given up: a thousand times the users' usual time.
 	duration connect_limit = std::chrono::milliseconds{400};
 
-	/// A request that may run again is taken from a replica that does not acknowledge its bytes for this long:
-	/// three losses in a row on the users' links take longer. Others wait as long as the connection does.
+	/// A request that may run again is taken from a replica that does not acknowledge its bytes for this
+	/// long: three losses in a row on the users' links take longer. Others wait as long as the connection
+	/// does.
 	duration unacknowledged_limit = std::chrono::milliseconds{900};
 
 	/// Replicas tried, at most, to which no connection came up: nothing was sent, so they are no attempts.
--- a/include/gingerdyke/proxy/request_log.hpp
+++ b/include/gingerdyke/proxy/request_log.hpp
@@ -73,7 +73,10 @@
 	void note(const request_line& line, instant now);
 
 	/// \brief Requests that ended so.
-	[[nodiscard]] std::uint64_t count(request_outcome outcome) const { return metrics_.count(name_of(outcome)); }
+	[[nodiscard]] std::uint64_t count(request_outcome outcome) const
+	{
+		return metrics_.count(name_of(outcome));
+	}
 
 	/// \brief Counters and histograms in the Prometheus text format.
 	[[nodiscard]] std::string text() const;
--- a/include/gingerdyke/rollout/version_shift.hpp
+++ b/include/gingerdyke/rollout/version_shift.hpp
@@ -172,9 +172,9 @@
 	/// Least time between two writes of evidence by one VM.
 	duration report_pause = std::chrono::milliseconds{300};
 
-	/// Evidence is written where more than tolerated is bad, and again when its bad answers have grown by this
-	/// factor: each write is priced, and a good version's few bad answers change nothing. A verdict is late by
-	/// at most a third of them.
+	/// Evidence is written where more than tolerated is bad, and again when its bad answers have grown by
+	/// this factor: each write is priced, and a good version's few bad answers change nothing. A verdict is
+	/// late by at most a third of them.
 	double report_growth = 1.5;
 
 	/// VMs that read the registry act on the same news at random moments within this time, so that mostly
--- a/soak/caller.cpp
+++ b/soak/caller.cpp
@@ -23,10 +23,10 @@
 {
 	const auto names = platform::header_names();
 	const bool has_body = what.kind != request_kind::repeatable;
-	std::string bytes = (has_body ? "POST " : "GET ") + what.path + " HTTP/1.1\r\nHost: " +
-						platform::standin::host_name + "\r\n" + names.request_id + ": " + what.id + "\r\n" +
-						"Authorization: " + names.key_scheme + " " + what.key + "\r\n" + names.deadline_ms +
-						": 3500\r\n";
+	std::string bytes = (has_body ? "POST " : "GET ") + what.path +
+						" HTTP/1.1\r\nHost: " + platform::standin::host_name + "\r\n" + names.request_id +
+						": " + what.id + "\r\n" + "Authorization: " + names.key_scheme + " " + what.key +
+						"\r\n" + names.deadline_ms + ": 3500\r\n";
 	return bytes + (has_body ? "Content-Length: 4\r\n\r\nbody" : "\r\n");
 }
 } // namespace
--- a/soak/history.cpp
+++ b/soak/history.cpp
@@ -84,7 +84,8 @@
 	const bool was_refused = one.answer && is_refusal(one.answer->status);
 	if (one.sent.kind == request_kind::once && was_refused && !one.runs.empty())
 	{
-		into.push_back("a refusal is true: " + id + " was refused and ran at " + one.runs.front().run.replica);
+		into.push_back(
+			"a refusal is true: " + id + " was refused and ran at " + one.runs.front().run.replica);
 	}
 	for (const auto& seen : one.runs)
 	{
@@ -178,8 +179,8 @@
 		{
 			const bool concerns = one.sent.vm == stop.vm && one.sent.life == stop.life &&
 								  one.sent.at < stop.begun + stop_limit && !one.runs.empty();
-			const bool was_cut = one.answer && !one.answer->timed_out && !one.answer->is_whole &&
-								 one.answer->at >= stop.begun;
+			const bool was_cut =
+				one.answer && !one.answer->timed_out && !one.answer->is_whole && one.answer->at >= stop.begun;
 			if (concerns && was_cut)
 			{
 				into.push_back("a planned stop cuts nothing: " + id + " at " + stop.vm);
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -45,10 +45,12 @@
 	int status = exit_usage;
 	const std::vector<cli::option_spec> specs{
 		{"binary", true, "program under test (default: gingerdyke beside this program)"},
-		{"seed", true, "first seed (default: 1)"}, {"seeds", true, "how many seeds (default: 1)"},
+		{"seed", true, "first seed (default: 1)"},
+		{"seeds", true, "how many seeds (default: 1)"},
 		{"seconds", true, "time over which faults begin, a seed (default: 8)"},
 		{"vms", true, "VM processes (default: 4)"},
-		{"keep", true, "where settings and logs go; those of seeds that held are removed (default: soak-logs)"},
+		{"keep", true,
+			"where settings and logs go; those of seeds that held are removed (default: soak-logs)"},
 	};
 	const auto options = cli::parse_options("gingerdyke-soak [OPTION...]", specs, args, status);
 	if (!options)
@@ -56,7 +58,8 @@
 		return status;
 	}
 	run_options run;
-	run.binary = options->value("binary", (std::filesystem::canonical("/proc/self/exe").parent_path() / "gingerdyke").string());
+	run.binary = options->value(
+		"binary", (std::filesystem::canonical("/proc/self/exe").parent_path() / "gingerdyke").string());
 	run.directory = options->value("keep", "soak-logs");
 	run.vms = std::stoul(options->value("vms", "4"));
 	run.length = std::chrono::seconds{std::stol(options->value("seconds", "8"))};
--- a/soak/vm_process.cpp
+++ b/soak/vm_process.cpp
@@ -13,7 +13,7 @@
 namespace gingerdyke::soak
 {
 vm_process::vm_process(std::filesystem::path binary, std::filesystem::path directory, std::string name,
-	json settings, vm_addresses at)
+	const json& settings, vm_addresses at)
 	: binary_(std::move(binary)), directory_(std::move(directory)), name_(std::move(name)), at_(std::move(at))
 {
 	std::ofstream{directory_ / (name_ + ".json")} << settings.dump(1, '\t') << "\n";
@@ -34,16 +34,15 @@
 	posix_spawn_file_actions_init(&actions);
 	constexpr mode_t mode = 0644;
 	const auto log = log_file().string();
-	posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, mode);
+	posix_spawn_file_actions_addopen(
+		&actions, STDOUT_FILENO, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, mode);
 	posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
 	auto program = binary_.string();
 	std::string command = "route";
 	std::string option = "--settings";
 	auto file = (directory_ / (name_ + ".json")).string();
-	const std::array<char*, 5> arguments{
-		program.data(), command.data(), option.data(), file.data(), nullptr};
-	const auto error =
-		::posix_spawn(&pid_, program.c_str(), &actions, nullptr, arguments.data(), ::environ);
+	const std::array<char*, 5> arguments{program.data(), command.data(), option.data(), file.data(), nullptr};
+	const auto error = ::posix_spawn(&pid_, program.c_str(), &actions, nullptr, arguments.data(), ::environ);
 	posix_spawn_file_actions_destroy(&actions);
 	if (error != 0)
 	{
--- a/soak/vm_process.hpp
+++ b/soak/vm_process.hpp
@@ -2,9 +2,9 @@
 // One real VM process: started, signalled, started again.
 #pragma once
 
+#include <filesystem>
 #include <gingerdyke/base/json_source.hpp>
 #include <gingerdyke/routing/address.hpp>
-#include <filesystem>
 #include <optional>
 #include <string>
 #include <sys/types.h>
@@ -35,8 +35,8 @@
   public:
 	/// \param binary The program under test.
 	/// \param directory Where its settings and log go.
-	vm_process(std::filesystem::path binary, std::filesystem::path directory, std::string name, json settings,
-		vm_addresses at);
+	vm_process(std::filesystem::path binary, std::filesystem::path directory, std::string name,
+		const json& settings, vm_addresses at);
 
 	/// \brief Kills a process that still runs.
 	~vm_process();
--- a/soak/world.cpp
+++ b/soak/world.cpp
@@ -30,14 +30,14 @@
 /// Calm time before the first stop.
 constexpr std::chrono::milliseconds calm{700};
 
-/// Addresses of the VMs' own sockets. Each run has a loopback address to itself: on a common one, a port that is
-/// free now may be the source of some connection when a VM starts again.
+/// Addresses of the VMs' own sockets. Each run has a loopback address to itself: on a common one, a port that
+/// is free now may be the source of some connection when a VM starts again.
 std::string own_ip(std::uint64_t seed)
 {
 	constexpr std::uint64_t numbers = 250;
 	const auto process = static_cast<std::uint64_t>(::getpid());
-	return "127." + std::to_string(2 + process % numbers) + "." + std::to_string(process / numbers % numbers) +
-		   "." + std::to_string(1 + seed % numbers);
+	return "127." + std::to_string(2 + process % numbers) + "." +
+		   std::to_string(process / numbers % numbers) + "." + std::to_string(1 + seed % numbers);
 }
 
 vm_addresses addresses_of(const std::string& ip, std::size_t index)
@@ -45,7 +45,8 @@
 	constexpr std::uint16_t first_port = 20000;
 	constexpr std::uint16_t ports_per_vm = 3;
 	const auto port = static_cast<std::uint16_t>(first_port + ports_per_vm * index);
-	return {{ip, port}, {ip, static_cast<std::uint16_t>(port + 1)}, {ip, static_cast<std::uint16_t>(port + 2)}};
+	return {
+		{ip, port}, {ip, static_cast<std::uint16_t>(port + 1)}, {ip, static_cast<std::uint16_t>(port + 2)}};
 }
 
 json settings_of(const std::string& name, const std::string& domain, const vm_addresses& at,
--- a/src/control/coordinator.cpp
+++ b/src/control/coordinator.cpp
@@ -37,10 +37,10 @@
 coordinator::coordinator(proxy::gateway& gateway, row_store& registry, registry_layout layout, peer self,
 	std::string reporter, const random_source& random, coordinator_tuning tuning)
 	: gateway_(gateway), layout_(std::move(layout)), self_(std::move(self)), reporter_(std::move(reporter)),
-	  tuning_(tuning), sources_(self_), store_(gateway.context(), registry, sources_, store_hooks(), sharing_tuning()),
+	  tuning_(std::move(tuning)), sources_(self_),
+	  store_(gateway.context(), registry, sources_, store_hooks(), sharing_tuning()),
 	  relay_(gateway.context(), server_hooks()), register_timer_(gateway.context()),
-	  write_timer_(gateway.context()), expire_timer_(gateway.context()),
-	  evidence_timer_(gateway.context()),
+	  write_timer_(gateway.context()), expire_timer_(gateway.context()), evidence_timer_(gateway.context()),
 	  operators_(gateway.context(), store_, layout_.operator_table, random,
 		  {[this](const auto& rows) { on_operator_rows(rows); },
 			  [this](const auto& rows) { on_operator_rows(rows); },
@@ -51,7 +51,7 @@
 			  },
 			  // What the other calls wait for may be lost as well: they are made again.
 			  [this](store_error) { store_.abandon(); }},
-		  {.wait = tuning.operator_wait}),
+		  {.wait = tuning_.operator_wait}),
 	  replicas_(gateway.context(), store_, layout_.replica_table, random,
 		  {[this](const auto& rows) { on_replicas(rows); },
 			  [this](const auto& rows) { on_replica_rows(rows); },
@@ -61,16 +61,16 @@
 				  expire_replicas();
 			  },
 			  [this](store_error) { gateway_.replicas().note_unsound(proxy::steady_now()); }},
-		  {.wait = tuning.other_wait, .gather = tuning.gather}),
+		  {.wait = tuning_.other_wait, .gather = tuning_.gather}),
 	  own_(gateway.context(), store_, layout_.own_table, random,
 		  {[this](const auto& rows) { on_own_rows(rows); }, [this](const auto& rows) { on_own_rows(rows); },
 			  [](instant, registry_time) {}, [](store_error) {}},
-		  {.wait = tuning.other_wait, .gather = tuning.gather}),
+		  {.wait = tuning_.other_wait, .gather = tuning_.gather}),
 	  evidence_(gateway.context(), registry, layout_.evidence_table, random,
 		  {[this](const auto& rows) { on_evidence_rows(rows); },
 			  [this](const auto& rows) { on_evidence_rows(rows); }, [](instant, registry_time) {},
 			  [](store_error) {}},
-		  {.wait = tuning.evidence_wait, .gather = tuning.gather})
+		  {.wait = tuning_.evidence_wait, .gather = tuning_.gather})
 {
 }
 
--- a/src/control/shared_store.cpp
+++ b/src/control/shared_store.cpp
@@ -7,7 +7,8 @@
 {
 shared_store::shared_store(proxy::asio::io_context& context, row_store& registry, source_selector& sources,
 	shared_store_hooks hooks, shared_store_tuning tuning)
-	: context_(context), registry_(registry), sources_(sources), hooks_(std::move(hooks)), tuning_(tuning)
+	: context_(context), registry_(registry), sources_(sources), hooks_(std::move(hooks)),
+	  tuning_(std::move(tuning))
 {
 }
 
--- a/src/log/line_appender.hpp
+++ b/src/log/line_appender.hpp
@@ -7,8 +7,8 @@
 
 namespace gingerdyke::log
 {
-/// \brief An appender for log4cplus. A line that can't be written at once is dropped and counted; the next line
-/// that can be written is preceded by one that tells how many.
+/// \brief An appender for log4cplus. A line that can't be written at once is dropped and counted; the next
+/// line that can be written is preceded by one that tells how many.
 class line_appender : public log4cplus::Appender
 {
   public:
--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -115,7 +115,8 @@
 void gateway::write_metrics(std::ostream& out, instant now)
 {
 	constexpr double microseconds_per_second = 1e6;
-	metrics::write_head(out, "gingerdyke_configuration_version", "gauge", "Configuration in force; 0: none yet.");
+	metrics::write_head(
+		out, "gingerdyke_configuration_version", "gauge", "Configuration in force; 0: none yet.");
 	out << "gingerdyke_configuration_version " << (catalog_ ? catalog_->version().value() : 0) << "\n";
 	if (const auto age = confirmed_age(now))
 	{
--- a/src/proxy/request_log.cpp
+++ b/src/proxy/request_log.cpp
@@ -57,8 +57,8 @@
 {
 	std::ostringstream out;
 	metrics_.write(out);
-	metrics::write_head(out, "gingerdyke_log_lines_left_out_total", "counter",
-		"Request lines left out because of the rate.");
+	metrics::write_head(
+		out, "gingerdyke_log_lines_left_out_total", "counter", "Request lines left out because of the rate.");
 	out << "gingerdyke_log_lines_left_out_total " << left_out_ << "\n";
 	return out.str();
 }
--- a/src/proxy/upstream_link.cpp
+++ b/src/proxy/upstream_link.cpp
@@ -8,8 +8,8 @@
 {
 namespace
 {
-/// Bytes asked for by one read; a whole answer of a plain service mostly fits. Each connection holds as many, idle
-/// ones too, and a VM has a hundred and more.
+/// Bytes asked for by one read; a whole answer of a plain service mostly fits. Each connection holds as many,
+/// idle ones too, and a VM has a hundred and more.
 constexpr std::size_t read_size = 2048;
 
 /// Largest head of an answer, in bytes; the users' replicas send a few hundred.
--- a/src/rollout/version_shift.cpp
+++ b/src/rollout/version_shift.cpp
@@ -521,9 +521,8 @@
 	{
 		return true;
 	}
-	return seen.failed >= tuning_.fewest_bad &&
-		   log_evidence_against(seen.answers, seen.failed, tolerated_failures(state, group)) >
-			   tuning_.verdict;
+	return seen.failed >= tuning_.fewest_bad && log_evidence_against(seen.answers, seen.failed,
+													tolerated_failures(state, group)) > tuning_.verdict;
 }
 
 double version_shift::tolerated_failures(const service_state& state, const std::string& group) const
--- a/tests/control/control.cpp
+++ b/tests/control/control.cpp
@@ -259,8 +259,8 @@
 	relay_server server{context, serving(cache)};
 	const auto port = free_port(context);
 	REQUIRE_FALSE(server.listen({"127.0.0.1", port}));
-	const auto client = std::make_shared<relay_client>(
-		context, make_peer("other", "a", port), [](const peer_summary&) {});
+	const auto client =
+		std::make_shared<relay_client>(context, make_peer("other", "a", port), [](const peer_summary&) {});
 	std::optional<store_result<row_batch>> got;
 	// Held for its whole wait, the poll would outlast the limit of the test.
 	client->call({0, "t", row_version{3}, seconds{1000}, seconds{2}, {}}, seconds{2000},
--- a/tests/platform/platform.cpp
+++ b/tests/platform/platform.cpp
@@ -57,8 +57,7 @@
 		const routing::address& at)
 		: client(world.context, registry.at()),
 		  coordinator(world.gateway(), client, platform::layout(),
-			  {vm_id{name}, failure_domain_id{"a"}, at, 0}, name + "-1",
-			  seeded_random{4})
+			  {vm_id{name}, failure_domain_id{"a"}, at, 0}, name + "-1", seeded_random{4})
 	{
 		REQUIRE_FALSE(coordinator.start());
 	}
@@ -249,5 +248,6 @@
 	reader_world.gateway().versions().on_relayed_evidence("vm2-1", seen, proxy::steady_now());
 	reader.coordinator.arm();
 	reader_world.run_until([&] { return registry.value("gingerdyke-evidence", "x/vm2-1").is_object(); });
-	reader_world.run_until([&] { return registry.value("status", "rollout/x").at("state") == "rolled_back"; });
+	reader_world.run_until(
+		[&] { return registry.value("status", "rollout/x").at("state") == "rolled_back"; });
 }
--- a/tests/routing/replica_selector.cpp
+++ b/tests/routing/replica_selector.cpp
@@ -149,7 +149,8 @@
 	CHECK(world.ejections == 0);
 }
 
-TEST_CASE("a failure domain in which two replicas fall silent is left alone, until one answers or time passes",
+TEST_CASE(
+	"a failure domain in which two replicas fall silent is left alone, until one answers or time passes",
 	"[selector]")
 {
 	selector_world world{6};
@@ -173,10 +174,13 @@
 	}
 	SECTION("one of its replicas answers")
 	{
-		world.selector.note_result(*world.replicas.find(replica_id{"r3"}), replica_result::answered,
-			milliseconds{10}, world.now);
+		world.selector.note_result(
+			*world.replicas.find(replica_id{"r3"}), replica_result::answered, milliseconds{10}, world.now);
+	}
+	SECTION("time passes")
+	{
+		world.now += milliseconds{1600};
 	}
-	SECTION("time passes") { world.now += milliseconds{1600}; }
 	used.clear();
 	for (std::uint64_t prompt = 1; prompt <= 40; ++prompt)
 	{
--- a/tests/soak/history.cpp
+++ b/tests/soak/history.cpp
@@ -93,8 +93,8 @@
 	CHECK(finds(seen, "a complete answer is whole"));
 	history stream;
 	stream.sent(make_request("s", request_kind::stream));
-	stream.answered(
-		"s", make_answer(200, platform::standin::stream_event("s", 1) + platform::standin::stream_event("s", 3)));
+	stream.answered("s",
+		make_answer(200, platform::standin::stream_event("s", 1) + platform::standin::stream_event("s", 3)));
 	CHECK(finds(stream, "a complete answer is whole"));
 	history broken_off;
 	broken_off.sent(make_request("s", request_kind::stream));
