--- a/Makefile
+++ b/Makefile
@@ -45,7 +45,7 @@
 
 fuzz: setup
 	cmake --preset fuzz
-	cmake --build build/fuzz --target fuzz_peer_frame fuzz_table fuzz_sse
+	cmake --build build/fuzz --target fuzz_peer_frame fuzz_table fuzz_sse fuzz_relay_frame fuzz_event_stream
 	tools/fuzz build/fuzz 30
 
 bench: build
