The coordinator and the version shift in two files each, by what they do

Behaviour as before but for one thing found on the way: the timer that begins to follow evidence looks again whether it still should, as a cancelled timer's hook may already be waiting.

--- /dev/null
+++ b/src/control/coordinator_peers.cpp
@@ -0,0 +1,152 @@
+// SPDX-License-Identifier: MIT
+// Connects the registry to the data path: what VMs tell one another, directly and through the evidence table.
+#include <algorithm>
+#include <gingerdyke/control/coordinator.hpp>
+#include <gingerdyke/log/log.hpp>
+
+namespace gingerdyke::control
+{
+shared_store_tuning coordinator::sharing_tuning() const
+{
+	auto tuning = tuning_.sharing;
+	tuning.contact_table = layout_.operator_table;
+	return tuning;
+}
+
+shared_store_hooks coordinator::store_hooks()
+{
+	shared_store_hooks hooks;
+	hooks.report = [this](const std::string& table) { return report_with(table); };
+	hooks.summarised = [this](const peer_summary& summary) { on_summary(summary); };
+	hooks.moved = [this](bool reads_registry)
+	{
+		gateway_.versions().note_reads_registry(reads_registry);
+		reads_registry_ = reads_registry;
+		follow_evidence();
+		arm();
+	};
+	return hooks;
+}
+
+relay_server_hooks coordinator::server_hooks()
+{
+	relay_server_hooks hooks;
+	hooks.find = [this](const std::string& table) { return cache_of(table); };
+	hooks.reads_registry = [this] { return reads_registry_; };
+	hooks.reported = [this](const peer_report& report) { on_report(report); };
+	hooks.summarise = [this](const std::string& reporter) { return summary_for(reporter); };
+	return hooks;
+}
+
+/// The operators' table is the one that is asked for most often.
+std::optional<peer_report> coordinator::report_with(const std::string& table) const
+{
+	if (table != layout_.operator_table)
+	{
+		return std::nullopt;
+	}
+	return peer_report{reporter_, gateway_.selector().open_work(), gateway_.versions().own_evidence()};
+}
+
+void coordinator::on_report(const peer_report& report)
+{
+	const auto now = proxy::steady_now();
+	board_.take(report.reporter, report.work, now);
+	note_work_of_others(board_.work_of_others(reporter_, now));
+	for (const auto& one : report.evidence)
+	{
+		gateway_.versions().on_relayed_evidence(report.reporter, one, now);
+	}
+	if (!report.evidence.empty())
+	{
+		arm();
+	}
+}
+
+peer_summary coordinator::summary_for(const std::string& reporter)
+{
+	const auto now = proxy::steady_now();
+	board_.take(reporter_, gateway_.selector().open_work(), now);
+	return {board_.work_of_others(reporter, now), gateway_.versions().suspensions()};
+}
+
+void coordinator::on_summary(const peer_summary& summary)
+{
+	note_work_of_others(summary.work);
+	for (const auto& one : summary.suspended)
+	{
+		gateway_.versions().on_suspension(one, proxy::steady_now());
+	}
+	if (!summary.suspended.empty())
+	{
+		arm();
+	}
+}
+
+/// Those that report here are of one failure domain; the others have about as much work open for each VM.
+void coordinator::note_work_of_others(const std::vector<routing::replica_work>& work)
+{
+	const auto near = std::count_if(
+		vms_.begin(), vms_.end(), [this](const auto& entry) { return entry.second.domain == self_.domain; });
+	const auto scale = near == 0 ? 1.0 : static_cast<double>(vms_.size()) / static_cast<double>(near);
+	auto scaled = work;
+	for (auto& one : scaled)
+	{
+		one.tokens *= scale;
+	}
+	gateway_.selector().note_elsewhere(scaled, proxy::steady_now());
+}
+/// Each call is priced, and evidence is only there while a shift runs.
+void coordinator::follow_evidence()
+{
+	if (!reads_registry_ || !gateway_.versions().is_shifting())
+	{
+		follows_evidence_ = false;
+		evidence_timer_.cancel();
+		evidence_.stop();
+		return;
+	}
+	if (std::exchange(follows_evidence_, true))
+	{
+		return;
+	}
+	evidence_timer_.expires_after(tuning_.evidence_delay);
+	evidence_timer_.async_wait(
+		[this](const proxy::error_code& error)
+		{
+			if (!error && follows_evidence_)
+			{
+				evidence_.start();
+			}
+		});
+}
+
+void coordinator::on_evidence_rows(const std::vector<row>& rows)
+{
+	for (const auto& one : rows)
+	{
+		if (!one.removed)
+		{
+			on_evidence_row(one);
+		}
+	}
+	arm();
+}
+
+void coordinator::on_evidence_row(const row& one)
+{
+	const auto reporter = one.key.substr(one.key.rfind('/') + 1);
+	if (reporter == reporter_)
+	{
+		return;
+	}
+	if (const auto evidence = read_evidence(one))
+	{
+		gateway_.versions().on_evidence(reporter, *evidence, proxy::steady_now());
+	}
+	else
+	{
+		log::write(log::level::error, "evidence not understood", {{"findings", to_text(evidence.error())}});
+	}
+}
+} // namespace gingerdyke::control
