Giving up the registry leaves calls to other VMs alone

Both VMs of a failure domain were turned away by the store (503) before: each time the operators' table could not be read, twice a second, all calls of the other tables were given up, also those at VMs that do have the store; they wait a second for news, so that the copy of the replicas' table was 12 s old. Ruled out: the drain's row (the other VMs had it), the rest times (the VM's own reads were at work again). Change: only the calls at the registry are given up; a call at another VM ends by that VM's own answer or silence. Test: 'giving up the registry leaves calls to other VMs alone'.

--- a/src/control/shared_store.cpp
+++ b/src/control/shared_store.cpp
@@ -28,13 +28,11 @@
 	registry_.change(what, std::move(done));
 }
 
+/// Calls to other VMs go on: where the registry turns this VM away several times a second, they would never
+/// last long enough to bring anything.
 void shared_store::abandon()
 {
 	registry_.abandon();
-	for (const auto& [vm, client] : clients_)
-	{
-		client->abandon();
-	}
 }
 
 void shared_store::read(read_call call)
--- a/tests/control/control.cpp
+++ b/tests/control/control.cpp
@@ -4,6 +4,7 @@
 #include <gingerdyke/control/relay_client.hpp>
 #include <gingerdyke/control/relay_server.hpp>
 #include <gingerdyke/control/report_board.hpp>
+#include <gingerdyke/control/shared_store.hpp>
 #include <gingerdyke/control/table_cache.hpp>
 
 using namespace gingerdyke;
@@ -250,6 +251,53 @@
 	CHECK(board.work_of_others("c", start + seconds{5}).empty());
 }
 
+TEST_CASE("giving up the registry leaves calls to other VMs alone", "[relay]")
+{
+	/// A registry that only counts.
+	struct counting_store : row_store
+	{
+		void read_all(const std::string&, std::function<void(store_result<row_batch>)>) override {}
+		void follow(
+			const std::string&, row_version, duration, std::function<void(store_result<row_batch>)>) override
+		{
+		}
+		void abandon() override { ++abandoned; }
+		void change(const row_change&, std::function<void(store_result<change_answer>)>) override {}
+		int abandoned = 0;
+	};
+
+	proxy::asio::io_context context{1};
+	table_cache cache{"t"};
+	cache.replace({make_row("a", 3)}, row_version{3});
+	cache.confirm(proxy::steady_now(), registry_time{1}, proxy::steady_now());
+	relay_server server{context, serving(cache)};
+	auto reader = make_peer("reader", "a", free_port(context));
+	reader.link_mbps = 10;
+	REQUIRE_FALSE(server.listen(reader.at));
+	source_selector sources{make_peer("vm2")};
+	sources.set_peers({reader});
+	counting_store registry;
+	shared_store_hooks hooks;
+	hooks.report = [](const std::string&) { return std::nullopt; };
+	hooks.summarised = [](const peer_summary&) {};
+	hooks.moved = [](bool) {};
+	shared_store store{context, registry, sources, hooks};
+	std::optional<store_result<row_batch>> got;
+	store.follow(
+		"t", row_version{3}, seconds{100}, [&](store_result<row_batch> result) { got = std::move(result); });
+	context.run_for(milliseconds{20});
+	store.abandon();
+	CHECK(registry.abandoned == 1);
+	context.restart();
+	context.run_for(milliseconds{20});
+	CHECK_FALSE(got);
+	cache.apply({make_row("b", 4)}, row_version{4});
+	server.on_change("t");
+	test::run_until(context, [&] { return got.has_value(); });
+	CHECK(keys_of(*got) == std::vector<std::string>{"b"});
+	server.stop();
+}
+
 TEST_CASE("a copy that is too old for the asker is told at once", "[relay]")
 {
 	proxy::asio::io_context context{1};
