--- a/soak/vm_process.cpp
+++ b/soak/vm_process.cpp
@@ -50,6 +50,8 @@
 		throw std::system_error{error, std::generic_category(), "starting " + program};
 	}
 	asked_to_end_ = false;
+	sent_.clear();
+	begun_before_ = count_begun();
 	++life_;
 }
 
@@ -60,6 +62,7 @@
 		return;
 	}
 	asked_to_end_ = asked_to_end_ || number == SIGTERM || number == SIGKILL;
+	sent_.insert(number);
 	::kill(pid_, number);
 }
 
@@ -73,7 +76,24 @@
 	pid_ = 0;
 	const auto how = WIFSIGNALED(status) ? "signal " + std::to_string(WTERMSIG(status))
 										 : "exit code " + std::to_string(WEXITSTATUS(status));
-	const bool ended_well = WIFSIGNALED(status) ? WTERMSIG(status) == SIGKILL : WEXITSTATUS(status) == 0;
-	return process_end{asked_to_end_ && ended_well, how};
+	if (!WIFSIGNALED(status))
+	{
+		return process_end{asked_to_end_ && WEXITSTATUS(status) == 0, how};
+	}
+	// Before a process has set its handlers up, which it can't do before it runs, a signal's default action
+	// ends it. It has taken no request then.
+	const bool came_too_early = sent_.contains(WTERMSIG(status)) && count_begun() == begun_before_;
+	return process_end{(asked_to_end_ && WTERMSIG(status) == SIGKILL) || came_too_early, how};
+}
+
+unsigned vm_process::count_begun() const
+{
+	std::ifstream log{log_file()};
+	unsigned begun = 0;
+	for (std::string line; std::getline(log, line);)
+	{
+		begun += line.find("\"what\":\"serving\"") != std::string::npos ? 1 : 0;
+	}
+	return begun;
 }
 } // namespace gingerdyke::soak
--- a/soak/vm_process.hpp
+++ b/soak/vm_process.hpp
@@ -6,6 +6,7 @@
 #include <gingerdyke/base/json_source.hpp>
 #include <gingerdyke/routing/address.hpp>
 #include <optional>
+#include <set>
 #include <string>
 #include <sys/types.h>
 
@@ -62,6 +63,9 @@
 	[[nodiscard]] std::filesystem::path log_file() const { return directory_ / (name_ + ".log"); }
 
   private:
+	/// Lives that have come as far as serving; the log says so.
+	[[nodiscard]] unsigned count_begun() const;
+
 	std::filesystem::path binary_;
 	std::filesystem::path directory_;
 	std::string name_;
@@ -69,5 +73,11 @@
 	pid_t pid_ = 0;
 	unsigned life_ = 0;
 	bool asked_to_end_ = false;
+
+	/// Lives before this one that came as far as serving.
+	unsigned begun_before_ = 0;
+
+	/// Signals sent in this life.
+	std::set<int> sent_;
 };
 } // namespace gingerdyke::soak
