Verdicts on new versions outlive the restart of those who know them

Cause: a VM that restarts when a shift's time is over, with the registry just back, finds the plan running, no evidence and no verdict, and declares the version completed 0.03 s later; the others had suspended it and could not write the roll-back. Ruled out: the verdict itself (all other VMs had it), the write's condition (the row was the newest). Change: reports to the VM that reads the registry carry verdicts, as summaries did; a VM that did not follow a shift from its first use on, or lost the registry since, declares it completed only after 1.6 s and 25 known answers; a verdict is written at once when the registry is back.

--- a/include/gingerdyke/control/coordinator.hpp
+++ b/include/gingerdyke/control/coordinator.hpp
@@ -118,6 +118,7 @@
 	void on_report(const peer_report& report);
 	[[nodiscard]] peer_summary summary_for(const std::string& reporter);
 	void on_summary(const peer_summary& summary);
+	void take_suspensions(const std::vector<rollout::shift_suspension>& suspended);
 	void note_work_of_others(const std::vector<routing::replica_work>& work);
 
 	proxy::gateway& gateway_;
--- a/include/gingerdyke/control/peer_report.hpp
+++ b/include/gingerdyke/control/peer_report.hpp
@@ -20,6 +20,10 @@
 
 	/// What it saw of new versions under way.
 	std::vector<rollout::shift_evidence> evidence;
+
+	/// New versions that it found bad. The VM that it reads from may have started after the verdict, and
+	/// would declare such a version completed.
+	std::vector<rollout::shift_suspension> suspended;
 };
 
 /// \brief What a VM knows of all the others that report to it.
--- a/include/gingerdyke/rollout/version_shift.hpp
+++ b/include/gingerdyke/rollout/version_shift.hpp
@@ -141,6 +141,14 @@
 	/// Without news from the registry for this long, the share no longer grows.
 	duration news_limit = std::chrono::milliseconds{2500};
 
+	/// A VM that did not follow a shift since nothing went to the new version (it started later, or had lost
+	/// the registry) may have missed the verdict of others. It declares the version completed only when it
+	/// has followed for this long, two reports of other VMs and a repeated write, and knows of this many
+	/// answers: a bad version shows within them. Without this a VM that restarts after a shift's time, with
+	/// the registry just back, declares a version completed that all others had suspended.
+	duration late_wait = std::chrono::milliseconds{1600};
+	std::uint64_t late_answers = 25;
+
 	/// A version is bad where the evidence that it fails more than tolerated passes this logarithm; chance
 	/// alone does so once in ten thousand shifts (see sequential_test.hpp).
 	double verdict = 9.2;
@@ -277,6 +285,9 @@
 		std::string stable_version;
 		std::optional<shift_order> order;
 		std::optional<shift_plan> plan;
+
+		/// Since when this VM has followed the plan without losing the registry.
+		instant followed_since;
 		bool suspended{};
 		group_counts own;
 		std::map<std::string, group_counts> others;
@@ -311,6 +322,9 @@
 	void note_base(service_state& state, const answer_sample& answer);
 	[[nodiscard]] bool is_slow(const service_state& state, const answer_sample& answer) const;
 	[[nodiscard]] static bool has_new_order(const service_state& state);
+	[[nodiscard]] bool knows_verdict(const service_state& state, instant now) const;
+	[[nodiscard]] std::uint64_t answers_known(const service_state& state) const;
+	void on_registry_back(instant now);
 
 	/// How long until a plan is to be declared completed; negative: it should have been.
 	[[nodiscard]] duration time_to_completion(const shift_plan& plan, instant now) const;
--- a/src/control/coordinator_peers.cpp
+++ b/src/control/coordinator_peers.cpp
@@ -45,7 +45,9 @@
 	{
 		return std::nullopt;
 	}
-	return peer_report{reporter_, gateway_.selector().open_work(), gateway_.versions().own_evidence()};
+	const auto& versions = gateway_.versions();
+	return peer_report{
+		reporter_, gateway_.selector().open_work(), versions.own_evidence(), versions.suspensions()};
 }
 
 void coordinator::on_report(const peer_report& report)
@@ -57,6 +59,7 @@
 	{
 		gateway_.versions().on_relayed_evidence(report.reporter, one, now);
 	}
+	take_suspensions(report.suspended);
 	if (!report.evidence.empty())
 	{
 		arm();
@@ -73,11 +76,16 @@
 void coordinator::on_summary(const peer_summary& summary)
 {
 	note_work_of_others(summary.work);
-	for (const auto& one : summary.suspended)
+	take_suspensions(summary.suspended);
+}
+
+void coordinator::take_suspensions(const std::vector<rollout::shift_suspension>& suspended)
+{
+	for (const auto& one : suspended)
 	{
 		gateway_.versions().on_suspension(one, proxy::steady_now());
 	}
-	if (!summary.suspended.empty())
+	if (!suspended.empty())
 	{
 		arm();
 	}
--- a/src/control/relay_codec.cpp
+++ b/src/control/relay_codec.cpp
@@ -124,6 +124,30 @@
 	return evidence;
 }
 
+std::vector<wire::RelaySuspension> written(const std::vector<rollout::shift_suspension>& suspended)
+{
+	std::vector<wire::RelaySuspension> all;
+	all.reserve(suspended.size());
+	for (const auto& one : suspended)
+	{
+		auto& added = all.emplace_back();
+		added.service_name = one.service.str();
+		added.order = one.order.value();
+	}
+	return all;
+}
+
+std::vector<rollout::shift_suspension> read(const std::vector<wire::RelaySuspension>& suspended)
+{
+	std::vector<rollout::shift_suspension> all;
+	all.reserve(suspended.size());
+	for (const auto& one : suspended)
+	{
+		all.push_back({service_id{one.service_name}, row_version{one.order}});
+	}
+	return all;
+}
+
 wire::RelayReport written(const peer_report& report)
 {
 	wire::RelayReport message;
@@ -133,12 +157,16 @@
 	{
 		message.evidence.push_back(written(one));
 	}
+	if (!report.suspended.empty())
+	{
+		message.__set_suspended(written(report.suspended));
+	}
 	return message;
 }
 
 peer_report read(const wire::RelayReport& message)
 {
-	peer_report report{message.reporter, read(message.work), {}};
+	peer_report report{message.reporter, read(message.work), {}, read(message.suspended)};
 	for (const auto& one : message.evidence)
 	{
 		report.evidence.push_back(read(one));
@@ -150,23 +178,13 @@
 {
 	wire::RelaySummary message;
 	message.work = written(summary.work);
-	for (const auto& one : summary.suspended)
-	{
-		auto& added = message.suspended.emplace_back();
-		added.service_name = one.service.str();
-		added.order = one.order.value();
-	}
+	message.suspended = written(summary.suspended);
 	return message;
 }
 
 peer_summary read(const wire::RelaySummary& message)
 {
-	peer_summary summary{read(message.work), {}};
-	for (const auto& one : message.suspended)
-	{
-		summary.suspended.push_back({service_id{one.service_name}, row_version{one.order}});
-	}
-	return summary;
+	return {read(message.work), read(message.suspended)};
 }
 } // namespace
 
--- a/src/rollout/version_shift.cpp
+++ b/src/rollout/version_shift.cpp
@@ -103,6 +103,7 @@
 		state.relayed.clear();
 		state.unwritten.clear();
 		state.written_bad = 0;
+		state.followed_since = now;
 	}
 	state.plan = plan;
 	state.stable_version = plan.state == shift_state::completed ? plan.to_version : plan.from_version;
@@ -138,7 +139,25 @@
 	// An answer is as old as its way here; the largest difference came the fastest way.
 	const auto offset = then - now.time_since_epoch();
 	clock_offset_ = clock_offset_ ? std::max(*clock_offset_, offset) : offset;
+	const bool was_lost = now - news_at_ > tuning_.news_limit;
 	news_at_ = now;
+	if (was_lost)
+	{
+		on_registry_back(now);
+	}
+}
+
+/// Others may have judged meanwhile; a verdict of this VM is due at once.
+void version_shift::on_registry_back(instant now)
+{
+	for (auto& [service, state] : services_)
+	{
+		state.followed_since = now;
+		if (state.suspended)
+		{
+			schedule(state, now);
+		}
+	}
 }
 
 std::string version_shift::version_for(const service_id& service, std::uint64_t point, instant now) const
@@ -271,6 +290,17 @@
 	return plan.started + plan.length - spare - registry_now(now);
 }
 
+bool version_shift::knows_verdict(const service_state& state, instant now) const
+{
+	const auto& plan = *state.plan;
+	const auto first_use = plan.started + std::chrono::duration_cast<duration>(plan.length * tuning_.start_at);
+	if (registry_now(state.followed_since) < first_use)
+	{
+		return true;
+	}
+	return now - state.followed_since >= tuning_.late_wait && answers_known(state) >= tuning_.late_answers;
+}
+
 std::optional<shift_plan> version_shift::next_plan(const service_state& state, instant now) const
 {
 	if (has_new_order(state))
@@ -299,7 +329,8 @@
 		return plan;
 	}
 	const auto since_news = now - news_at_;
-	if (time_to_completion(plan, now) <= duration{0} && since_news < tuning_.news_limit)
+	if (time_to_completion(plan, now) <= duration{0} && since_news < tuning_.news_limit &&
+		knows_verdict(state, now))
 	{
 		plan.state = shift_state::completed;
 		return plan;
--- a/src/rollout/version_shift_evidence.cpp
+++ b/src/rollout/version_shift_evidence.cpp
@@ -265,6 +265,18 @@
 		[&](const auto& one) { return is_bad_group(state, one.first, one.second); });
 }
 
+/// Each answer counts in two groups, for its failure and for its slowness.
+std::uint64_t version_shift::answers_known(const service_state& state) const
+{
+	auto counted = answers_in(state.own);
+	for (const auto& [reporter, by_group] : state.others)
+	{
+		counted += answers_in(by_group);
+	}
+	constexpr std::uint64_t groups_of_an_answer = 2;
+	return counted / groups_of_an_answer;
+}
+
 bool version_shift::is_bad_group(
 	const service_state& state, const std::string& group, const shift_counts& seen) const
 {
--- a/tests/control/control.cpp
+++ b/tests/control/control.cpp
@@ -340,9 +340,10 @@
 	const auto client = std::make_shared<relay_client>(
 		context, make_peer("other", "a", port), [&](const peer_summary& one) { summary = one; });
 	const rollout::shift_evidence seen{service_id{"s"}, row_version{12}, {{"route r", {9, 2, 1}}}};
-	client->call(
-		{0, "t", row_version{3}, milliseconds{1}, {}, peer_report{"me", {{replica_id{"r1"}, 40}}, {seen}}},
-		seconds{20}, [](const store_result<row_batch>&) {});
+	const rollout::shift_suspension verdict{service_id{"s"}, row_version{12}};
+	const peer_report report{"me", {{replica_id{"r1"}, 40}}, {seen}, {verdict}};
+	client->call({0, "t", row_version{3}, milliseconds{1}, {}, report}, seconds{20},
+		[](const store_result<row_batch>&) {});
 	test::run_until(context, [&] { return summary.has_value(); });
 	CHECK(summary->work.front().replica.str() == "for me");
 	CHECK(summary->suspended.front().order.value() == 12);
@@ -351,6 +352,8 @@
 	REQUIRE(reported->evidence.size() == 1);
 	CHECK(reported->evidence.front().by_group.at("route r").answers == 9);
 	CHECK(reported->evidence.front().by_group.at("route r").failed == 2);
+	REQUIRE(reported->suspended.size() == 1);
+	CHECK(reported->suspended.front().order.value() == 12);
 	server.stop();
 	client->abandon();
 }
--- a/tests/rollout/version_shift.cpp
+++ b/tests/rollout/version_shift.cpp
@@ -26,10 +26,15 @@
 
 	void hear() { shift.note_registry_time(now.time_since_epoch() + seconds{7}, now); }
 
+	/// A VM in touch hears from the registry at least this often.
 	void pass(duration span)
 	{
-		now += span;
-		hear();
+		constexpr duration news_pause = milliseconds{500};
+		for (const auto until = now + span; now < until;)
+		{
+			now = std::min(now + news_pause, until);
+			hear();
+		}
 	}
 
 	/// Answers of a version: failures in a fixed pattern.
--- a/thrift/relay.thrift
+++ b/thrift/relay.thrift
@@ -23,16 +23,17 @@
 	3: required list<RelayCounts> groups
 }
 
+struct RelaySuspension {
+	1: required string service_name
+	2: required i64 order
+}
+
 // What a VM tells the one that it reads from.
 struct RelayReport {
 	1: required string reporter
 	2: required list<RelayWork> work
 	3: required list<RelayEvidence> evidence
-}
-
-struct RelaySuspension {
-	1: required string service_name
-	2: required i64 order
+	4: optional list<RelaySuspension> suspended
 }
 
 // What a VM is told in return.
