--- a/include/gingerdyke/proxy/exchange.hpp
+++ b/include/gingerdyke/proxy/exchange.hpp
@@ -31,9 +31,12 @@
 	duration first_byte{};
 	routing::size_step size;
 
-	/// Work that the replica was counted to have with it; see `prompt::work`.
+	/// Work that the replica is counted to have with it now, in tokens read by the largest model.
 	double work{};
 
+	/// The part of it that ends with the first token.
+	double reading_work{};
+
 	/// What was known before it was sent; true again where this replica did not run it.
 	trace trace_before{trace::not_run};
 
@@ -73,6 +76,7 @@
 	[[nodiscard]] bool may_try_again() const;
 	void send_to(const routing::replica_ptr& to);
 	void try_again_or(const std::function<void()>& otherwise);
+	void note_prompt_read();
 	void end_attempt(bool answered_whole);
 	void note_result(routing::replica_result result);
 
--- a/include/gingerdyke/routing/replica_selector.hpp
+++ b/include/gingerdyke/routing/replica_selector.hpp
@@ -76,7 +76,7 @@
 {
 	replica_id replica;
 
-	/// Tokens to read; see `proxy::prompt::work`.
+	/// Tokens to read by the largest model.
 	double tokens{};
 };
 
@@ -115,6 +115,9 @@
 	/// \param tokens Size of the work; 0 for plain services.
 	void note_sent(const replica_id& id, double tokens);
 
+	/// \brief Notes that a part of the work of a request sent before is done.
+	void note_part_done(const replica_id& id, double tokens);
+
 	/// \brief Notes that a request sent before is over.
 	void note_over(const replica_id& id, double tokens);
 
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -328,7 +328,8 @@
 	// From here on a replica may run it at any moment, whatever is heard of it.
 	trace_ = trace::may_have_run;
 	attempt_->link = shared_.pool().take(to, route_->may_run_again(), now);
-	attempt_->work = prompt_.work() * model_weight();
+	attempt_->reading_work = prompt_.tokens_in * model_weight();
+	attempt_->work = attempt_->reading_work + prompt_.generating_work() * model_weight();
 	shared_.selector().note_sent(to->id, attempt_->work);
 	attempt_->connected = attempt_->link->was_used();
 	arm_attempt_timer(attempt_->connected ? first_byte_limit() : shared_.tuning().connect_limit);
@@ -359,6 +360,16 @@
 	dispatch();
 }
 
+/// What an engine has read delays nobody else. Counted until the answer's end, engines with long answers
+/// looked busier than those with prompts to read: mean credit less prices 0.606 in place of 0.596 (5 days with
+/// trouble, 8 seeds each).
+void exchange::note_prompt_read()
+{
+	shared_.selector().note_part_done(attempt_->to->id, attempt_->reading_work);
+	attempt_->work -= attempt_->reading_work;
+	attempt_->reading_work = 0;
+}
+
 void exchange::end_attempt(bool answered_whole)
 {
 	if (!attempt_)
--- a/src/proxy/exchange_answers.cpp
+++ b/src/proxy/exchange_answers.cpp
@@ -66,6 +66,7 @@
 		try_again_or([this] { give_up(bad_gateway, "no larger model"); });
 		return;
 	}
+	note_prompt_read();
 	attempt_->is_stream = route_->streams && is_success(came.status);
 	if (!attempt_->is_stream && answer_begun_)
 	{
--- a/src/routing/replica_selector.cpp
+++ b/src/routing/replica_selector.cpp
@@ -142,6 +142,15 @@
 	known.open_tokens += tokens;
 }
 
+void replica_selector::note_part_done(const replica_id& id, double tokens)
+{
+	const auto found = states_.find(id);
+	if (found != states_.end())
+	{
+		found->second.open_tokens = std::max(0.0, found->second.open_tokens - tokens);
+	}
+}
+
 void replica_selector::note_over(const replica_id& id, double tokens)
 {
 	const auto found = states_.find(id);
--- a/tests/routing/replica_selector.cpp
+++ b/tests/routing/replica_selector.cpp
@@ -69,6 +69,20 @@
 	CHECK(world.choose(42)->id == favoured);
 }
 
+TEST_CASE("a prompt that has been read is no work any more", "[selector]")
+{
+	selector_world world{3};
+	const auto favoured = world.choose(42)->id;
+	world.selector.note_sent(favoured, 200000);
+	REQUIRE(world.choose(42)->id != favoured);
+	world.selector.note_part_done(favoured, 190000);
+	CHECK(world.choose(42)->id == favoured);
+	REQUIRE(world.selector.open_work().size() == 1);
+	CHECK(world.selector.open_work().front().tokens == 10000);
+	world.selector.note_over(favoured, 10000);
+	CHECK(world.selector.open_work().empty());
+}
+
 TEST_CASE("work that other VMs have open counts, until it is old", "[selector]")
 {
 	selector_world world{6};
