--- a/tests/proxy/exchange.cpp
+++ b/tests/proxy/exchange.cpp
@@ -319,6 +319,7 @@
 	proxy_world world;
 	scripted_replica replica{world.context, [](const std::string&)
 		{ return scripted_answer{stream_head("Confidence: 12\r\n") + event_chunk(1) + "0\r\n\r\n"}; }};
+	world.data.services.back().models = {{model_id{"small"}, 0.1}, {model_id{"large"}, 1}};
 	world.start({{"engine", &replica}});
 	constexpr double minutes_of_work = 1e7;
 	world.gateway().selector().note_sent(replica_id{"r0"}, minutes_of_work);
