Requests that no engine can answer before their time limit are refused at once

Hypothesis: what can only end at its time limit keeps its caller waiting, and its prompt delays others. Change: where the first token is expected after the time limit at the replica that would be chosen, the request is refused as not run, with the time after which it would be answered within its objective.

--- a/include/gingerdyke/proxy/exchange.hpp
+++ b/include/gingerdyke/proxy/exchange.hpp
@@ -73,6 +73,7 @@
 	// Attempts.
 	void dispatch();
 	[[nodiscard]] routing::replica_ptr choose_replica() const;
+	[[nodiscard]] std::optional<duration> time_until_servable(const routing::replica& at) const;
 	[[nodiscard]] bool has_room(const routing::replica& one) const;
 	[[nodiscard]] double model_weight() const;
 	[[nodiscard]] double work_before_first_token(const routing::replica& at) const;
@@ -110,6 +111,7 @@
 
 	// Endings; each answers the caller once.
 	void refuse(int status, std::string reason);
+	void refuse_until(duration wait, std::string reason);
 	void give_up(int status, std::string reason);
 	void answer_here(int status, std::string reason, header_fields fields);
 	void finish(request_outcome outcome, int status, std::string reason);
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -213,9 +213,31 @@
 		give_up(unavailable, "no replica");
 		return;
 	}
+	if (const auto wait = time_until_servable(*replica))
+	{
+		refuse_until(*wait, "engines too busy to answer in time");
+		return;
+	}
 	send_to(replica);
 }
 
+/// None where the request may be served if it is sent now. One that could only end at its time limit would
+/// keep its caller waiting for nothing, and its prompt would delay those that can still be served.
+std::optional<duration> exchange::time_until_servable(const routing::replica& at) const
+{
+	const bool is_engine = service_ != nullptr && service_->is_engine;
+	if (!is_engine || trace_ != trace::not_run)
+	{
+		return std::nullopt;
+	}
+	const auto expected = shared_.first_tokens(service_id_).expected(work_before_first_token(at));
+	if (expected < time_left())
+	{
+		return std::nullopt;
+	}
+	return std::max(expected - route_->objective, shared_.tuning().retry_after);
+}
+
 routing::replica_ptr exchange::choose_replica() const
 {
 	const auto now = steady_now();
@@ -421,12 +443,17 @@
 
 void exchange::refuse(int status, std::string reason)
 {
-	header_fields fields;
 	if (status == unavailable)
 	{
-		fields.push_back({"Retry-After", seconds_text(shared_.tuning().retry_after)});
+		refuse_until(shared_.tuning().retry_after, std::move(reason));
+		return;
 	}
-	answer_here(status, std::move(reason), std::move(fields));
+	answer_here(status, std::move(reason), {});
+}
+
+void exchange::refuse_until(duration wait, std::string reason)
+{
+	answer_here(unavailable, std::move(reason), {{"Retry-After", seconds_text(wait)}});
 }
 
 void exchange::give_up(int status, std::string reason)
