--- a/include/gingerdyke/routing/first_token_time.hpp
+++ b/include/gingerdyke/routing/first_token_time.hpp
@@ -21,7 +21,8 @@
 };
 
 /// \brief Predicts the time to the first token from the work ahead of it, both measured as the router sees
-/// them. What the router does not see (work of other VMs that was told late, generated tokens) is in the ratio.
+/// them. What the router does not see (work of other VMs that was told late, generated tokens) is in the
+/// ratio.
 class first_token_time
 {
   public:
--- a/include/gingerdyke/routing/size_policy.hpp
+++ b/include/gingerdyke/routing/size_policy.hpp
@@ -19,8 +19,8 @@
 	/// arrival: up to the first the whole confidence above is asked for, from the second on none. In between
 	/// it falls evenly: the later the larger answer, the less it is worth, and the more it delays others.
 	/// Above 1 since the expectation is a mean, and what is asked for near it is small. With 1, 1.4 and 2 the
-	/// mean credit less prices is 0.657, 0.659 and 0.649 on one user's days with trouble, and 0.739, 0.759 and
-	/// 0.757 with 1, 1.4 and no bound on another's.
+	/// mean credit less prices is 0.657, 0.659 and 0.649 on one user's days with trouble, and 0.739, 0.759
+	/// and 0.757 with 1, 1.4 and no bound on another's.
 	double prompt_share = 0.14;
 	double late_share = 1.4;
 };
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -391,8 +391,8 @@
 }
 
 /// What an engine has read delays nobody else. Counted until the answer's end, engines with long answers
-/// looked busier than those with prompts to read: mean credit less prices 0.606 in place of 0.596 (5 days with
-/// trouble, 8 seeds each).
+/// looked busier than those with prompts to read: mean credit less prices 0.606 in place of 0.596 (5 days
+/// with trouble, 8 seeds each).
 void exchange::note_prompt_read()
 {
 	shared_.selector().note_part_done(attempt_->to->id, attempt_->reading_work);
--- a/src/rollout/version_shift.cpp
+++ b/src/rollout/version_shift.cpp
@@ -293,7 +293,8 @@
 bool version_shift::knows_verdict(const service_state& state, instant now) const
 {
 	const auto& plan = *state.plan;
-	const auto first_use = plan.started + std::chrono::duration_cast<duration>(plan.length * tuning_.start_at);
+	const auto first_use =
+		plan.started + std::chrono::duration_cast<duration>(plan.length * tuning_.start_at);
 	if (registry_now(state.followed_since) < first_use)
 	{
 		return true;
--- a/tests/proxy/exchange.cpp
+++ b/tests/proxy/exchange.cpp
@@ -314,7 +314,8 @@
 	world.run_until([&] { return replica.ended() == 1; });
 }
 
-TEST_CASE("an answer of little confidence is kept where the largest model's would come too late", "[exchange][stream]")
+TEST_CASE("an answer of little confidence is kept where the largest model's would come too late",
+	"[exchange][stream]")
 {
 	proxy_world world;
 	scripted_replica replica{world.context, [](const std::string&)
@@ -331,7 +332,8 @@
 	CHECK(world.log().count(proxy::request_outcome::served) == 1);
 }
 
-TEST_CASE("a request that its engines can't answer in time is refused at once, with when they can", "[exchange][stream]")
+TEST_CASE("a request that its engines can't answer in time is refused at once, with when they can",
+	"[exchange][stream]")
 {
 	proxy_world world;
 	scripted_replica replica{world.context, answers("")};
--- a/tests/rollout/verdict_after_restart.cpp
+++ b/tests/rollout/verdict_after_restart.cpp
@@ -180,7 +180,8 @@
 	world.run(away_at);
 	each_of_last(order.away, [&](std::size_t i) { world.set_registry_away(i, true); });
 	const auto restart = [&] { each_of_last(order.restarted, [&](std::size_t i) { world.start(i); }); };
-	const auto back = [&] { each_of_last(order.away, [&](std::size_t i) { world.set_registry_away(i, false); }); };
+	const auto back = [&]
+	{ each_of_last(order.away, [&](std::size_t i) { world.set_registry_away(i, false); }); };
 	const bool restarts_first = order.restart_at < order.back_at;
 	const auto first = std::min(order.restart_at, order.back_at);
 	const auto second = std::max(order.restart_at, order.back_at);
--- a/tests/routing/replica_selector.cpp
+++ b/tests/routing/replica_selector.cpp
@@ -128,7 +128,8 @@
 }
 } // namespace
 
-TEST_CASE("small models' prompts stay in the failure domain, the largest's go where all VMs send them", "[selector]")
+TEST_CASE("small models' prompts stay in the failure domain, the largest's go where all VMs send them",
+	"[selector]")
 {
 	selector_world world{6};
 	unsigned far = 0;
@@ -142,7 +143,8 @@
 	CHECK(far > 20);
 }
 
-TEST_CASE("small models' prompts leave the failure domain where its replicas have too much work", "[selector]")
+TEST_CASE(
+	"small models' prompts leave the failure domain where its replicas have too much work", "[selector]")
 {
 	selector_world world{6};
 	world.selector.note_sent(replica_id{"r0"}, 50000);
