--- a/include/gingerdyke/routing/size_policy.hpp
+++ b/include/gingerdyke/routing/size_policy.hpp
@@ -21,7 +21,7 @@
 	/// Above 1 since the expectation is a mean, and what is asked for near it is small. With 1, 1.4 and 2 the
 	/// mean credit less prices is 0.657, 0.659 and 0.649 on one user's days with trouble, and 0.739, 0.759
 	/// and 0.757 with 1, 1.4 and no bound on another's.
-	double prompt_share = 0.14;
+	double early_share = 0.14;
 	double late_share = 1.4;
 };
 
@@ -63,7 +63,7 @@
 	[[nodiscard]] double threshold(const route& route, duration expected) const
 	{
 		const auto part = to_milliseconds(expected) / std::max(1.0, to_milliseconds(route.objective));
-		const auto left = (tuning_.late_share - part) / (tuning_.late_share - tuning_.prompt_share);
+		const auto left = (tuning_.late_share - part) / (tuning_.late_share - tuning_.early_share);
 		return tuning_.escalate_below * std::clamp(left, 0.0, 1.0);
 	}
 
