Request lines and metrics tell how old the table of replicas is, and whether the replica's entry was missing

The lines of a VM told the age of its configuration, not that of its replicas: a late news of a leaving replica and a late belief about it looked alike.

--- a/include/gingerdyke/proxy/exchange.hpp
+++ b/include/gingerdyke/proxy/exchange.hpp
@@ -135,6 +135,9 @@
 	event_stream events_;
 	routing::size_step size_;
 	std::string last_replica_;
+
+	/// Its entry was missing when the request was sent to it.
+	bool last_was_suspected_ = false;
 	trace trace_{trace::not_run};
 	unsigned attempts_ = 0;
 	unsigned failed_connections_ = 0;
--- a/include/gingerdyke/proxy/gateway.hpp
+++ b/include/gingerdyke/proxy/gateway.hpp
@@ -111,6 +111,12 @@
 	/// \brief How long ago the configuration was last confirmed; none: never.
 	[[nodiscard]] std::optional<duration> confirmed_age(instant now) const;
 
+	/// \brief Notes that the table of replicas was the newest at a moment.
+	void confirm_replicas(instant newest_at);
+
+	/// \brief How long ago the table of replicas was last confirmed; none: never.
+	[[nodiscard]] std::optional<duration> replicas_age(instant now) const;
+
 	/// \brief Whether keys may be trusted now.
 	[[nodiscard]] key_trust trust_in_keys(instant now) const;
 
@@ -182,6 +188,7 @@
 	std::map<service_id, routing::first_token_time> first_tokens_;
 	std::map<service_id, limits::attempt_budget> budgets_;
 	std::optional<instant> confirmed_at_;
+	std::optional<instant> replicas_confirmed_at_;
 	std::function<void()> evidence_hook_;
 	std::vector<std::function<void()>> ready_hooks_;
 	std::optional<instant> stop_began_;
--- a/include/gingerdyke/proxy/request_log.hpp
+++ b/include/gingerdyke/proxy/request_log.hpp
@@ -66,6 +66,10 @@
 	/// Version of the configuration that decided, and how long ago it was confirmed.
 	std::int64_t config{};
 	duration config_age{};
+
+	/// How long ago the table of replicas was confirmed, and whether the last replica's entry was missing.
+	duration replicas_age{};
+	bool replica_is_suspected{};
 };
 
 /// \brief Tuning of `request_log`.
--- a/include/gingerdyke/routing/replica_set.hpp
+++ b/include/gingerdyke/routing/replica_set.hpp
@@ -97,6 +97,12 @@
 
 	[[nodiscard]] std::size_t size() const noexcept { return by_id_.size(); }
 
+	/// \brief Whether a replica's entry is missing and it is not taken as gone yet.
+	[[nodiscard]] bool is_suspected(const replica_id& id) const { return suspected_.contains(id); }
+
+	/// \brief Replicas of all services whose entries are missing.
+	[[nodiscard]] std::size_t suspected_count() const noexcept { return suspected_.size(); }
+
 	/// \brief True once the registry was read for the first time.
 	[[nodiscard]] bool known() const noexcept { return known_; }
 
--- a/src/control/coordinator.cpp
+++ b/src/control/coordinator.cpp
@@ -53,8 +53,9 @@
 	  replicas_(gateway.context(), store_, layout_.replica_table, random,
 		  {[this](const auto& rows) { on_replicas(rows); },
 			  [this](const auto& rows) { on_replica_rows(rows); },
-			  [this](instant, registry_time)
+			  [this](instant newest_at, registry_time)
 			  {
+				  gateway_.confirm_replicas(newest_at);
 				  gateway_.replicas().note_sound(proxy::steady_now());
 				  expire_replicas();
 			  },
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -217,6 +217,7 @@
 	const auto now = steady_now();
 	++attempts_;
 	last_replica_ = to->id.str();
+	last_was_suspected_ = shared_.replicas().is_suspected(to->id);
 	attempt_.emplace();
 	attempt_->to = to;
 	attempt_->sent_at = now;
@@ -376,6 +377,8 @@
 	line.choice = size_choice_;
 	line.config = catalog_ ? catalog_->version().value() : 0;
 	line.config_age = shared_.confirmed_age(now).value_or(duration{0});
+	line.replicas_age = shared_.replicas_age(now).value_or(duration{0});
+	line.replica_is_suspected = last_was_suspected_;
 	shared_.log().note(line, now);
 }
 } // namespace gingerdyke::proxy
--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -83,6 +83,16 @@
 	return confirmed_at_ ? std::optional{now - *confirmed_at_} : std::nullopt;
 }
 
+void gateway::confirm_replicas(instant newest_at)
+{
+	replicas_confirmed_at_ = std::max(replicas_confirmed_at_.value_or(newest_at), newest_at);
+}
+
+std::optional<duration> gateway::replicas_age(instant now) const
+{
+	return replicas_confirmed_at_ ? std::optional{now - *replicas_confirmed_at_} : std::nullopt;
+}
+
 key_trust gateway::trust_in_keys(instant now) const
 {
 	if (!bounds_.revocation_time)
@@ -124,6 +134,16 @@
 		out << "gingerdyke_configuration_age_seconds "
 			<< static_cast<double>(age->count()) / microseconds_per_second << "\n";
 	}
+	if (const auto age = replicas_age(now))
+	{
+		metrics::write_head(out, "gingerdyke_replicas_age_seconds", "gauge",
+			"Time since the table of replicas was last known to be the newest.");
+		out << "gingerdyke_replicas_age_seconds "
+			<< static_cast<double>(age->count()) / microseconds_per_second << "\n";
+	}
+	metrics::write_head(out, "gingerdyke_replicas_suspected", "gauge",
+		"Replicas whose entries are missing and that are not taken as gone yet.");
+	out << "gingerdyke_replicas_suspected " << replicas_.suspected_count() << "\n";
 	metrics::write_head(out, "gingerdyke_replicas", "gauge", "Replicas known.");
 	out << "gingerdyke_replicas " << replicas_.size() << "\n";
 	metrics::write_head(out, "gingerdyke_further_attempts_left", "gauge",
--- a/src/proxy/request_log.cpp
+++ b/src/proxy/request_log.cpp
@@ -52,7 +52,9 @@
 			{"took_ms", to_milliseconds(line.took)}, {"first_byte_ms", to_milliseconds(line.first_byte)},
 			{"confidence", choice.confidence}, {"escalate_below", choice.threshold},
 			{"larger_expected_ms", to_milliseconds(choice.expected)}, {"config", line.config},
-			{"config_age_ms", to_milliseconds(line.config_age)}, {"lines_left_out", left_out_}});
+			{"config_age_ms", to_milliseconds(line.config_age)},
+			{"replicas_age_ms", to_milliseconds(line.replicas_age)},
+			{"replica_suspected", line.replica_is_suspected}, {"lines_left_out", left_out_}});
 }
 
 std::string request_log::text() const
