No copy is used that is older than news may be: whole tables too, and the registry is asked in time

Cause: what bounded the age of a copy was each source's own word, and only where changes were asked for. A VM that was told that the registry's history is gone read the whole table from other VMs, however old (6 to 11 s seen, 3 s allowed); the replicas' table was good enough at 4.9 s, since its calls wait longest, and a source that had lost the registry was noticed by the contact table's calls only, which may go elsewhere; and a chain of sources that fail or are old took seconds without the registry being asked. Besides, a VM that turned to the registry after two sources had failed told others that it reads second hand, and was left alone by them, longer each time. Ruled out: the registry's own answers (it answered the VM in 20 ms when asked). Change: one limit for copies of all tables, told by when the reader last heard from the registry; a whole table is judged like changes once the table is known; past three quarters of the limit the registry is asked at once, but for half a second after it failed; who is read from is kept by table, and the log tells it.

--- a/include/gingerdyke/control/coordinator.hpp
+++ b/include/gingerdyke/control/coordinator.hpp
@@ -48,7 +48,11 @@
 	/// to notice in time that this VM has lost the registry. For a limit of 2 s; see `tuning_for`.
 	duration operator_wait = std::chrono::milliseconds{700};
 
-	/// Replicas and our own rows: news comes at once all the same.
+	/// The replicas' table: news comes at once, but for an answer that is lost on its way. As long as that
+	/// stays unnoticed, requests go to replicas that leave; see `tuning_for`.
+	duration replica_wait = std::chrono::milliseconds{2400};
+
+	/// Our own rows: news comes at once all the same.
 	duration other_wait = std::chrono::seconds{4};
 
 	/// Evidence, which is rare: a call that waits longer costs less.
@@ -69,9 +73,9 @@
 };
 
 /// \brief Tuning for a deployment.
-/// \param change_limit A change of the configuration is to be in force everywhere within this time. The
-/// shorter, the more calls to the registry.
-[[nodiscard]] coordinator_tuning tuning_for(duration change_limit);
+/// \param news_limit A change of the configuration is to be in force everywhere within this time, and
+/// nothing is to be sent later to a replica that leaves. The shorter, the more calls to the registry.
+[[nodiscard]] coordinator_tuning tuning_for(duration news_limit);
 
 /// \brief Follows the registry for a gateway, itself or through another VM, and lets other VMs do so.
 class coordinator
@@ -103,7 +107,7 @@
 	void on_vm_row(const row& one);
 	void register_self();
 	void start_rest();
-	[[nodiscard]] const table_cache* cache_of(const std::string& table) const;
+	[[nodiscard]] table_follower* follower_of(const std::string& table);
 	void take_catalog(const routing::catalog_ptr& catalog);
 	void expire_replicas();
 	void write_due();
@@ -111,6 +115,7 @@
 	void on_written(store_result<change_answer> answer);
 
 	// What VMs that read through each other tell one another.
+	void on_vouched(const std::string& table, instant newest_at);
 	[[nodiscard]] shared_store_tuning sharing_tuning() const;
 	[[nodiscard]] shared_store_hooks store_hooks();
 	[[nodiscard]] relay_server_hooks server_hooks();
--- a/include/gingerdyke/control/relay_server.hpp
+++ b/include/gingerdyke/control/relay_server.hpp
@@ -15,8 +15,8 @@
 	/// Finds the copy of a table, or null.
 	std::function<const table_cache*(const std::string& table)> find;
 
-	/// Whether this VM reads the registry itself.
-	std::function<bool()> reads_registry;
+	/// Whether this VM reads a table from the registry itself.
+	std::function<bool(const std::string& table)> reads_registry;
 
 	/// Takes a VM's report.
 	std::function<void(const peer_report&)> reported;
--- a/include/gingerdyke/control/shared_store.hpp
+++ b/include/gingerdyke/control/shared_store.hpp
@@ -14,10 +14,15 @@
 	/// the registry. Other tables are read with longer waits, and their copies look good for longer.
 	std::string contact_table;
 
-	/// A copy that is older than its VM waits at the registry, by more than this, is not good enough: the VM
-	/// may have lost the registry. With the time between two polls this has to leave time, within the users'
-	/// 2 s, to learn of a change elsewhere.
-	duration copy_margin = std::chrono::milliseconds{600};
+	/// Another VM's copy that is older than this is not good enough, of whatever table: the VM may have lost
+	/// the registry. It waits there for `coordinator_tuning::operator_wait` and tells itself fresh with each
+	/// answer; what is left of the users' 2 s has to do for learning of a change elsewhere.
+	duration oldest_copy = std::chrono::milliseconds{1300};
+
+	/// Once this VM's own copy of a table is as old as this, the registry itself is asked, whatever other
+	/// VMs offer: a chain of sources that fail or have old copies takes seconds, and meanwhile requests go by
+	/// a configuration, or to a replica, of before the users' 2 s.
+	duration oldest_own = std::chrono::milliseconds{1500};
 
 	/// A poll of another VM waits this part of what it would wait at the registry: polls within a failure
 	/// domain cost next to nothing.
@@ -56,8 +61,13 @@
 	/// Told what the other VM knows.
 	std::function<void(const peer_summary&)> summarised;
 
-	/// Told when this VM begins to read the registry itself, and when it no longer does.
+	/// Told when this VM begins to read the contact table from the registry itself, and when it no longer
+	/// does.
 	std::function<void(bool reads_registry)> moved;
+
+	/// Told that the copy of a table was still the newest at a moment: this VM waits at the registry for its
+	/// changes, and the registry answered another call meanwhile.
+	std::function<void(const std::string& table, instant newest_at)> vouched;
 };
 
 /// \brief A `row_store` that reads from the registry or from another VM's copy, and writes to the registry.
@@ -74,6 +84,9 @@
 	/// \brief Gives up the calls at the registry.
 	void abandon() override;
 
+	/// \brief Whether a table was last asked for at the registry itself.
+	[[nodiscard]] bool reads_registry(const std::string& table) const;
+
   private:
 	using done_hook = std::function<void(store_result<row_batch>)>;
 
@@ -92,15 +105,34 @@
 		bool has_waited{};
 	};
 
+	/// What is known of one table's copy at this VM.
+	struct table_state
+	{
+		/// When it was last known to be the newest; none: it was never read.
+		std::optional<instant> newest_at;
+
+		/// Who was asked last; none: the registry.
+		std::optional<vm_id> source;
+
+		/// Nobody was asked yet.
+		bool is_new = true;
+
+		/// Since when a call for changes waits at the registry; none: there is no such call.
+		std::optional<instant> waits_since;
+	};
+
 	void read(read_call call);
 	void give_up_source(const peer& from, const std::string& table, bool answered);
-	[[nodiscard]] duration oldest_of(const read_call& call) const;
+	[[nodiscard]] bool is_overdue(const std::string& table, instant now) const;
 	[[nodiscard]] bool should_wait(const read_call& call) const;
-	void wait_for_reader(read_call call);
+	void read_after(duration pause, read_call call);
 	void read_registry(read_call call);
+	void on_registry_answer(const read_call& call, instant sent_at, const store_result<row_batch>& result);
+	void note_newest(const std::string& table, instant at);
+	void vouch_for_others(const std::string& table, instant newest_at);
 	void read_peer(const peer& from, read_call call);
-	void on_peer_answer(const peer& from, read_call call, store_result<row_batch> result);
-	void note_source(const std::optional<peer>& source);
+	void on_peer_answer(const peer& from, read_call call, instant sent_at, store_result<row_batch> result);
+	void note_source(const std::string& table, const std::optional<peer>& source);
 	std::shared_ptr<relay_client> client_of(const peer& to);
 
 	proxy::asio::io_context& context_;
@@ -109,6 +141,6 @@
 	shared_store_hooks hooks_;
 	shared_store_tuning tuning_;
 	std::map<vm_id, std::shared_ptr<relay_client>> clients_;
-	std::optional<std::string> last_source_;
+	std::map<std::string, table_state> tables_;
 };
 } // namespace gingerdyke::control
--- a/include/gingerdyke/control/source_selector.hpp
+++ b/include/gingerdyke/control/source_selector.hpp
@@ -59,6 +59,9 @@
 	/// \brief The VM to read a table from; none: the registry itself.
 	[[nodiscard]] std::optional<peer> choose(const std::string& table, instant now) const;
 
+	/// \brief Until when the registry is left alone, since it failed lately; none: it may be asked.
+	[[nodiscard]] std::optional<instant> registry_rest(instant now) const;
+
 	/// \brief VMs of the own failure domain that are asked before this one.
 	[[nodiscard]] std::size_t position() const;
 
--- a/include/gingerdyke/control/table_cache.hpp
+++ b/include/gingerdyke/control/table_cache.hpp
@@ -23,6 +23,9 @@
 	/// \brief Notes that the copy was the newest at a moment, and the registry's clock now.
 	void confirm(instant at, registry_time registry_now, instant now);
 
+	/// \brief Notes that the copy, once read, was still the newest at a moment.
+	void vouch(instant at);
+
 	/// \brief The whole table, or the changes after a version where that is known.
 	/// \param after None: the whole table.
 	/// \returns The rows, or why there are none.
--- a/include/gingerdyke/control/table_follower.hpp
+++ b/include/gingerdyke/control/table_follower.hpp
@@ -52,6 +52,9 @@
 	void start();
 	void stop();
 
+	/// \brief Notes that the copy was still the newest at a moment.
+	void vouch(instant newest_at) { cache_.vouch(newest_at); }
+
 	/// \brief The table as it is known, for other VMs.
 	[[nodiscard]] const table_cache& cache() const noexcept { return cache_; }
 
--- a/src/control/coordinator.cpp
+++ b/src/control/coordinator.cpp
@@ -20,15 +20,21 @@
 }
 } // namespace
 
-coordinator_tuning tuning_for(duration change_limit)
+coordinator_tuning tuning_for(duration news_limit)
 {
-	// A reader's call, and what its copy may be older than that: two thirds of the limit. The last third is
-	// for learning of a change elsewhere.
+	// A reader's call, and how old its copy may be: two thirds of the limit. The last third is for learning
+	// of a change elsewhere, and its last part for the registry's own answer.
 	constexpr double wait_share = 0.35;
-	constexpr double margin_share = 0.3;
+	constexpr double copy_share = 0.65;
+	constexpr double own_share = 0.75;
+	// A lost answer of the registry is noticed after this and the time limit of an answer: the users count a
+	// VM as in touch again 3 s after, and allow 2 s from there.
+	constexpr double replica_share = 1.2;
 	coordinator_tuning tuning;
-	tuning.operator_wait = scaled(change_limit, wait_share);
-	tuning.sharing.copy_margin = scaled(change_limit, margin_share);
+	tuning.operator_wait = scaled(news_limit, wait_share);
+	tuning.replica_wait = scaled(news_limit, replica_share);
+	tuning.sharing.oldest_copy = scaled(news_limit, copy_share);
+	tuning.sharing.oldest_own = scaled(news_limit, own_share);
 	return tuning;
 }
 
@@ -60,7 +66,7 @@
 				  expire_replicas();
 			  },
 			  [this](store_error) { gateway_.replicas().note_unsound(proxy::steady_now()); }},
-		  {.wait = tuning_.other_wait, .gather = tuning_.gather}),
+		  {.wait = tuning_.replica_wait, .gather = tuning_.gather}),
 	  own_(gateway.context(), store_, layout_.own_table, random,
 		  {[this](const auto& rows) { on_own_rows(rows); }, [this](const auto& rows) { on_own_rows(rows); },
 			  [](instant, registry_time) {}, [](store_error) {}},
@@ -136,13 +142,13 @@
 		});
 }
 
-const table_cache* coordinator::cache_of(const std::string& table) const
+table_follower* coordinator::follower_of(const std::string& table)
 {
-	for (const auto* one : {&operators_, &replicas_, &own_})
+	for (auto* one : {&operators_, &replicas_, &own_})
 	{
 		if (one->cache().table() == table)
 		{
-			return &one->cache();
+			return one;
 		}
 	}
 	return nullptr;
--- a/src/control/coordinator_peers.cpp
+++ b/src/control/coordinator_peers.cpp
@@ -25,14 +25,31 @@
 		follow_evidence();
 		arm();
 	};
+	hooks.vouched = [this](const std::string& table, instant newest_at) { on_vouched(table, newest_at); };
 	return hooks;
 }
 
+void coordinator::on_vouched(const std::string& table, instant newest_at)
+{
+	if (auto* follower = follower_of(table))
+	{
+		follower->vouch(newest_at);
+	}
+	if (table == layout_.replica_table)
+	{
+		gateway_.confirm_replicas(newest_at);
+	}
+}
+
 relay_server_hooks coordinator::server_hooks()
 {
 	relay_server_hooks hooks;
-	hooks.find = [this](const std::string& table) { return cache_of(table); };
-	hooks.reads_registry = [this] { return reads_registry_; };
+	hooks.find = [this](const std::string& table)
+	{
+		const auto* follower = follower_of(table);
+		return follower == nullptr ? nullptr : &follower->cache();
+	};
+	hooks.reads_registry = [this](const std::string& table) { return store_.reads_registry(table); };
 	hooks.reported = [this](const peer_report& report) { on_report(report); };
 	hooks.summarise = [this](const std::string& reporter) { return summary_for(reporter); };
 	return hooks;
--- a/src/control/relay_server.cpp
+++ b/src/control/relay_server.cpp
@@ -97,7 +97,7 @@
 	const auto* cache = hooks_.find(to.poll.table);
 	relay_answer made;
 	made.call = to.poll.call;
-	made.is_second_hand = !hooks_.reads_registry();
+	made.is_second_hand = !hooks_.reads_registry(to.poll.table);
 	made.result = cache == nullptr ? tl::make_unexpected(store_error::unavailable)
 								   : cache->read(to.poll.after, proxy::steady_now());
 	if (to.poll.report)
--- a/src/control/shared_store.cpp
+++ b/src/control/shared_store.cpp
@@ -35,23 +35,56 @@
 	registry_.abandon();
 }
 
+bool shared_store::reads_registry(const std::string& table) const
+{
+	const auto found = tables_.find(table);
+	return found != tables_.end() && !found->second.is_new && !found->second.source;
+}
+
 void shared_store::read(read_call call)
 {
+	const auto now = proxy::steady_now();
+	const auto rest = sources_.registry_rest(now);
+	const bool overdue = is_overdue(call.table, now);
+	if (overdue)
+	{
+		// It is to tell how things are, not to wait for news.
+		call.wait = duration{0};
+	}
+	if (overdue && !rest)
+	{
+		read_registry(std::move(call));
+		return;
+	}
 	if (should_wait(call))
 	{
-		wait_for_reader(std::move(call));
+		call.has_waited = true;
+		call.failures = 0;
+		read_after(tuning_.patience, std::move(call));
 		return;
 	}
-	const auto source = sources_.choose(call.table, proxy::steady_now());
-	note_source(source);
+	const auto source = sources_.choose(call.table, now);
 	if (source && call.failures < call.most_failures)
 	{
 		read_peer(*source, std::move(call));
+		return;
 	}
-	else
+	if (overdue)
 	{
-		read_registry(std::move(call));
+		// Calls to a registry that has just failed are priced like others.
+		call.failures = 0;
+		read_after(*rest - now, std::move(call));
+		return;
 	}
+	read_registry(std::move(call));
+}
+
+/// Only a table that is known: a VM that has just started takes what it gets.
+bool shared_store::is_overdue(const std::string& table, instant now) const
+{
+	const auto found = tables_.find(table);
+	return found != tables_.end() && found->second.newest_at &&
+		   now - *found->second.newest_at >= tuning_.oldest_own;
 }
 
 bool shared_store::should_wait(const read_call& call) const
@@ -60,11 +93,9 @@
 	return is_out_of_sources && call.after && !call.has_waited && sources_.position() >= tuning_.patient_from;
 }
 
-void shared_store::wait_for_reader(read_call call)
+void shared_store::read_after(duration pause, read_call call)
 {
-	call.has_waited = true;
-	call.failures = 0;
-	const auto timer = std::make_shared<proxy::asio::steady_timer>(context_, tuning_.patience);
+	const auto timer = std::make_shared<proxy::asio::steady_timer>(context_, pause);
 	timer->async_wait(
 		[this, timer, call = std::move(call)](const proxy::error_code& error) mutable
 		{
@@ -77,18 +108,16 @@
 
 void shared_store::read_registry(read_call call)
 {
-	const auto done = [this, inner = call.done](store_result<row_batch> result)
+	const auto sent_at = proxy::steady_now();
+	note_source(call.table, std::nullopt);
+	if (call.after)
 	{
-		const bool failed = !result && result.error() != store_error::history_gone;
-		if (failed)
-		{
-			sources_.note_unusable(std::nullopt, proxy::steady_now());
-		}
-		else
-		{
-			sources_.note_good(std::nullopt);
-		}
-		inner(std::move(result));
+		tables_[call.table].waits_since = sent_at;
+	}
+	const auto done = [this, call, sent_at](store_result<row_batch> result)
+	{
+		on_registry_answer(call, sent_at, result);
+		call.done(std::move(result));
 	};
 	if (call.after)
 	{
@@ -100,12 +129,57 @@
 	}
 }
 
+void shared_store::on_registry_answer(
+	const read_call& call, instant sent_at, const store_result<row_batch>& result)
+{
+	tables_[call.table].waits_since.reset();
+	const bool failed = !result && result.error() != store_error::history_gone;
+	if (failed)
+	{
+		sources_.note_unusable(std::nullopt, proxy::steady_now());
+		return;
+	}
+	sources_.note_good(std::nullopt);
+	if (!result)
+	{
+		return;
+	}
+	const auto newest_at = sent_at + result->held;
+	note_newest(call.table, newest_at);
+	if (call.table == tuning_.contact_table)
+	{
+		vouch_for_others(call.table, newest_at);
+	}
+}
+
+void shared_store::note_newest(const std::string& table, instant at)
+{
+	auto& known = tables_[table].newest_at;
+	known = std::max(known.value_or(at), at);
+}
+
+/// News of them would have come: their calls wait there.
+void shared_store::vouch_for_others(const std::string& table, instant newest_at)
+{
+	for (auto& [name, state] : tables_)
+	{
+		const bool was_waiting = state.waits_since && *state.waits_since <= newest_at;
+		if (name != table && state.newest_at && was_waiting)
+		{
+			note_newest(name, newest_at);
+			hooks_.vouched(name, newest_at);
+		}
+	}
+}
+
 void shared_store::read_peer(const peer& from, read_call call)
 {
+	note_source(call.table, from);
+	const bool is_known = tables_[call.table].newest_at.has_value();
 	relay_poll poll;
 	poll.table = call.table;
 	poll.after = call.after;
-	poll.oldest = call.after ? std::optional{oldest_of(call)} : std::nullopt;
+	poll.oldest = is_known ? std::optional{tuning_.oldest_copy} : std::nullopt;
 	poll.report = call.after ? hooks_.report(call.table) : std::nullopt;
 	const auto share = call.after ? tuning_.wait_share : 1.0;
 	poll.wait = scaled(call.wait, share);
@@ -119,21 +193,24 @@
 			{
 				result->held = wait;
 			}
-			on_peer_answer(from, std::move(call), std::move(result));
+			on_peer_answer(from, std::move(call), sent_at, std::move(result));
 		});
 }
 
-void shared_store::on_peer_answer(const peer& from, read_call call, store_result<row_batch> result)
+void shared_store::on_peer_answer(
+	const peer& from, read_call call, instant sent_at, store_result<row_batch> result)
 {
 	if (!result && result.error() == store_error::history_gone)
 	{
 		call.done(std::move(result));
 		return;
 	}
-	// A whole table comes late only; it is judged by what follows.
-	const bool is_fresh = result && (!call.after || result->age <= oldest_of(call));
+	// A VM that has just started takes any copy: what follows is judged by its age.
+	const bool is_known = tables_[call.table].newest_at.has_value();
+	const bool is_fresh = result && (!is_known || result->age <= tuning_.oldest_copy);
 	if (is_fresh)
 	{
+		note_newest(call.table, sent_at + result->held - result->age);
 		if (result->is_second_hand)
 		{
 			sources_.note_unusable(from, proxy::steady_now());
@@ -174,19 +251,19 @@
 	client_of(from)->abandon();
 }
 
-/// How old a copy may be that answers a call for changes.
-duration shared_store::oldest_of(const read_call& call) const
+void shared_store::note_source(const std::string& table, const std::optional<peer>& source)
 {
-	return call.wait + tuning_.copy_margin;
-}
-
-void shared_store::note_source(const std::optional<peer>& source)
-{
-	auto name = source ? source->vm.str() : std::string{"registry"};
-	if (last_source_ != name)
+	auto& state = tables_[table];
+	const auto vm = source ? std::optional{source->vm} : std::nullopt;
+	if (!std::exchange(state.is_new, false) && state.source == vm)
+	{
+		return;
+	}
+	state.source = vm;
+	log::write(log::level::info, "reading from",
+		{{"table", table}, {"source", source ? source->vm.str() : "registry"}});
+	if (table == tuning_.contact_table)
 	{
-		log::write(log::level::info, "reading from", {{"source", name}});
-		last_source_ = std::move(name);
 		hooks_.moved(!source);
 	}
 }
--- a/src/control/source_selector.cpp
+++ b/src/control/source_selector.cpp
@@ -44,15 +44,15 @@
 
 std::optional<peer> source_selector::choose(const std::string& table, instant now) const
 {
-	const bool registry_rests = rests(registry_name, now);
-	if (!registry_rests && reads_itself(table, now))
+	const bool registry_is_left = registry_rest(now).has_value();
+	if (!registry_is_left && reads_itself(table, now))
 	{
 		return std::nullopt;
 	}
 	std::size_t far = 0;
 	for (const auto& one : peers_)
 	{
-		if (one.domain != self_.domain && (!registry_rests || ++far > tuning_.far_sources))
+		if (one.domain != self_.domain && (!registry_is_left || ++far > tuning_.far_sources))
 		{
 			break;
 		}
@@ -82,6 +82,13 @@
 	return static_cast<std::size_t>(before) < tuning_.readers;
 }
 
+std::optional<instant> source_selector::registry_rest(instant now) const
+{
+	const auto found = rests_.find(registry_name);
+	const bool is_left = found != rests_.end() && found->second.until > now;
+	return is_left ? std::optional{found->second.until} : std::nullopt;
+}
+
 std::size_t source_selector::position() const
 {
 	const auto before = std::count_if(peers_.begin(), peers_.end(),
--- a/src/control/table_cache.cpp
+++ b/src/control/table_cache.cpp
@@ -75,6 +75,14 @@
 	clock_offset_ = registry_now - now.time_since_epoch();
 }
 
+void table_cache::vouch(instant at)
+{
+	if (confirmed_at_)
+	{
+		confirmed_at_ = std::max(*confirmed_at_, at);
+	}
+}
+
 store_result<row_batch> table_cache::read(std::optional<row_version> after, instant now) const
 {
 	if (!confirmed_at_)
--- a/tests/control/control.cpp
+++ b/tests/control/control.cpp
@@ -40,7 +40,7 @@
 {
 	relay_server_hooks hooks;
 	hooks.find = [&cache](const std::string& table) { return table == cache.table() ? &cache : nullptr; };
-	hooks.reads_registry = [] { return true; };
+	hooks.reads_registry = [](const std::string&) { return true; };
 	hooks.reported = [](const peer_report&) {};
 	hooks.summarise = [](const std::string&) { return peer_summary{}; };
 	return hooks;
@@ -104,6 +104,7 @@
 	hooks.report = [](const std::string&) { return std::nullopt; };
 	hooks.summarised = [](const peer_summary&) {};
 	hooks.moved = [](bool) {};
+	hooks.vouched = [](const std::string&, instant) {};
 	return hooks;
 }
 
@@ -420,3 +421,134 @@
 	CHECK(registry.whole_reads.size() == 1);
 	server.stop();
 }
+
+namespace
+{
+/// A VM with two others before it in rank, whose copies of the table "t" are old.
+struct world_of_old_copies
+{
+	explicit world_of_old_copies(shared_store_tuning tuning)
+		: store(context, registry, sources, hooks(), std::move(tuning))
+	{
+		std::vector<peer> peers;
+		for (auto* server : {&first_server, &second_server})
+		{
+			auto one = make_peer(("peer" + std::to_string(peers.size())).c_str(), "a", free_port(context));
+			one.link_mbps = 10;
+			REQUIRE_FALSE(server->listen(one.at));
+			peers.push_back(one);
+		}
+		sources.set_peers(std::move(peers));
+	}
+
+	~world_of_old_copies()
+	{
+		first_server.stop();
+		second_server.stop();
+	}
+
+	/// The VM reads a table from the registry, which is then followed like any other source.
+	void learn_from_registry(const std::string& table)
+	{
+		sources_rest();
+		store.read_all(table, [](const store_result<row_batch>&) {});
+		REQUIRE(registry.whole_reads.size() == 1);
+		registry.answer_whole(row_version{9});
+	}
+
+	/// The other VMs are left alone for a moment, so that the registry is asked.
+	void sources_rest()
+	{
+		for (const auto* name : {"peer0", "peer1"})
+		{
+			sources.note_out_of_contact(make_peer(name), proxy::steady_now());
+		}
+	}
+
+	void follow(const std::string& table, duration wait)
+	{
+		store.follow(table, row_version{9}, wait, [](const store_result<row_batch>&) {});
+	}
+
+	shared_store_hooks hooks()
+	{
+		auto made = quiet_hooks();
+		made.moved = [this](bool reads_registry) { moves.push_back(reads_registry); };
+		made.vouched = [this](const std::string& table, instant) { vouched.push_back(table); };
+		return made;
+	}
+
+	proxy::asio::io_context context{1};
+	table_cache copy = copy_of_one_row(std::chrono::hours{1});
+	relay_server first_server{context, serving(copy)};
+	relay_server second_server{context, serving(copy)};
+	source_selector sources{make_peer("vm3")};
+	scripted_store registry;
+	std::vector<bool> moves;
+	std::vector<std::string> vouched;
+	shared_store store;
+};
+
+/// No test ends because of a wait: it would take hours.
+shared_store_tuning patient_tuning()
+{
+	shared_store_tuning tuning;
+	tuning.contact_table = "t";
+	tuning.oldest_own = std::chrono::hours{1};
+	tuning.patience = std::chrono::hours{1};
+	return tuning;
+}
+} // namespace
+
+TEST_CASE("a VM whose own copy has become old asks the registry, whatever other VMs offer", "[relay]")
+{
+	auto tuning = patient_tuning();
+	tuning.oldest_own = duration{0};
+	world_of_old_copies world{tuning};
+	world.learn_from_registry("t");
+	world.follow("t", seconds{100});
+	REQUIRE(world.registry.follows.size() == 1);
+	// It has to tell how things are: an answer that is held would come too late.
+	CHECK(world.registry.follows.front().wait == duration{0});
+}
+
+TEST_CASE("a VM whose own copy is old leaves a registry alone that has just failed", "[relay]")
+{
+	auto tuning = patient_tuning();
+	tuning.oldest_own = duration{0};
+	world_of_old_copies world{tuning};
+	world.learn_from_registry("t");
+	world.sources.note_unusable(std::nullopt, proxy::steady_now());
+	world.follow("t", seconds{100});
+	CHECK(world.registry.follows.empty());
+}
+
+TEST_CASE("a VM that turns to the registry after its sources failed tells that it reads it", "[relay]")
+{
+	auto tuning = patient_tuning();
+	tuning.sources_to_follow = 1;
+	tuning.patience = duration{0};
+	world_of_old_copies world{tuning};
+	world.learn_from_registry("t");
+	test::run_until(
+		world.context, [&] { return world.sources.choose("t", proxy::steady_now()).has_value(); });
+	world.follow("t", seconds{100});
+	test::run_until(world.context, [&] { return !world.registry.follows.empty(); });
+	CHECK(world.store.reads_registry("t"));
+	CHECK(world.moves.back());
+}
+
+TEST_CASE("an answer about the contact table vouches for tables whose calls wait at the registry", "[relay]")
+{
+	world_of_old_copies world{patient_tuning()};
+	world.learn_from_registry("replicas");
+	world.learn_from_registry("never followed");
+	world.learn_from_registry("t");
+	world.follow("replicas", seconds{100});
+	world.follow("t", seconds{100});
+	REQUIRE(world.registry.follows.size() == 2);
+	row_batch none;
+	none.newest = row_version{9};
+	world.registry.follows.back().done(none);
+	CHECK(world.vouched == std::vector<std::string>{"replicas"});
+}
