--- a/soak/history.cpp
+++ b/soak/history.cpp
@@ -22,6 +22,13 @@
 /// Requests sent later than this after a stop began may be refused by a closing connection.
 constexpr std::chrono::seconds stop_limit{3};
 
+/// A request sent later than this after a replica left must not reach it. The settings of the VMs say 2 s;
+/// a second more for processes that wait for a processor.
+constexpr std::chrono::seconds leave_limit{3};
+
+/// The same for a VM that loses the registry again and again: other VMs tell it, as soon as it has noticed.
+constexpr std::chrono::seconds disturbed_leave_limit{4};
+
 bool is_refusal(int status)
 {
 	return status == unavailable || status == too_many;
@@ -71,6 +78,7 @@
 	}
 	judge_versions(found);
 	judge_stops(found);
+	judge_departures(found);
 	return found;
 }
 
@@ -188,4 +196,22 @@
 		}
 	}
 }
+
+void history::judge_departures(findings& into) const
+{
+	for (const auto& gone : departures_)
+	{
+		for (const auto& [id, one] : requests_)
+		{
+			const auto limit = gone.disturbed_vms.contains(one.sent.vm) ? disturbed_leave_limit : leave_limit;
+			const bool ran_there = std::any_of(one.runs.begin(), one.runs.end(),
+				[&](const seen_run& seen) { return seen.run.replica == gone.replica; });
+			if (one.sent.at > gone.at + limit && ran_there)
+			{
+				into.push_back("a replica that left gets nothing: " + id + " at " + gone.replica +
+							   " through " + one.sent.vm);
+			}
+		}
+	}
+}
 } // namespace gingerdyke::soak
--- a/soak/history.hpp
+++ b/soak/history.hpp
@@ -63,6 +63,18 @@
 	instant begun;
 };
 
+/// \brief A replica that left with nothing else going on, but for VMs that lost the registry meanwhile.
+struct departure
+{
+	std::string replica;
+
+	/// The registry said so then.
+	instant at;
+
+	/// VMs that lost the registry, again and again; the others had it.
+	std::set<std::string> disturbed_vms;
+};
+
 /// \brief Collects, and judges at the end.
 class history
 {
@@ -72,6 +84,7 @@
 	void ran(const platform::standin::replica_run& run, instant at);
 	void key_removed(const std::string& key, instant at) { removed_keys_[key] = at; }
 	void stopped(const quiet_stop& stop) { stops_.push_back(stop); }
+	void left(const departure& what) { departures_.push_back(what); }
 
 	/// \brief Something that must not happen and needs no judging.
 	void broken(const std::string& promise, const std::string& what);
@@ -103,10 +116,12 @@
 	void judge_key(const record& one, findings& into) const;
 	void judge_versions(findings& into) const;
 	void judge_stops(findings& into) const;
+	void judge_departures(findings& into) const;
 
 	std::map<std::string, record> requests_;
 	std::map<std::string, instant> removed_keys_;
 	std::vector<quiet_stop> stops_;
+	std::vector<departure> departures_;
 	findings broken_;
 };
 } // namespace gingerdyke::soak
--- a/soak/world.cpp
+++ b/soak/world.cpp
@@ -49,6 +49,12 @@
 		{ip, port}, {ip, static_cast<std::uint16_t>(port + 1)}, {ip, static_cast<std::uint16_t>(port + 2)}};
 }
 
+/// Failure domain of a VM.
+std::string domain_of(std::size_t index)
+{
+	return index % 2 == 0 ? "a" : "b";
+}
+
 json settings_of(const std::string& name, const std::string& domain, const vm_addresses& at,
 	const routing::address& registry)
 {
@@ -124,6 +130,7 @@
 			}
 		}
 	}
+	let_replicas_leave();
 	for (const auto& one : vms_)
 	{
 		std::for_each(one->callers.begin(), one->callers.end(), [](const auto& caller) { caller->stop(); });
@@ -135,11 +142,67 @@
 	return {history_.judge(), history_.request_count(), history_.served_count()};
 }
 
+/// One replica says that it leaves, another one's entry goes; the VMs of one failure domain lose the registry
+/// before, and again and again after.
+void world::let_replicas_leave()
+{
+	constexpr std::chrono::milliseconds until_used{600};
+	constexpr std::chrono::milliseconds lost{500};
+	constexpr std::chrono::milliseconds found{1500};
+	constexpr std::chrono::milliseconds until_left{200};
+	constexpr int losses = 5;
+	add_backend(standin::engine_service, "v1");
+	auto& drains = *backends_.back();
+	add_backend(standin::plain_service, "v1");
+	auto& vanishes = *backends_.back();
+	run_for(until_used);
+
+	// All VMs of the failure domain that uses the replica most: one alone reads through another one.
+	std::vector<vm*> disturbed;
+	std::set<std::string> names;
+	for (std::size_t i = 0; i < vms_.size(); ++i)
+	{
+		if (domain_of(i) == vanishes.domain)
+		{
+			disturbed.push_back(vms_[i].get());
+			names.insert(vms_[i]->process->name());
+		}
+	}
+	const auto set_links = [&](link_fault to)
+	{
+		for (auto* one : disturbed)
+		{
+			one->to_registry->set(to);
+		}
+	};
+	const auto fault = options_.seed % 2 == 0 ? link_fault::reset : link_fault::silent;
+	instant left_at;
+	for (int i = 0; i < losses; ++i)
+	{
+		set_links(fault);
+		run_for(lost);
+		set_links(link_fault::none);
+		if (i == 0)
+		{
+			run_for(until_left);
+			left_at = proxy::steady_now();
+			drains.leaves = true;
+			register_backend(drains);
+			registry_.remove("servers", vanishes.replica->id());
+		}
+		run_for(found);
+	}
+	for (const auto* one : {&drains, &vanishes})
+	{
+		history_.left({one->replica->id(), left_at, names});
+	}
+}
+
 void world::add_vm(std::size_t index)
 {
 	auto made = std::make_unique<vm>();
 	const auto name = "vm" + std::to_string(index);
-	const auto domain = index % 2 == 0 ? "a" : "b";
+	const auto domain = domain_of(index);
 	const auto at = addresses_of(own_ip(options_.seed), index);
 	made->to_registry = std::make_unique<link_proxy>(context_, registry_.at());
 	made->process = std::make_unique<vm_process>(options_.binary, options_.directory, name,
--- a/soak/world.hpp
+++ b/soak/world.hpp
@@ -85,6 +85,8 @@
 	void change_configuration(int by);
 	void remove_key();
 
+	void let_replicas_leave();
+
 	void watch_processes();
 	void on_process_end(vm& one, const process_end& how);
 	void after(duration span, std::function<void()> then);
--- a/tests/soak/history.cpp
+++ b/tests/soak/history.cpp
@@ -169,6 +169,27 @@
 	CHECK(finds(seen, "a planned stop cuts nothing: a"));
 }
 
+TEST_CASE("soak: a request that reaches a replica that left is found", "[soak]")
+{
+	history seen;
+	auto late = make_request("q1", request_kind::once, milliseconds{3500});
+	SECTION("through a VM that had the registry")
+	{
+		late.vm = "vm1";
+	}
+	SECTION("through the VM that had lost the registry, soon enough") {}
+	SECTION("through the VM that had lost the registry, too late")
+	{
+		late.at = start + milliseconds{4500};
+	}
+	seen.sent(late);
+	seen.answered("q1", make_answer(200, platform::standin::whole_body("q1"), seconds{8}));
+	seen.ran(run_of("q1"), late.at);
+	seen.left({"r0", start, {"vm0"}});
+	const bool is_late = late.vm == "vm1" || late.at > start + seconds{4};
+	CHECK(finds(seen, "a replica that left gets nothing") == is_late);
+}
+
 TEST_CASE("soak: a seed draws the same faults each time", "[soak]")
 {
 	const auto first = draw_faults(7, seconds{8});
