While the registry rests, another VM has its time to give a whole table

A poll for a whole table by a VM whose own copy is old had no time at all, so that the other VM counted as unreachable and was left alone. Found on reading the change; the test fails before and passes after. The choice for overdue tables stands in a function of its own.

--- a/include/gingerdyke/control/shared_store.hpp
+++ b/include/gingerdyke/control/shared_store.hpp
@@ -122,6 +122,8 @@
 	};
 
 	void read(read_call call);
+	void read_overdue(read_call call);
+	[[nodiscard]] std::optional<peer> source_for(const read_call& call) const;
 	void give_up_source(const peer& from, const std::string& table, bool answered);
 	[[nodiscard]] bool is_overdue(const std::string& table, instant now) const;
 	[[nodiscard]] bool should_wait(const read_call& call) const;
--- a/src/control/shared_store.cpp
+++ b/src/control/shared_store.cpp
@@ -43,40 +43,53 @@
 
 void shared_store::read(read_call call)
 {
-	const auto now = proxy::steady_now();
-	const auto rest = sources_.registry_rest(now);
-	const bool overdue = is_overdue(call.table, now);
-	if (overdue)
-	{
-		// It is to tell how things are, not to wait for news.
-		call.wait = duration{0};
-	}
-	if (overdue && !rest)
+	if (is_overdue(call.table, proxy::steady_now()))
 	{
-		read_registry(std::move(call));
+		read_overdue(std::move(call));
 		return;
 	}
 	if (should_wait(call))
 	{
 		call.has_waited = true;
-		call.failures = 0;
 		read_after(tuning_.patience, std::move(call));
 		return;
 	}
-	const auto source = sources_.choose(call.table, now);
-	if (source && call.failures < call.most_failures)
+	const auto source = source_for(call);
+	if (source)
 	{
 		read_peer(*source, std::move(call));
 		return;
 	}
-	if (overdue)
+	read_registry(std::move(call));
+}
+
+void shared_store::read_overdue(read_call call)
+{
+	const auto now = proxy::steady_now();
+	// It is to tell how things are, not to wait for news.
+	call.wait = duration{0};
+	const auto rest = sources_.registry_rest(now);
+	const auto source = source_for(call);
+	if (!rest)
+	{
+		read_registry(std::move(call));
+	}
+	else if (source)
+	{
+		read_peer(*source, std::move(call));
+	}
+	else
 	{
 		// Calls to a registry that has just failed are priced like others.
-		call.failures = 0;
 		read_after(*rest - now, std::move(call));
-		return;
 	}
-	read_registry(std::move(call));
+}
+
+/// None: the registry.
+std::optional<peer> shared_store::source_for(const read_call& call) const
+{
+	const bool may_try = call.failures < call.most_failures;
+	return may_try ? sources_.choose(call.table, proxy::steady_now()) : std::nullopt;
 }
 
 /// Only a table that is known: a VM that has just started takes what it gets.
@@ -95,6 +108,7 @@
 
 void shared_store::read_after(duration pause, read_call call)
 {
+	call.failures = 0;
 	const auto timer = std::make_shared<proxy::asio::steady_timer>(context_, pause);
 	timer->async_wait(
 		[this, timer, call = std::move(call)](const proxy::error_code& error) mutable
@@ -181,9 +195,8 @@
 	poll.after = call.after;
 	poll.oldest = is_known ? std::optional{tuning_.oldest_copy} : std::nullopt;
 	poll.report = call.after ? hooks_.report(call.table) : std::nullopt;
-	const auto share = call.after ? tuning_.wait_share : 1.0;
-	poll.wait = scaled(call.wait, share);
-	const auto limit = poll.wait + (call.after ? tuning_.answer_limit : duration{0});
+	poll.wait = call.after ? scaled(call.wait, tuning_.wait_share) : call.wait;
+	const auto limit = call.after ? poll.wait + tuning_.answer_limit : tuning_.whole_wait;
 	const auto sent_at = proxy::steady_now();
 	client_of(from)->call(poll, limit,
 		[this, from, sent_at, wait = poll.wait, call = std::move(call)](
--- a/tests/control/control.cpp
+++ b/tests/control/control.cpp
@@ -523,6 +523,25 @@
 	CHECK(world.registry.follows.empty());
 }
 
+TEST_CASE("while the registry is left alone, another VM has its time to give a whole table", "[relay]")
+{
+	auto tuning = patient_tuning();
+	tuning.oldest_own = duration{0};
+	tuning.oldest_copy = std::chrono::hours{2};
+	tuning.whole_wait = seconds{15};
+	tuning.sources_to_start = 1;
+	world_of_old_copies world{tuning};
+	world.learn_from_registry("t");
+	test::run_until(
+		world.context, [&] { return world.sources.choose("t", proxy::steady_now()).has_value(); });
+	world.sources.note_unusable(std::nullopt, proxy::steady_now());
+	std::optional<store_result<row_batch>> got;
+	world.store.read_all("t", [&](store_result<row_batch> result) { got = std::move(result); });
+	test::run_until(world.context, [&] { return got.has_value() || !world.registry.whole_reads.empty(); });
+	CHECK(world.registry.whole_reads.empty());
+	CHECK(got.has_value());
+}
+
 TEST_CASE("a VM that turns to the registry after its sources failed tells that it reads it", "[relay]")
 {
 	auto tuning = patient_tuning();
