--- a/src/control/shared_store.cpp
+++ b/src/control/shared_store.cpp
@@ -69,20 +69,21 @@
 	// It is to tell how things are, not to wait for news.
 	call.wait = duration{0};
 	const auto rest = sources_.registry_rest(now);
-	const auto source = source_for(call);
-	if (!rest)
+	const bool is_left_to_contact =
+		call.table != tuning_.contact_table && is_overdue(tuning_.contact_table, now);
+	if (!rest && !is_left_to_contact)
 	{
 		read_registry(std::move(call));
+		return;
 	}
-	else if (source)
+	if (const auto source = source_for(call))
 	{
 		read_peer(*source, std::move(call));
+		return;
 	}
-	else
-	{
-		// Calls to a registry that has just failed are priced like others.
-		read_after(*rest - now, std::move(call));
-	}
+	const duration until_asked = rest ? *rest - now : duration{0};
+	read_after(
+		is_left_to_contact ? std::max(until_asked, tuning_.contact_pause) : until_asked, std::move(call));
 }
 
 /// None: the registry.
--- a/tests/control/control.cpp
+++ b/tests/control/control.cpp
@@ -523,6 +523,21 @@
 	CHECK(world.registry.follows.empty());
 }
 
+TEST_CASE("while a VM has lost the registry only the contact table's calls look for it", "[relay]")
+{
+	auto tuning = patient_tuning();
+	tuning.oldest_own = duration{0};
+	world_of_old_copies world{tuning};
+	world.learn_from_registry("t");
+	world.learn_from_registry("replicas");
+	world.sources_rest();
+	world.follow("replicas", seconds{100});
+	CHECK(world.registry.follows.empty());
+	world.follow("t", seconds{100});
+	REQUIRE(world.registry.follows.size() == 1);
+	CHECK(world.registry.follows.front().table == "t");
+}
+
 TEST_CASE("while the registry is left alone, another VM has its time to give a whole table", "[relay]")
 {
 	auto tuning = patient_tuning();
