--- a/tests/routing/missing_replica.cpp
+++ b/tests/routing/missing_replica.cpp
@@ -41,6 +41,7 @@
 	{
 		set.note_sound(at(milliseconds{-60000}));
 		std::vector<replica> entries;
+		entries.reserve(static_cast<std::size_t>(count));
 		for (int i = 0; i < count; ++i)
 		{
 			entries.push_back(make_replica("r" + std::to_string(i)));
