--- a/tests/control/control.cpp
+++ b/tests/control/control.cpp
@@ -62,6 +62,42 @@
 	return cache;
 }
 
+/// A VM that answers from its copy, and another one that polls it.
+struct relay_pair
+{
+	explicit relay_pair(duration copy_age = {}) : cache(copy_of_one_row(copy_age))
+	{
+		REQUIRE_FALSE(server.listen({"127.0.0.1", port}));
+	}
+
+	~relay_pair()
+	{
+		server.stop();
+		client->abandon();
+	}
+
+	/// Asks for the changes of the table "t" after a version; the answer comes to `got`.
+	void poll(row_version after, duration wait, std::optional<duration> oldest = {})
+	{
+		got.reset();
+		client->call({0, "t", after, wait, oldest, {}}, 2 * wait,
+			[this](store_result<row_batch> result) { got = std::move(result); });
+	}
+
+	void await_answer()
+	{
+		test::run_until(context, [this] { return got.has_value(); });
+	}
+
+	proxy::asio::io_context context{1};
+	table_cache cache;
+	relay_server server{context, serving(cache)};
+	std::uint16_t port = free_port(context);
+	std::shared_ptr<relay_client> client =
+		std::make_shared<relay_client>(context, make_peer("other", "a", port), [](const peer_summary&) {});
+	std::optional<store_result<row_batch>> got;
+};
+
 /// A registry whose calls wait until the test answers them.
 struct scripted_store : row_store
 {
@@ -207,32 +243,22 @@
 
 TEST_CASE("a poll of another VM is answered when there is news, and ends when that VM goes", "[relay]")
 {
-	proxy::asio::io_context context{1};
-	auto cache = copy_of_one_row();
-	relay_server server{context, serving(cache)};
-	const auto port = free_port(context);
-	REQUIRE_FALSE(server.listen({"127.0.0.1", port}));
-	const auto client =
-		std::make_shared<relay_client>(context, make_peer("other", "a", port), [](const peer_summary&) {});
-	std::optional<store_result<row_batch>> got;
-	const auto take = [&](store_result<row_batch> result) { got = std::move(result); };
-
-	client->call({0, "t", row_version{3}, seconds{10}, {}, {}}, seconds{20}, take);
-	context.run_for(milliseconds{20});
-	CHECK_FALSE(got);
-	cache.apply({make_row("b", 4)}, row_version{4});
-	server.on_change("t");
-	test::run_until(context, [&] { return got.has_value(); });
-	CHECK(keys_of(*got) == std::vector<std::string>{"b"});
-	CHECK((*got)->rows.front().table == "t");
-
-	got.reset();
-	client->call({0, "t", row_version{4}, seconds{10}, {}, {}}, seconds{20}, take);
-	context.restart();
-	context.run_for(milliseconds{20});
-	server.stop();
-	test::run_until(context, [&] { return got.has_value(); });
-	CHECK(got->error() == store_error::unreachable);
+	relay_pair world;
+	world.poll(row_version{3}, seconds{10});
+	world.context.run_for(milliseconds{20});
+	CHECK_FALSE(world.got);
+	world.cache.apply({make_row("b", 4)}, row_version{4});
+	world.server.on_change("t");
+	world.await_answer();
+	CHECK(keys_of(*world.got) == std::vector<std::string>{"b"});
+	CHECK((*world.got)->rows.front().table == "t");
+
+	world.poll(row_version{4}, seconds{10});
+	world.context.restart();
+	world.context.run_for(milliseconds{20});
+	world.server.stop();
+	world.await_answer();
+	CHECK(world.got->error() == store_error::unreachable);
 }
 
 TEST_CASE("a VM with an old copy of one table is soon asked again, and for other tables at once", "[sources]")
@@ -362,45 +388,25 @@
 
 TEST_CASE("a copy that is too old for the asker is told at once", "[relay]")
 {
-	proxy::asio::io_context context{1};
-	const auto cache = copy_of_one_row(seconds{5});
-	relay_server server{context, serving(cache)};
-	const auto port = free_port(context);
-	REQUIRE_FALSE(server.listen({"127.0.0.1", port}));
-	const auto client =
-		std::make_shared<relay_client>(context, make_peer("other", "a", port), [](const peer_summary&) {});
-	std::optional<store_result<row_batch>> got;
+	relay_pair world{seconds{5}};
 	// Held for its whole wait, the poll would outlast the limit of the test.
-	client->call({0, "t", row_version{3}, seconds{1000}, seconds{2}, {}}, seconds{2000},
-		[&](store_result<row_batch> result) { got = std::move(result); });
-	test::run_until(context, [&] { return got.has_value(); });
-	REQUIRE(*got);
-	CHECK((*got)->rows.empty());
-	CHECK((*got)->age >= seconds{5});
-	server.stop();
-	client->abandon();
+	world.poll(row_version{3}, seconds{1000}, seconds{2});
+	world.await_answer();
+	REQUIRE(*world.got);
+	CHECK((*world.got)->rows.empty());
+	CHECK((*world.got)->age >= seconds{5});
 }
 
 TEST_CASE("a poll that waits is answered as soon as the copy has grown too old for the asker", "[relay]")
 {
-	proxy::asio::io_context context{1};
-	const auto cache = copy_of_one_row(seconds{2});
-	relay_server server{context, serving(cache)};
-	const auto port = free_port(context);
-	REQUIRE_FALSE(server.listen({"127.0.0.1", port}));
-	const auto client =
-		std::make_shared<relay_client>(context, make_peer("other", "a", port), [](const peer_summary&) {});
-	std::optional<store_result<row_batch>> got;
+	relay_pair world{seconds{2}};
 	const auto oldest = milliseconds{2300};
-	client->call({0, "t", row_version{3}, seconds{1000}, oldest, {}}, seconds{2000},
-		[&](store_result<row_batch> result) { got = std::move(result); });
-	test::run_until(context, [&] { return got.has_value(); });
-	REQUIRE(*got);
-	CHECK((*got)->age > oldest);
+	world.poll(row_version{3}, seconds{1000}, oldest);
+	world.await_answer();
+	REQUIRE(*world.got);
+	CHECK((*world.got)->age > oldest);
 	// Held until the longest wait that a server allows, 10 s, it would be older.
-	CHECK((*got)->age < seconds{10});
-	server.stop();
-	client->abandon();
+	CHECK((*world.got)->age < seconds{10});
 }
 
 TEST_CASE("a report goes with a poll, and a summary comes back", "[reports]")
--- a/tests/routing/missing_replica.cpp
+++ b/tests/routing/missing_replica.cpp
@@ -9,31 +9,21 @@
 // end a suspected replica was chosen like any other.
 // Settled by two lines of the VM, "replica" with change "suspected" at 36.792 s and "gone" at 48.788 s: 2.2 s
 // after its last "registry regained", at 46.588 s.
+#include "../support/replicas.hpp"
+
 #include <catch2/catch.hpp>
 #include <gingerdyke/routing/replica_selector.hpp>
 #include <set>
 
 using namespace gingerdyke;
 using namespace gingerdyke::routing;
+using gingerdyke::test::at;
+using gingerdyke::test::make_replica;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 namespace
 {
-instant at(milliseconds since)
-{
-	return instant{seconds{100} + since};
-}
-
-replica make_replica(const std::string& id)
-{
-	replica made;
-	made.id = replica_id{id};
-	made.service = service_id{"s"};
-	made.at = {"127.0.0.1", 80};
-	return made;
-}
-
 /// Replicas "r0", "r1", ... of one service, in a registry that has been sound for long.
 struct replica_world
 {
--- a/tests/routing/routing.cpp
+++ b/tests/routing/routing.cpp
@@ -1,32 +1,20 @@
 // SPDX-License-Identifier: MIT
 // Routes, replicas as discovery tells them, and the budget of further attempts.
+#include "../support/replicas.hpp"
+
 #include <catch2/catch.hpp>
 #include <gingerdyke/limits/attempt_budget.hpp>
 #include <gingerdyke/routing/catalog.hpp>
-#include <gingerdyke/routing/replica_set.hpp>
 
 using namespace gingerdyke;
 using namespace gingerdyke::routing;
+using gingerdyke::test::at;
+using gingerdyke::test::make_replica;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 namespace
 {
-instant at(milliseconds since)
-{
-	return instant{seconds{100} + since};
-}
-
-replica make_replica(const char* id, const char* version = "v1")
-{
-	replica made;
-	made.id = replica_id{id};
-	made.service = service_id{"s"};
-	made.at = {"127.0.0.1", 80};
-	made.version = version;
-	return made;
-}
-
 /// A set with one replica, in a registry that has been sound for long.
 struct settled_set
 {
