--- /dev/null
+++ b/tests/control/peer_report.cpp
@@ -0,0 +1,57 @@
+// SPDX-License-Identifier: MIT
+// What VMs that read through each other tell one another.
+#include "../support/control_world.hpp"
+#include <gingerdyke/control/report_board.hpp>
+
+using namespace gingerdyke;
+using namespace gingerdyke::test;
+
+TEST_CASE(
+	"work that others have open is summed up without the asker's, and only while it is fresh", "[reports]")
+{
+	report_board board;
+	board.take("a", {{replica_id{"r1"}, 100}, {replica_id{"r2"}, 10}}, start);
+	board.take("b", {{replica_id{"r1"}, 50}}, start);
+	board.take("a", {{replica_id{"r1"}, 70}}, start + milliseconds{200});
+	const auto for_c = board.work_of_others("c", start + milliseconds{300});
+	REQUIRE(for_c.size() == 1);
+	CHECK(for_c.front().tokens == 120);
+	CHECK(board.work_of_others("a", start + milliseconds{300}).front().tokens == 50);
+	CHECK(board.work_of_others("b", start + milliseconds{1600}).front().tokens == 70);
+	CHECK(board.work_of_others("c", start + seconds{5}).empty());
+}
+
+TEST_CASE("a report goes with a poll, and a summary comes back", "[reports]")
+{
+	proxy::asio::io_context context{1};
+	auto cache = copy_of_one_row();
+	std::optional<peer_report> reported;
+	auto hooks = serving(cache);
+	hooks.reported = [&](const peer_report& report) { reported = report; };
+	hooks.summarise = [](const std::string& reporter) {
+		return peer_summary{{{replica_id{"for " + reporter}, 7}}, {{service_id{"s"}, row_version{12}}}};
+	};
+	relay_server server{context, hooks};
+	const auto port = free_port(context);
+	REQUIRE_FALSE(server.listen({"127.0.0.1", port}));
+	std::optional<peer_summary> summary;
+	const auto client = std::make_shared<relay_client>(
+		context, make_peer("other", "a", port), [&](const peer_summary& one) { summary = one; });
+	const rollout::shift_evidence seen{service_id{"s"}, row_version{12}, {{"route r", {9, 2, 1}}}};
+	const rollout::shift_suspension verdict{service_id{"s"}, row_version{12}};
+	const peer_report report{"me", {{replica_id{"r1"}, 40}}, {seen}, {verdict}};
+	client->call({0, "t", row_version{3}, milliseconds{1}, {}, report}, seconds{20},
+		[](const store_result<row_batch>&) {});
+	test::run_until(context, [&] { return summary.has_value(); });
+	CHECK(summary->work.front().replica.str() == "for me");
+	CHECK(summary->suspended.front().order.value() == 12);
+	REQUIRE(reported);
+	CHECK(reported->work.front().tokens == 40);
+	REQUIRE(reported->evidence.size() == 1);
+	CHECK(reported->evidence.front().by_group.at("route r").answers == 9);
+	CHECK(reported->evidence.front().by_group.at("route r").failed == 2);
+	REQUIRE(reported->suspended.size() == 1);
+	CHECK(reported->suspended.front().order.value() == 12);
+	server.stop();
+	client->abandon();
+}
