Log lines of a version shift tell what it rests on; request lines tell the replica's version

Why first: a bad version was declared completed, and "version shift", state "completed", named none of the answers, failures, times and tolerated shares behind it. Nobody could tell which of three hypotheses held: unlike held against unlike, absence of evidence taken as good, or evidence lost with restarted VMs.

Change: the lines carry the VMs whose answers are known, answers and failures of both versions, and the test that speaks the most against the new version. No decision changes.

--- a/include/gingerdyke/proxy/exchange.hpp
+++ b/include/gingerdyke/proxy/exchange.hpp
@@ -136,7 +136,7 @@
 	std::optional<attempt> attempt_;
 	event_stream events_;
 	routing::size_step size_;
-	std::string last_replica_;
+	routing::replica_ptr last_replica_;
 
 	/// Its entry was missing when the request was sent to it.
 	bool last_was_suspected_ = false;
--- a/include/gingerdyke/proxy/request_log.hpp
+++ b/include/gingerdyke/proxy/request_log.hpp
@@ -48,6 +48,9 @@
 	std::string route;
 	std::string workspace;
 	std::string replica;
+
+	/// Software version of that replica.
+	std::string version;
 	std::string model;
 	request_outcome outcome{request_outcome::served};
 	int status{};
--- a/include/gingerdyke/rollout/version_evidence.hpp
+++ b/include/gingerdyke/rollout/version_evidence.hpp
@@ -70,6 +70,10 @@
 	/// \brief Takes off what was added before.
 	version_evidence& operator-=(const version_evidence& other);
 
+	/// \brief Counts of each version over all routes.
+	[[nodiscard]] answer_counts all_old() const noexcept;
+	[[nodiscard]] answer_counts all_new() const noexcept;
+
 	/// \brief Answers of the new version, or of both.
 	[[nodiscard]] std::uint64_t new_answers() const noexcept;
 	[[nodiscard]] std::uint64_t all_answers() const noexcept;
--- a/include/gingerdyke/rollout/version_shift.hpp
+++ b/include/gingerdyke/rollout/version_shift.hpp
@@ -172,14 +172,28 @@
 	std::vector<reported_evidence> evidence;
 };
 
+/// \brief What a VM knows of a shift, in sums: why it thinks a version good or bad.
+struct shift_summary
+{
+	answer_counts old_version;
+	answer_counts new_version;
+
+	/// What speaks against the new version the most.
+	version_verdict verdict;
+
+	/// VMs whose answers are in the sums, this one included.
+	std::size_t vms{};
+};
+
 /// \brief Told when a plan is taken, and when the new version is suspended here.
 struct shift_news
 {
 	const shift_plan& plan;
 	bool suspended{};
 
-	/// What this VM suspended it for; none where another VM's verdict was taken.
-	std::optional<version_verdict> verdict;
+	/// Another VM's verdict was taken.
+	bool told{};
+	shift_summary known;
 };
 
 /// \brief The shifts of all services as this VM knows them.
@@ -297,7 +311,8 @@
 	[[nodiscard]] bool evidence_grew(const service_state& state) const;
 	[[nodiscard]] std::vector<reported_evidence> take_evidence(
 		const service_id& service, service_state& state, instant now);
-	void suspend(service_state& state, std::optional<version_verdict> verdict);
+	void suspend(service_state& state, bool told);
+	[[nodiscard]] shift_summary summary_of(const service_state& state) const;
 	[[nodiscard]] static bool has_new_order(const service_state& state);
 	[[nodiscard]] bool knows_verdict(const service_state& state, instant now) const;
 	void on_registry_back(instant now);
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -217,7 +217,7 @@
 {
 	const auto now = steady_now();
 	++attempts_;
-	last_replica_ = to->id.str();
+	last_replica_ = to;
 	last_was_suspected_ = shared_.replicas().is_suspected(to->id);
 	attempt_.emplace();
 	attempt_->to = to;
@@ -366,7 +366,8 @@
 	line.id = id_;
 	line.route = route_ == nullptr ? "" : route_->id.str();
 	line.workspace = workspace_ == nullptr ? "" : workspace_->id.str();
-	line.replica = last_replica_;
+	line.replica = last_replica_ ? last_replica_->id.str() : "";
+	line.version = last_replica_ ? last_replica_->version : "";
 	line.model = route_ == nullptr || route_->models.empty() ? "" : route_->models[size_.index].str();
 	line.outcome = outcome;
 	line.status = status;
--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -33,22 +33,24 @@
 	const auto& plan = news.plan;
 	json fields{{"service", plan.service.str()}, {"from", plan.from_version}, {"to", plan.to_version},
 		{"state", rollout::name_of(plan.state)}, {"row_version", plan.row.value()}};
+	fields["vms"] = news.known.vms;
+	fields["old_answers"] = news.known.old_version.answers;
+	fields["old_failed"] = news.known.old_version.failed;
+	fields["new_answers"] = news.known.new_version.answers;
+	fields["new_failed"] = news.known.new_version.failed;
+	const auto& verdict = news.known.verdict;
+	fields["ground"] = rollout::name_of(verdict.ground);
+	fields["where"] = verdict.where;
+	fields["answers"] = verdict.answers;
+	fields["bad"] = verdict.bad;
+	fields["tolerated"] = verdict.tolerated;
+	fields["evidence"] = verdict.evidence;
 	if (!news.suspended)
 	{
 		log::write(log::level::info, "version shift", std::move(fields));
 		return;
 	}
-	const auto& verdict = news.verdict;
-	fields["told"] = !verdict.has_value();
-	if (verdict)
-	{
-		fields["ground"] = rollout::name_of(verdict->ground);
-		fields["where"] = verdict->where;
-		fields["answers"] = verdict->answers;
-		fields["bad"] = verdict->bad;
-		fields["tolerated"] = verdict->tolerated;
-		fields["evidence"] = verdict->evidence;
-	}
+	fields["told"] = news.told;
 	log::write(log::level::warn, "version suspended", std::move(fields));
 }
 } // namespace
--- a/src/rollout/version_evidence.cpp
+++ b/src/rollout/version_evidence.cpp
@@ -89,23 +89,33 @@
 	return *this;
 }
 
-std::uint64_t version_evidence::new_answers() const noexcept
+answer_counts version_evidence::all_old() const noexcept
 {
-	auto sum = at_peak.all_new().answers;
+	auto sum = at_peak.old_version;
 	for (const auto& [route, seen] : by_route)
 	{
-		sum += seen.all_new().answers;
+		sum += seen.old_version;
 	}
 	return sum;
 }
 
-std::uint64_t version_evidence::all_answers() const noexcept
+answer_counts version_evidence::all_new() const noexcept
 {
-	auto sum = new_answers() + at_peak.old_version.answers;
+	auto sum = at_peak.all_new();
 	for (const auto& [route, seen] : by_route)
 	{
-		sum += seen.old_version.answers;
+		sum += seen.all_new();
 	}
 	return sum;
 }
+
+std::uint64_t version_evidence::new_answers() const noexcept
+{
+	return all_new().answers;
+}
+
+std::uint64_t version_evidence::all_answers() const noexcept
+{
+	return new_answers() + all_old().answers;
+}
 } // namespace gingerdyke::rollout
--- a/src/rollout/version_shift.cpp
+++ b/src/rollout/version_shift.cpp
@@ -108,7 +108,7 @@
 	}
 	state.plan = plan;
 	state.stable_version = plan.state == shift_state::completed ? plan.to_version : plan.from_version;
-	news_({plan, false, std::nullopt});
+	news_({plan, false, false, summary_of(state)});
 	schedule(state, now);
 }
 
--- a/src/rollout/version_shift_evidence.cpp
+++ b/src/rollout/version_shift_evidence.cpp
@@ -73,7 +73,7 @@
 							   state.plan->state == shift_state::running && !state.suspended;
 	if (concerns_plan)
 	{
-		suspend(state, std::nullopt);
+		suspend(state, true);
 		state.act_at = now + random_delay();
 	}
 }
@@ -230,13 +230,23 @@
 	{
 		return;
 	}
-	suspend(state, verdict);
+	suspend(state, false);
 	state.act_at = reads_registry_ ? now : now + random_delay();
 }
 
-void version_shift::suspend(service_state& state, std::optional<version_verdict> verdict)
+void version_shift::suspend(service_state& state, bool told)
 {
 	state.suspended = true;
-	news_({*state.plan, true, std::move(verdict)});
+	news_({*state.plan, true, told, summary_of(state)});
+}
+
+shift_summary version_shift::summary_of(const service_state& state) const
+{
+	shift_summary summary;
+	summary.old_version = state.known.all_old();
+	summary.new_version = state.known.all_new();
+	summary.verdict = rollout::judge(state.known, tuning_.verdict);
+	summary.vms = state.others.size() + 1;
+	return summary;
 }
 } // namespace gingerdyke::rollout
