--- a/emulator/shift_emulator.cpp
+++ b/emulator/shift_emulator.cpp
@@ -8,6 +8,7 @@
 #include <gingerdyke/base/random.hpp>
 #include <gingerdyke/rollout/version_shift.hpp>
 #include <memory>
+#include <string_view>
 
 namespace gingerdyke::emulator
 {
@@ -106,8 +107,9 @@
 			auto& one = into.emplace_back();
 			one.replica = made;
 			one.speed = speeds[i % std::size(speeds)];
-			one.is_slowed = unit() < setup_.trouble.slowed_share;
-			one.is_failing = unit() < setup_.trouble.failing_share;
+			const bool is_spared = setup_.trouble.is_old_only && version == std::string_view{new_version};
+			one.is_slowed = unit() < setup_.trouble.slowed_share && !is_spared;
+			one.is_failing = unit() < setup_.trouble.failing_share && !is_spared;
 		}
 	}
 
@@ -268,17 +270,19 @@
 		{
 			time *= 1 - 3 * load_of(at) * std::log(1 - unit());
 		}
-		const bool is_slowed = at.is_slowed && is_within(slowed_at_);
-		constexpr double slowed_by = 5;
-		time *= is_slowed ? slowed_by : 1;
+		if (!is_new && setup_.trouble.overload > 0)
+		{
+			time *= 1 - setup_.trouble.overload * std::log(1 - unit());
+		}
+		const bool is_slowed = at.is_slowed && (setup_.trouble.is_old_only || is_within(slowed_at_));
+		time *= is_slowed ? setup_.trouble.slowed_by : 1;
 		return is_new && setup_.fault == version_fault::slow ? time * slowdown_ : time;
 	}
 
 	double failure_share(const engine& at, bool is_new, bool is_first_route) const
 	{
-		constexpr double of_failing_replica = 0.4;
 		constexpr double of_bad_version = 0.5;
-		const auto own = at.is_failing ? of_failing_replica : 0;
+		const auto own = at.is_failing ? setup_.trouble.failing_rate : 0;
 		if (!is_new)
 		{
 			return own;
--- a/emulator/shift_emulator.hpp
+++ b/emulator/shift_emulator.hpp
@@ -33,11 +33,20 @@
 	/// Traffic is twice as high for some seconds, at a moment drawn from the shift's time.
 	bool has_burst{};
 
-	/// Share of the replicas that are five times slower, for some seconds or throughout.
+	/// Share of the replicas that are slower, and by how much: for some seconds, or throughout.
 	double slowed_share{};
+	double slowed_by{5};
 
-	/// Share of the replicas of which four in ten answers are failures.
+	/// Share of the replicas that fail, and which part of their answers.
 	double failing_share{};
+	double failing_rate{0.4};
+
+	/// The trouble lasts for the whole shift, and strikes replicas that were there when it began: none of the
+	/// new version's.
+	bool is_old_only{};
+
+	/// Requests that wait before each one at the old version's replicas, on average: overload.
+	double overload{};
 
 	/// Readers lose the registry for some seconds.
 	bool loses_registry{};
--- /dev/null
+++ b/tests/emulator/shift_beside_sick_replicas.cpp
@@ -0,0 +1,56 @@
+// SPDX-License-Identifier: MIT
+// A version that failed four in ten requests was declared completed, and all traffic went to it. Half of the
+// old version's replicas failed half of their requests at the time, so that the old version looked almost as
+// bad: 3,340 of its 10,332 known answers had failed, 248 of the new one's 592, and 58 in 100 were tolerated.
+// Beside engines that were six times slower and overloaded, a slow version was completed as well: 192 of its
+// answers were known, none compared in time told anything, and that counted as good. The log said
+// "version shift", state "completed", with evidence 0.0.
+#include "shift_emulator.hpp"
+#include <catch2/catch.hpp>
+
+using namespace gingerdyke;
+using namespace gingerdyke::emulator;
+using rollout::shift_state;
+
+namespace
+{
+shift_setup middle_deployment()
+{
+	shift_setup setup;
+	setup.vms = 91;
+	setup.replicas = 140;
+	setup.answers_per_s = 300;
+	return setup;
+}
+
+/// \param fault How the new version is bad.
+/// \param trouble What strikes the old version's replicas meanwhile.
+void check_never_completed(version_fault fault, const shift_trouble& trouble)
+{
+	auto setup = middle_deployment();
+	setup.fault = fault;
+	setup.trouble = trouble;
+	constexpr unsigned seeds = 5;
+	for (setup.seed = 1; setup.seed <= seeds; ++setup.seed)
+	{
+		CAPTURE(name_of(fault), setup.seed);
+		const auto result = play(setup);
+		CHECK(result.state == shift_state::rolled_back);
+		CHECK(result.late_requests == 0);
+	}
+}
+} // namespace
+
+TEST_CASE(
+	"a version that fails is rolled back although half of the old replicas fail too", "[emulator][shift]")
+{
+	check_never_completed(
+		version_fault::fails, {.failing_share = 0.5, .failing_rate = 0.5, .is_old_only = true});
+}
+
+TEST_CASE(
+	"a slow version is rolled back although the old replicas are slowed and overloaded", "[emulator][shift]")
+{
+	check_never_completed(
+		version_fault::slow, {.slowed_share = 0.5, .slowed_by = 6, .is_old_only = true, .overload = 8});
+}
