--- a/emulator/shift_emulator.cpp
+++ b/emulator/shift_emulator.cpp
@@ -115,8 +115,9 @@
 
 	void start_vm(unsigned i)
 	{
-		auto& made = vms_.emplace_back(std::make_unique<version_shift>(
-			seeded_random{mix_hash(setup_.seed, i)}, [](const rollout::shift_news&) {}));
+		auto& made =
+			vms_.emplace_back(std::make_unique<version_shift>(seeded_random{mix_hash(setup_.seed, i)},
+				[this](const rollout::shift_news& news) { note(news); }));
 		made->note_reads_registry(is_reader(i));
 		made->on_order({service, new_version, setup_.length, rollout::row_version{10}}, now_);
 		std::vector<routing::replica_ptr> all;
@@ -130,6 +131,15 @@
 		made->note_replicas(service, all);
 	}
 
+	void note(const rollout::shift_news& news)
+	{
+		if (news.suspended && !news.told && !result_.suspended)
+		{
+			result_.suspended = news.known;
+			result_.suspended_after = now_ - origin_;
+		}
+	}
+
 	[[nodiscard]] bool is_reader(std::size_t i) const { return i < setup_.domains; }
 	[[nodiscard]] std::size_t reader_of(std::size_t i) const { return i % setup_.domains; }
 
@@ -246,8 +256,8 @@
 		constexpr double large_share = 0.3;
 		const bool is_large = unit() < large_share;
 		sample.model = is_large ? "large" : "small";
-		sample.replica_group = rollout::replica_group_of(at.replica->id);
-		sample.relative_time = time_at(at, is_new) * (is_large ? 4 : 1);
+		sample.replica = stable_hash(at.replica->id.str());
+		sample.relative_time = time_at(at, is_new);
 		sample.failed = unit() < failure_share(at, is_new, route == 0);
 		const bool slow_version = is_new && setup_.fault == version_fault::slow;
 		if (is_new && (sample.failed || slow_version))
@@ -255,28 +265,60 @@
 			bad_since_ = result_.bad_answers < bad_before_verdict ? now_ : bad_since_;
 			++result_.bad_answers;
 		}
-		vm.note_answer(service, is_new ? new_version : old_version, sample, now_);
+		const auto version = is_new ? new_version : old_version;
+		vm.note_answer(service, version, sample, now_);
+		constexpr double streams = 0.6;
+		if (!sample.failed && unit() < streams)
+		{
+			sample.kind = rollout::sample_kind::pace;
+			sample.relative_time = pace_at(at, is_new);
+			vm.note_answer(service, version, sample, now_);
+		}
 	}
 
-	/// Time relative to an idle engine's: a kept prompt is read faster, a busy engine lets some wait long.
+	/// Time to the first byte over an idle engine's: a kept prompt is read faster, a busy engine lets some
+	/// wait long.
 	double time_at(const engine& at, bool is_new)
 	{
 		constexpr double warm = 0.4;
 		constexpr double cold = 0.9;
 		const bool is_warm_enough = is_new ? unit() < 0.3 : unit() < 0.7;
-		auto time = at.speed * (is_warm_enough ? draw(warm, 0.6) : draw(0.6, cold));
+		const auto reading = at.speed * (is_warm_enough ? draw(warm, 0.6) : draw(0.6, cold));
+		return slowness_of(at, is_new) * reading * (1 + queue_at(at, is_new));
+	}
+
+	/// Time between two events over an idle engine's: longer by the requests of its batch, and at times by a
+	/// prompt that is read between them.
+	double pace_at(const engine& at, bool is_new)
+	{
+		constexpr double whole_batch = 1.5;
+		constexpr double reads_prompt = 0.3;
+		const auto batch = 1 + std::min(whole_batch, load_of(at) * unit());
+		const auto prompt = unit() < reads_prompt ? draw(1, 3) : 1;
+		return slowness_of(at, is_new) * at.speed * batch * prompt;
+	}
+
+	/// Prompts that wait before one, in times of its own.
+	double queue_at(const engine& at, bool is_new)
+	{
+		double queue = 0;
 		const auto busy = std::min(0.9, 0.4 * load_of(at));
 		if (unit() < busy)
 		{
-			time *= 1 - 3 * load_of(at) * std::log(1 - unit());
+			queue -= 3 * load_of(at) * std::log(1 - unit());
 		}
 		if (!is_new && setup_.trouble.overload > 0)
 		{
-			time *= 1 - setup_.trouble.overload * std::log(1 - unit());
+			queue -= setup_.trouble.overload * std::log(1 - unit());
 		}
+		return queue;
+	}
+
+	[[nodiscard]] double slowness_of(const engine& at, bool is_new) const
+	{
 		const bool is_slowed = at.is_slowed && (setup_.trouble.is_old_only || is_within(slowed_at_));
-		time *= is_slowed ? setup_.trouble.slowed_by : 1;
-		return is_new && setup_.fault == version_fault::slow ? time * slowdown_ : time;
+		const auto own = is_slowed ? setup_.trouble.slowed_by : 1;
+		return is_new && setup_.fault == version_fault::slow ? own * slowdown_ : own;
 	}
 
 	double failure_share(const engine& at, bool is_new, bool is_first_route) const
--- a/emulator/shift_emulator.hpp
+++ b/emulator/shift_emulator.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <gingerdyke/base/units.hpp>
 #include <gingerdyke/rollout/version_shift.hpp>
+#include <optional>
 
 namespace gingerdyke::emulator
 {
@@ -74,6 +75,10 @@
 {
 	rollout::shift_state state{rollout::shift_state::running};
 
+	/// What the first VM that suspended the new version knew, and how long after the order; none: no VM did.
+	std::optional<rollout::shift_summary> suspended;
+	duration suspended_after{};
+
 	/// Part of all requests in the shift's time that went to the new version.
 	double exposure{};
 
--- a/include/gingerdyke/proxy/exchange.hpp
+++ b/include/gingerdyke/proxy/exchange.hpp
@@ -6,6 +6,7 @@
 #include <gingerdyke/proxy/event_stream.hpp>
 #include <gingerdyke/proxy/gateway.hpp>
 #include <gingerdyke/proxy/prompt.hpp>
+#include <gingerdyke/proxy/stream_pace.hpp>
 
 namespace gingerdyke::proxy
 {
@@ -45,6 +46,7 @@
 
 	/// The answer's body is a stream of events.
 	bool is_stream{};
+	stream_pace pace;
 };
 
 /// \brief One request. Decides where it goes, whether it goes again, and what its caller is told.
@@ -91,6 +93,7 @@
 	void on_not_run();
 	void on_body(std::string_view bytes);
 	void on_events(std::string_view bytes);
+	void note_pace(std::optional<duration> between_events);
 	void on_end();
 	void on_fault(upstream_fault fault);
 	void on_not_connected();
--- a/include/gingerdyke/rollout/shift_schedule.hpp
+++ b/include/gingerdyke/rollout/shift_schedule.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <gingerdyke/base/units.hpp>
+#include <optional>
 
 namespace gingerdyke::rollout
 {
@@ -50,18 +51,27 @@
 	shift_schedule(duration length, double exposure_limit, const schedule_tuning& tuning = {});
 
 	/// \brief The share after a part of the time.
-	[[nodiscard]] double share_at(double part) const noexcept;
+	/// \param promoted The part after which the new version was shown to be good; none: it is still on trial,
+	/// and its share does not grow.
+	[[nodiscard]] double share_at(double part, std::optional<double> promoted) const noexcept;
 
 	/// \brief Whether the trial's traffic goes to so few replicas that each bears the load of a peak. A
 	/// version that fails under load only fails there while the others are still on the old one.
 	[[nodiscard]] bool is_at_peak(double part) const noexcept;
 
-	/// \brief Parts of the time at which the trial begins and ends, and at which the shift is completed.
+	/// \brief Parts of the time at which the trial begins and ends, and at which a shift whose new version is
+	/// good by then is completed.
 	[[nodiscard]] double trial_at() const noexcept { return trial_at_; }
 	[[nodiscard]] double trial_ends_at() const noexcept { return grow_at_; }
 	[[nodiscard]] double complete_at() const noexcept { return complete_at_; }
 
+	/// \brief The part at which a shift is completed whose new version was promoted after a part of the time:
+	/// growth is shortened to end in time; where that is over already, it has its whole time.
+	[[nodiscard]] double complete_at(double promoted) const noexcept;
+
   private:
+	[[nodiscard]] double growth_begins_at(double promoted) const noexcept;
+
 	double trial_at_;
 	double peak_at_;
 	double grow_at_;
--- a/include/gingerdyke/rollout/version_evidence.hpp
+++ b/include/gingerdyke/rollout/version_evidence.hpp
@@ -2,56 +2,49 @@
 // What the answers of an old and a new version tell, as counts that VMs add up.
 #pragma once
 
-#include <array>
-#include <gingerdyke/base/ids.hpp>
+#include <gingerdyke/base/units.hpp>
+#include <gingerdyke/rollout/answer_cells.hpp>
 #include <gingerdyke/rollout/answer_times.hpp>
 #include <map>
 #include <string>
 
 namespace gingerdyke::rollout
 {
-/// \brief Answers, and those among them that were failures.
-struct answer_counts
-{
-	std::uint64_t answers{};
-	std::uint64_t failed{};
-
-	answer_counts& operator+=(const answer_counts& other) noexcept;
-	answer_counts& operator-=(const answer_counts& other) noexcept;
-	bool operator==(const answer_counts&) const = default;
-};
+/// \brief Time to an answer's first byte over the time that an idle engine takes to read its prompt: compares
+/// answers to prompts of all sizes.
+/// \param prompt_tokens Tokens of the prompt; 0 for plain services.
+[[nodiscard]] double relative_answer_time(duration took, double prompt_tokens) noexcept;
 
-/// \brief Groups into which the new version's replicas fall by the hash of their ids. A few replicas that
-/// fail for a reason of their own spoil a group or two, a bad version all of them.
-inline constexpr std::size_t replica_groups = 8;
-
-/// \brief The group of a replica; the same on all VMs.
-[[nodiscard]] std::size_t replica_group_of(const replica_id& id) noexcept;
+/// \brief Time between two events of a stream, on the same scale. An engine's pace hardly depends on what
+/// waits there: beside overloaded engines an eight times slower version's first bytes came no later than
+/// theirs.
+[[nodiscard]] double relative_pace(duration between_events) noexcept;
 
 /// \brief Failures on one route: a version may be bad there only.
 struct route_evidence
 {
-	answer_counts old_version;
-	std::array<answer_counts, replica_groups> new_version;
+	/// Of the old version, from the order until the new one gets its first requests.
+	answer_counts before;
 
-	/// \brief The new version's counts over all groups.
-	[[nodiscard]] answer_counts all_new() const noexcept;
+	/// Of the old version's control replicas beside the new one, in the same trouble as it.
+	by_cell<answer_counts> old_version;
+	by_cell<answer_counts> new_version;
 
-	route_evidence& operator+=(const route_evidence& other) noexcept;
-	route_evidence& operator-=(const route_evidence& other) noexcept;
+	route_evidence& operator+=(const route_evidence& other);
+	route_evidence& operator-=(const route_evidence& other);
 	bool operator==(const route_evidence&) const = default;
 };
 
-/// \brief Times to the first byte of one model's answers, or of one route's where the service has no models.
+/// \brief Relative times of one model's answers, or of one route's where the service has no models.
 struct time_evidence
 {
-	/// Of the old version, from the order until the new one gets its first requests.
+	/// As in `route_evidence`.
 	answer_times before;
+	by_cell<answer_times> old_version;
+	by_cell<answer_times> new_version;
 
-	/// Of the old version beside the new one, under the same load as it.
-	answer_times old_version;
-	answer_times new_version;
-
+	time_evidence& operator+=(const time_evidence& other);
+	time_evidence& operator-=(const time_evidence& other);
 	bool operator==(const time_evidence&) const = default;
 };
 
@@ -59,7 +52,10 @@
 struct version_evidence
 {
 	std::map<std::string, route_evidence> by_route;
+
+	/// Times to the first byte, and paces of streams.
 	std::map<std::string, time_evidence> by_model;
+	std::map<std::string, time_evidence> by_pace;
 
 	/// Failures on all routes while the trial's replicas bear the load of a peak.
 	route_evidence at_peak;
@@ -70,13 +66,14 @@
 	/// \brief Takes off what was added before.
 	version_evidence& operator-=(const version_evidence& other);
 
-	/// \brief Counts of each version over all routes.
-	[[nodiscard]] answer_counts all_old() const noexcept;
-	[[nodiscard]] answer_counts all_new() const noexcept;
+	/// \brief Failures on all routes together.
+	[[nodiscard]] route_evidence all_routes() const;
+
+	/// \brief Answers of the new version.
+	[[nodiscard]] std::uint64_t new_answers() const;
 
-	/// \brief Answers of the new version, or of both.
-	[[nodiscard]] std::uint64_t new_answers() const noexcept;
-	[[nodiscard]] std::uint64_t all_answers() const noexcept;
+	/// \brief All that was noted, of both versions: of two reports of a VM the later has more.
+	[[nodiscard]] std::uint64_t size() const;
 
 	bool operator==(const version_evidence&) const = default;
 };
--- a/include/gingerdyke/rollout/version_shift.hpp
+++ b/include/gingerdyke/rollout/version_shift.hpp
@@ -63,10 +63,26 @@
 	shift_state state{shift_state::running};
 	row_version order;
 
+	/// When the new version was shown to be as good as the old one: from then on its share grows. None: it
+	/// gets no more than a trial's share.
+	std::optional<registry_time> promoted;
+
 	/// Row version of the plan itself; 0: not written yet.
 	row_version row;
 };
 
+/// \brief What a sample tells.
+enum class sample_kind
+{
+	/// An answer's first byte came.
+	answer,
+	/// No byte came for so long that the answer was given up: slow at the least, and whether it failed is not
+	/// known. Left out, the slowest answers of a slow version would count for nothing.
+	silence,
+	/// A stream's second event came, or did not for so long that the stream was given up.
+	pace,
+};
+
 /// \brief One answer, as far as it tells about its version.
 struct answer_sample
 {
@@ -76,16 +92,12 @@
 	std::string model;
 	bool failed{};
 
-	/// Time to the first byte over the time that a prompt of this size takes an idle engine: compares answers
-	/// to prompts of all sizes.
+	/// See `relative_answer_time` and, for a pace, `relative_pace`.
 	double relative_time{};
 
-	/// See `replica_group_of`.
-	std::size_t replica_group{};
-
-	/// No byte came for so long that it was given up: slow at the least, and whether it failed is not known.
-	/// Left out, the slowest answers of a slow version would count for nothing.
-	bool silent{};
+	/// Hash of the replica's incarnation, the same on all VMs.
+	std::uint64_t replica{};
+	sample_kind kind{sample_kind::answer};
 };
 
 /// \brief What one VM saw of a new version.
@@ -132,6 +144,27 @@
 	double peak_load = 1.5;
 	std::size_t fewest_at_peak = 3;
 
+	/// Replicas of the old version whose answers are held against the new one's: as many as take work in a
+	/// trial, so that both versions' sick replicas show alike. Summed over hundreds, half of which fail, the
+	/// groups of the old version's would all look half sick.
+	std::size_t control_replicas = 16;
+
+	/// A version that gave this many bad answers, failures or slow ones, is to be shown as good as the old
+	/// one within this time, or gets nothing any more. A VM that reads the registry knows a third to a fifth
+	/// of all answers, and users allow a bad version 5 s after 50 bad answers.
+	std::uint64_t patience_bad = 12;
+	duration patience = std::chrono::milliseconds{3000};
+
+	/// From this time before a trial's end on, VMs that can't tell by the answers known to them write these
+	/// for the others, no more often than this: only with thin traffic, where all together can tell.
+	duration closing = std::chrono::milliseconds{1200};
+	duration closing_pause = std::chrono::milliseconds{1000};
+
+	/// A VM that missed a part of the trial waits for this part of the shift's time before it gives a version
+	/// back that is not shown to be good, and none waits past this multiple of that time.
+	double late_hold = 0.5;
+	double longest_hold = 2;
+
 	/// Without news from the registry for this long, the share no longer grows.
 	duration news_limit = std::chrono::milliseconds{2500};
 
@@ -178,8 +211,9 @@
 	answer_counts old_version;
 	answer_counts new_version;
 
-	/// What speaks against the new version the most.
+	/// What speaks against the new version the most, and what speaks for it.
 	version_verdict verdict;
+	version_proof proof;
 
 	/// VMs whose answers are in the sums, this one included.
 	std::size_t vms{};
@@ -227,7 +261,7 @@
 
 	/// \brief Says whether this VM reads the registry itself, perhaps for others; at first it does. Such a VM
 	/// writes evidence, and is the first to write plans.
-	void note_reads_registry(bool does) { reads_registry_ = does; }
+	void note_reads_registry(bool does);
 
 	/// \brief Takes the replicas of a service, to know which version it has without any order.
 	void note_replicas(const service_id& service, const std::vector<routing::replica_ptr>& replicas);
@@ -277,14 +311,26 @@
 		instant followed_since;
 		bool suspended{};
 
-		/// Replicas of the version that the order names.
+		/// Replicas of the version that the order names, and all others.
 		std::size_t new_replicas{};
+		std::size_t old_replicas{};
 
 		/// What this VM saw, what others reported, and the sum of all.
 		version_evidence own;
 		std::map<std::string, version_evidence> others;
 		version_evidence known;
 
+		/// The sum of what this VM saw and of what it writes for others.
+		version_evidence to_write;
+
+		/// What is made of these sums.
+		version_verdict verdict;
+		version_proof proof;
+		std::uint64_t suspicious{};
+
+		/// Since when the new version has given so many bad answers that it is to be shown good soon.
+		std::optional<instant> bad_since;
+
 		/// VMs whose evidence this one writes, and those among them with news.
 		std::set<std::string> relayed;
 		std::set<std::string> unwritten;
@@ -301,28 +347,43 @@
 	[[nodiscard]] registry_time registry_now(instant now) const;
 	/// How much of the plan's time is over; what it means is up to the schedule.
 	[[nodiscard]] double part_of(const shift_plan& plan, instant now) const;
+	/// When so much of the plan's time is over.
+	[[nodiscard]] instant moment_of(const shift_plan& plan, double part) const;
 	[[nodiscard]] shift_schedule schedule_of(const shift_plan& plan) const;
 	[[nodiscard]] double share_of(const service_state& state, instant now) const;
 	[[nodiscard]] bool is_at_peak(const service_state& state, instant now) const;
+	[[nodiscard]] bool has_fresh_news(instant now) const { return now - news_at_ < tuning_.news_limit; }
+	[[nodiscard]] static bool is_running(const service_state& state);
+
+	[[nodiscard]] bool is_control(const service_state& state, std::uint64_t replica) const;
 	void note_seen(service_state& state, bool is_new, const answer_sample& answer, instant now) const;
+	static void relay(service_state& state, const std::string& reporter);
 	bool keep_evidence(service_state& state, const std::string& reporter, const shift_evidence& evidence);
-	[[nodiscard]] version_evidence evidence_to_write(const service_state& state) const;
-	[[nodiscard]] std::uint64_t suspicious_answers(const service_state& state) const;
-	[[nodiscard]] bool evidence_grew(const service_state& state) const;
-	[[nodiscard]] std::vector<reported_evidence> take_evidence(
-		const service_id& service, service_state& state, instant now);
+	void weigh(service_state& state) const;
+	void judge(service_state& state, instant now);
 	void suspend(service_state& state, bool told);
 	[[nodiscard]] shift_summary summary_of(const service_state& state) const;
+
+	[[nodiscard]] std::optional<instant> evidence_due_at(const service_state& state) const;
+	[[nodiscard]] std::vector<reported_evidence> take_evidence(
+		const service_id& service, service_state& state, instant now);
+
+	/// When a promoted plan is to be declared completed.
+	[[nodiscard]] instant completed_at(const shift_plan& plan) const;
+	[[nodiscard]] double promoted_part(const shift_plan& plan) const;
+	[[nodiscard]] bool is_promotable(const service_state& state, instant now) const;
+	[[nodiscard]] instant give_back_at(const service_state& state) const;
+	[[nodiscard]] std::optional<instant> unproven_at(const service_state& state) const;
+	void give_back_unproven(service_state& state, instant now);
+
 	[[nodiscard]] static bool has_new_order(const service_state& state);
 	[[nodiscard]] bool knows_verdict(const service_state& state, instant now) const;
 	void on_registry_back(instant now);
-
-	/// How long until a plan is to be declared completed; negative: it should have been.
-	[[nodiscard]] duration time_to_completion(const shift_plan& plan, instant now) const;
+	[[nodiscard]] std::optional<shift_plan> first_plan(const service_state& state, instant now) const;
 	[[nodiscard]] std::optional<shift_plan> next_plan(const service_state& state, instant now) const;
 	[[nodiscard]] std::optional<instant> moment_to_act(const service_state& state, instant now) const;
-	void judge(service_state& state, instant now);
 	void schedule(service_state& state, instant now);
+	void schedule_sooner(service_state& state, instant now);
 	[[nodiscard]] duration random_delay() const;
 
 	random_source random_;
--- a/include/gingerdyke/rollout/version_verdict.hpp
+++ b/include/gingerdyke/rollout/version_verdict.hpp
@@ -1,15 +1,15 @@
 // SPDX-License-Identifier: MIT
-// Whether a new version is worse than the old one: the decision alone, on counts of all VMs.
+// Whether a new version is worse than the old one, or shown to be as good: the decisions alone, on counts of
+// all VMs.
 #pragma once
 
-#include <gingerdyke/rollout/version_evidence.hpp>
-#include <optional>
+#include <gingerdyke/rollout/time_comparison.hpp>
 #include <string>
 
 namespace gingerdyke::rollout
 {
-/// \brief Tuning of `judge`. Answers the loads of a shift: thin traffic over many VMs, engines of unlike
-/// speed, some of them failing or slowed, and bursts that strike both versions.
+/// \brief Tuning of `judge` and `prove`. Answers the loads of a shift: thin traffic over many VMs, engines of
+/// unlike speed, some or most of either version failing or slowed, and bursts that strike both versions.
 struct verdict_tuning
 {
 	/// A version is bad where the evidence that it is worse than tolerated passes this logarithm; chance
@@ -17,31 +17,31 @@
 	double conclusive = 9.2;
 
 	/// The same for a look at the end of the trial, when the version would get all traffic next: chance alone
-	/// does so once in twenty shifts of a version that is as bad as tolerated, and one that is no worse than
+	/// does so once in thirty shifts of a version that is as bad as tolerated, and one that is no worse than
 	/// the old one is far from that.
-	double doubtful = 3.0;
+	double doubtful = 3.6;
 
 	/// Fewest failures for a verdict.
 	std::uint64_t fewest_failed = 3;
 
-	/// Tolerated share of failures in the better half of the replicas' groups: this, and this multiple of the
-	/// old version's share. The better half, since a few replicas may fail for a reason of their own.
-	double tolerated_failures = 0.01;
+	/// Tolerated share of failures in the better half of the replicas: this, and this multiple of the old
+	/// version's share in its better half. The better half of both, since some replicas may fail for a reason
+	/// of their own: held against all of the old version's, half of which failed, a version that failed four
+	/// in ten requests was within what is tolerated.
+	double tolerated_failures = 0.09;
 	double tolerated_multiple = 1.8;
 
+	/// The same for all replicas at the peak of a trial, beside what they showed before it: few answers are
+	/// given there, and a version that fails under load only shows it nowhere else.
+	double tolerated_at_peak = 0.04;
+
 	/// At least this is tolerated of all replicas and routes together: more than a few sick replicas explain.
 	/// Where few answers are known, those of each route fall into groups of one or two, and the better half
 	/// of them shows nothing: a version that failed half of its requests was completed on 25 answers.
 	double tolerated_overall = 0.12;
 
-	/// Fewest answers of the old version to compare times with.
-	std::uint64_t fewest_old = 25;
-
-	/// An answer is fast up to this multiple of the time that a quarter of the old version's keep within. Low
-	/// quantiles tell the engine's own speed, since they hardly wait for others; caches that are still cold
-	/// add up to half to them, a version that is several times slower more than the multiple.
-	double fast_quantile = 0.25;
-	double fast_multiple = 2;
+	/// Times, see there.
+	time_tuning times;
 
 	/// The new version is tolerated with this part of the old one's share of fast answers: engines that are
 	/// slowed for a reason of their own strike up to a third of a version's replicas more than the other's.
@@ -49,6 +49,18 @@
 
 	/// Fewest slow answers for a verdict.
 	std::uint64_t fewest_slow = 8;
+
+	/// A version is shown to be as good where it fails at most so much more often than the old one, both by
+	/// the better half of their replicas; a bad one fails three in ten requests or more. Smaller, thin
+	/// traffic can't show that a good version is good: this takes 11 answers without a failure.
+	double margin = 0.25;
+
+	/// None that fails more than this passes for good, however the old version fares: what is wrong with the
+	/// replicas of both can't be told from a bad version then.
+	double most_failures = 0.45;
+
+	/// A version that is as bad as the margin passes with this probability at most.
+	double risk = 0.05;
 };
 
 /// \brief What a verdict rests on.
@@ -59,6 +71,8 @@
 	failures,
 	/// More of its answers are slow.
 	times,
+	/// It gave bad answers, and is not shown to be as good as the old one in due time.
+	unproven,
 };
 
 /// \brief The word for a ground.
@@ -83,4 +97,29 @@
 
 /// \brief Weighs what was seen of a new version; what speaks against it the most.
 [[nodiscard]] version_verdict judge(const version_evidence& seen, const verdict_tuning& tuning);
+
+/// \brief What shows that a new version is no worse than the old one. That nothing speaks against it is not
+/// enough: a slow version of which hardly an answer came back was completed so.
+struct version_proof
+{
+	/// Answers of the new version by which failures were judged, and the share that none may reach.
+	answer_counts judged;
+	double tolerated{};
+
+	/// Probability that a version that fails as often as tolerated shows so few failures.
+	double failure_risk{1};
+
+	/// Logarithm of the evidence that it is as fast as the old one, by first bytes and by paces of streams:
+	/// the lower of both.
+	double fast_evidence{};
+
+	/// Bad answers seen of it: failures, or slow ones, whichever are more.
+	std::uint64_t bad{};
+
+	/// Whether it is shown to be as good.
+	bool is_shown{};
+};
+
+/// \brief Weighs what shows that a new version is as good as the old one.
+[[nodiscard]] version_proof prove(const version_evidence& seen, const verdict_tuning& tuning);
 } // namespace gingerdyke::rollout
--- a/src/control/own_rows.cpp
+++ b/src/control/own_rows.cpp
@@ -18,28 +18,38 @@
 	return {value.at("answers").get<std::uint64_t>(), value.at("failed").get<std::uint64_t>()};
 }
 
-json route_json(const rollout::route_evidence& seen)
+json cells_json(const rollout::by_cell<rollout::answer_counts>& seen)
 {
-	json groups = json::array();
-	for (const auto& group : seen.new_version)
+	json cells = json::array();
+	for (const auto& [cell, counts] : seen)
 	{
-		groups.push_back(counts_json(group));
+		cells.push_back({cell, counts.answers, counts.failed});
 	}
-	return {{"old", counts_json(seen.old_version)}, {"new", groups}};
+	return cells;
 }
 
-rollout::route_evidence route_of(const json& value)
+rollout::by_cell<rollout::answer_counts> cells_of(const json& value)
 {
-	rollout::route_evidence seen;
-	seen.old_version = counts_of(value.at("old"));
-	const auto& groups = value.at("new");
-	for (std::size_t i = 0; i < std::min(groups.size(), rollout::replica_groups); ++i)
+	rollout::by_cell<rollout::answer_counts> seen;
+	for (const auto& one : value)
 	{
-		seen.new_version[i] = counts_of(groups[i]);
+		seen[one.at(0).get<rollout::cell_index>()] +=
+			{one.at(1).get<std::uint64_t>(), one.at(2).get<std::uint64_t>()};
 	}
 	return seen;
 }
 
+json route_json(const rollout::route_evidence& seen)
+{
+	return {{"before", counts_json(seen.before)}, {"old", cells_json(seen.old_version)},
+		{"new", cells_json(seen.new_version)}};
+}
+
+rollout::route_evidence route_of(const json& value)
+{
+	return {counts_of(value.at("before")), cells_of(value.at("old")), cells_of(value.at("new"))};
+}
+
 rollout::answer_times times_of(const json& value)
 {
 	rollout::answer_times times;
@@ -49,14 +59,60 @@
 	}
 	return times;
 }
+
+json time_cells_json(const rollout::by_cell<rollout::answer_times>& seen)
+{
+	json cells = json::array();
+	for (const auto& [cell, times] : seen)
+	{
+		cells.push_back({cell, times.counts()});
+	}
+	return cells;
+}
+
+rollout::by_cell<rollout::answer_times> time_cells_of(const json& value)
+{
+	rollout::by_cell<rollout::answer_times> seen;
+	for (const auto& one : value)
+	{
+		seen[one.at(0).get<rollout::cell_index>()] += times_of(one.at(1));
+	}
+	return seen;
+}
+
+json models_json(const std::map<std::string, rollout::time_evidence>& times)
+{
+	json models = json::array();
+	for (const auto& [model, seen] : times)
+	{
+		models.push_back({{"model", model}, {"before", seen.before.counts()},
+			{"old", time_cells_json(seen.old_version)}, {"new", time_cells_json(seen.new_version)}});
+	}
+	return models;
+}
+
+std::map<std::string, rollout::time_evidence> models_of(const json& value)
+{
+	std::map<std::string, rollout::time_evidence> times;
+	for (const auto& one : value)
+	{
+		times[one.at("model").get<std::string>()] = {
+			times_of(one.at("before")), time_cells_of(one.at("old")), time_cells_of(one.at("new"))};
+	}
+	return times;
+}
 } // namespace
 
 std::string write_plan(const rollout::shift_plan& plan)
 {
-	return json{{"service", plan.service.str()}, {"from", plan.from_version}, {"to", plan.to_version},
+	json value{{"service", plan.service.str()}, {"from", plan.from_version}, {"to", plan.to_version},
 		{"started_us", plan.started.count()}, {"length_us", plan.length.count()},
-		{"state", rollout::name_of(plan.state)}, {"order", plan.order.value()}}
-		.dump();
+		{"state", rollout::name_of(plan.state)}, {"order", plan.order.value()}};
+	if (plan.promoted)
+	{
+		value["promoted_us"] = plan.promoted->count();
+	}
+	return value.dump();
 }
 
 checked<rollout::shift_plan> read_plan(const row& from)
@@ -72,6 +128,10 @@
 			plan.length = duration{value.at("length_us").get<std::int64_t>()};
 			plan.order = row_version{value.at("order").get<std::int64_t>()};
 			plan.row = from.version;
+			if (value.contains("promoted_us"))
+			{
+				plan.promoted = registry_time{value.at("promoted_us").get<std::int64_t>()};
+			}
 			const auto state = rollout::parse_shift_state(value.at("state").get<std::string>());
 			if (!state)
 			{
@@ -114,14 +174,9 @@
 		written["route"] = route;
 		routes.push_back(std::move(written));
 	}
-	json models = json::array();
-	for (const auto& [model, seen] : evidence.seen.by_model)
-	{
-		models.push_back({{"model", model}, {"before", seen.before.counts()},
-			{"old", seen.old_version.counts()}, {"new", seen.new_version.counts()}});
-	}
 	return json{{"service", evidence.service.str()}, {"order", evidence.order.value()}, {"routes", routes},
-		{"models", models}, {"at_peak", route_json(evidence.seen.at_peak)}}
+		{"models", models_json(evidence.seen.by_model)}, {"paces", models_json(evidence.seen.by_pace)},
+		{"at_peak", route_json(evidence.seen.at_peak)}}
 		.dump();
 }
 
@@ -138,11 +193,8 @@
 				evidence.seen.by_route[one.at("route").get<std::string>()] = route_of(one);
 			}
 			evidence.seen.at_peak = route_of(value.at("at_peak"));
-			for (const auto& one : value.at("models"))
-			{
-				evidence.seen.by_model[one.at("model").get<std::string>()] = {
-					times_of(one.at("before")), times_of(one.at("old")), times_of(one.at("new"))};
-			}
+			evidence.seen.by_model = models_of(value.at("models"));
+			evidence.seen.by_pace = models_of(value.at("paces"));
 			return evidence;
 		});
 }
--- a/src/control/relay_codec.cpp
+++ b/src/control/relay_codec.cpp
@@ -108,28 +108,43 @@
 	return {static_cast<std::uint64_t>(message.answers), static_cast<std::uint64_t>(message.failed)};
 }
 
+std::vector<wire::RelayCellCounts> written(const rollout::by_cell<rollout::answer_counts>& seen)
+{
+	std::vector<wire::RelayCellCounts> all;
+	for (const auto& [cell, counts] : seen)
+	{
+		auto& added = all.emplace_back();
+		added.cell = static_cast<std::int32_t>(cell);
+		added.answers = static_cast<std::int64_t>(counts.answers);
+		added.failed = static_cast<std::int64_t>(counts.failed);
+	}
+	return all;
+}
+
+rollout::by_cell<rollout::answer_counts> read(const std::vector<wire::RelayCellCounts>& cells)
+{
+	rollout::by_cell<rollout::answer_counts> seen;
+	for (const auto& one : cells)
+	{
+		seen[static_cast<rollout::cell_index>(one.cell)] +=
+			{static_cast<std::uint64_t>(one.answers), static_cast<std::uint64_t>(one.failed)};
+	}
+	return seen;
+}
+
 wire::RelayRouteEvidence written(const std::string& route, const rollout::route_evidence& seen)
 {
 	wire::RelayRouteEvidence message;
 	message.route = route;
+	message.before = written(seen.before);
 	message.old_version = written(seen.old_version);
-	for (const auto& group : seen.new_version)
-	{
-		message.new_version.push_back(written(group));
-	}
+	message.new_version = written(seen.new_version);
 	return message;
 }
 
 rollout::route_evidence read(const wire::RelayRouteEvidence& message)
 {
-	rollout::route_evidence seen;
-	seen.old_version = read(message.old_version);
-	const auto groups = std::min(message.new_version.size(), rollout::replica_groups);
-	for (std::size_t i = 0; i < groups; ++i)
-	{
-		seen.new_version[i] = read(message.new_version[i]);
-	}
-	return seen;
+	return {read(message.before), read(message.old_version), read(message.new_version)};
 }
 
 std::vector<std::int32_t> written(const rollout::answer_times& times)
@@ -152,6 +167,54 @@
 	return times;
 }
 
+std::vector<wire::RelayCellTimes> written(const rollout::by_cell<rollout::answer_times>& seen)
+{
+	std::vector<wire::RelayCellTimes> all;
+	for (const auto& [cell, times] : seen)
+	{
+		auto& added = all.emplace_back();
+		added.cell = static_cast<std::int32_t>(cell);
+		added.levels = written(times);
+	}
+	return all;
+}
+
+rollout::by_cell<rollout::answer_times> read(const std::vector<wire::RelayCellTimes>& cells)
+{
+	rollout::by_cell<rollout::answer_times> seen;
+	for (const auto& one : cells)
+	{
+		seen[static_cast<rollout::cell_index>(one.cell)] += read(one.levels);
+	}
+	return seen;
+}
+
+using times_by_model = std::map<std::string, rollout::time_evidence>;
+
+std::vector<wire::RelayTimeEvidence> written(const times_by_model& times)
+{
+	std::vector<wire::RelayTimeEvidence> all;
+	for (const auto& [model, seen] : times)
+	{
+		auto& added = all.emplace_back();
+		added.model = model;
+		added.before = written(seen.before);
+		added.old_version = written(seen.old_version);
+		added.new_version = written(seen.new_version);
+	}
+	return all;
+}
+
+times_by_model read(const std::vector<wire::RelayTimeEvidence>& times)
+{
+	times_by_model all;
+	for (const auto& one : times)
+	{
+		all[one.model] = {read(one.before), read(one.old_version), read(one.new_version)};
+	}
+	return all;
+}
+
 wire::RelayEvidence written(const rollout::shift_evidence& evidence)
 {
 	wire::RelayEvidence message;
@@ -162,14 +225,8 @@
 		message.routes.push_back(written(route, seen));
 	}
 	message.at_peak = written({}, evidence.seen.at_peak);
-	for (const auto& [model, seen] : evidence.seen.by_model)
-	{
-		auto& added = message.models.emplace_back();
-		added.model = model;
-		added.before = written(seen.before);
-		added.old_version = written(seen.old_version);
-		added.new_version = written(seen.new_version);
-	}
+	message.models = written(evidence.seen.by_model);
+	message.paces = written(evidence.seen.by_pace);
 	return message;
 }
 
@@ -181,10 +238,8 @@
 		evidence.seen.by_route[one.route] = read(one);
 	}
 	evidence.seen.at_peak = read(message.at_peak);
-	for (const auto& one : message.models)
-	{
-		evidence.seen.by_model[one.model] = {read(one.before), read(one.old_version), read(one.new_version)};
-	}
+	evidence.seen.by_model = read(message.models);
+	evidence.seen.by_pace = read(message.paces);
 	return evidence;
 }
 
--- a/src/proxy/exchange_answers.cpp
+++ b/src/proxy/exchange_answers.cpp
@@ -2,6 +2,7 @@
 // One request: what its replica does, and what is made of it.
 #include <algorithm>
 #include <charconv>
+#include <gingerdyke/base/crypto.hpp>
 #include <gingerdyke/proxy/exchange.hpp>
 
 namespace gingerdyke::proxy
@@ -84,15 +85,11 @@
 
 rollout::answer_sample exchange::sample_of(duration took) const
 {
-	// What an idle engine needs before its first token, and the prompt tokens that it reads in a millisecond:
-	// the order of magnitude of the users' engines. Only ratios of two versions are compared.
-	constexpr double idle_ms = 20;
-	constexpr double tokens_per_ms = 50;
 	rollout::answer_sample sample;
 	sample.route = route_->id.str();
 	sample.model = route_->models.empty() ? std::string{} : route_->models[attempt_->size.index].str();
-	sample.relative_time = to_milliseconds(took) / (idle_ms + prompt_.tokens_in / tokens_per_ms);
-	sample.replica_group = rollout::replica_group_of(attempt_->to->id);
+	sample.relative_time = rollout::relative_answer_time(took, prompt_.tokens_in);
+	sample.replica = stable_hash(attempt_->to->id.str());
 	return sample;
 }
 
@@ -192,6 +189,7 @@
 void exchange::on_events(std::string_view bytes)
 {
 	const auto batch = events_.feed(bytes);
+	note_pace(attempt_->pace.note_events(batch.events.size(), steady_now()));
 	for (const auto& event : batch.events)
 	{
 		if (!answer_begun_)
@@ -214,6 +212,17 @@
 	}
 }
 
+void exchange::note_pace(std::optional<duration> between_events)
+{
+	if (between_events)
+	{
+		auto sample = sample_of(duration{0});
+		sample.kind = rollout::sample_kind::pace;
+		sample.relative_time = rollout::relative_pace(*between_events);
+		shared_.note_answer(*attempt_->to, sample);
+	}
+}
+
 void exchange::on_end()
 {
 	if (!attempt_)
@@ -333,9 +342,10 @@
 	if (attempt_->first_byte == duration{0})
 	{
 		auto sample = sample_of(steady_now() - attempt_->sent_at);
-		sample.silent = true;
+		sample.kind = rollout::sample_kind::silence;
 		shared_.note_answer(*attempt_->to, sample);
 	}
+	note_pace(attempt_->pace.note_given_up(steady_now()));
 	note_result(routing::replica_result::no_answer);
 	tried_.push_back(attempt_->to->id);
 	end_attempt(false);
--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -45,6 +45,15 @@
 	fields["bad"] = verdict.bad;
 	fields["tolerated"] = verdict.tolerated;
 	fields["evidence"] = verdict.evidence;
+	const auto& proof = news.known.proof;
+	fields["promoted"] = plan.promoted.has_value();
+	fields["shown_good"] = proof.is_shown;
+	fields["bad_answers"] = proof.bad;
+	fields["judged_answers"] = proof.judged.answers;
+	fields["judged_failed"] = proof.judged.failed;
+	fields["failure_limit"] = proof.tolerated;
+	fields["failure_risk"] = proof.failure_risk;
+	fields["fast_evidence"] = proof.fast_evidence;
 	if (!news.suspended)
 	{
 		log::write(log::level::info, "version shift", std::move(fields));
--- a/src/rollout/shift_schedule.cpp
+++ b/src/rollout/shift_schedule.cpp
@@ -5,6 +5,12 @@
 
 namespace gingerdyke::rollout
 {
+namespace
+{
+/// Spans below this part of a shift's time are none.
+constexpr double least_span = 1e-9;
+} // namespace
+
 shift_schedule::shift_schedule(duration length, double exposure_limit, const schedule_tuning& tuning)
 	: trial_at_(tuning.trial_at)
 {
@@ -31,21 +37,35 @@
 	return part >= peak_at_ && part < grow_at_;
 }
 
-double shift_schedule::share_at(double part) const noexcept
+double shift_schedule::growth_begins_at(double promoted) const noexcept
+{
+	return std::max(grow_at_, promoted);
+}
+
+double shift_schedule::complete_at(double promoted) const noexcept
+{
+	const auto from = growth_begins_at(promoted);
+	return from < complete_at_ ? complete_at_ : from + (complete_at_ - grow_at_);
+}
+
+double shift_schedule::share_at(double part, std::optional<double> promoted) const noexcept
 {
 	if (part < trial_at_)
 	{
 		return 0;
 	}
-	if (part < grow_at_)
+	if (!promoted || part < growth_begins_at(*promoted))
 	{
 		return trial_share_;
 	}
-	if (part >= full_at_)
+	const auto from = growth_begins_at(*promoted);
+	const auto growing = (full_at_ - grow_at_) / std::max(complete_at_ - grow_at_, least_span);
+	const auto full_at = from + growing * (complete_at(*promoted) - from);
+	if (part >= full_at)
 	{
 		return 1;
 	}
-	const auto grown = (part - grow_at_) / (full_at_ - grow_at_);
+	const auto grown = (part - from) / (full_at - from);
 	return trial_share_ + grown * (1 - trial_share_);
 }
 } // namespace gingerdyke::rollout
--- a/src/rollout/version_evidence.cpp
+++ b/src/rollout/version_evidence.cpp
@@ -1,57 +1,86 @@
 // SPDX-License-Identifier: MIT
 // What the answers of an old and a new version tell, as counts that VMs add up.
 #include <algorithm>
-#include <gingerdyke/base/crypto.hpp>
 #include <gingerdyke/rollout/version_evidence.hpp>
 
 namespace gingerdyke::rollout
 {
-answer_counts& answer_counts::operator+=(const answer_counts& other) noexcept
+namespace
 {
-	answers += other.answers;
-	failed += other.failed;
-	return *this;
-}
+using times_by_model = std::map<std::string, time_evidence>;
 
-answer_counts& answer_counts::operator-=(const answer_counts& other) noexcept
+void add(times_by_model& to, const times_by_model& other)
 {
-	answers -= std::min(answers, other.answers);
-	failed -= std::min(failed, other.failed);
-	return *this;
+	for (const auto& [model, seen] : other)
+	{
+		to[model] += seen;
+	}
 }
 
-std::size_t replica_group_of(const replica_id& id) noexcept
+void take_off(times_by_model& from, const times_by_model& other)
 {
-	return stable_hash(id.str()) % replica_groups;
+	for (const auto& [model, seen] : other)
+	{
+		from[model] -= seen;
+	}
 }
 
-answer_counts route_evidence::all_new() const noexcept
+std::uint64_t size_of(const times_by_model& times)
 {
-	answer_counts sum;
-	for (const auto& one : new_version)
+	std::uint64_t sum = 0;
+	for (const auto& [model, seen] : times)
 	{
-		sum += one;
+		sum += seen.before.size() + seen.old_version.sum().size() + seen.new_version.sum().size();
 	}
 	return sum;
 }
+} // namespace
+
+// What idle engines need, in the order of magnitude of the users' engines: only ratios of two versions are
+// compared.
+
+double relative_answer_time(duration took, double prompt_tokens) noexcept
+{
+	constexpr double idle_ms = 20;
+	constexpr double tokens_per_ms = 50;
+	return to_milliseconds(took) / (idle_ms + prompt_tokens / tokens_per_ms);
+}
 
-route_evidence& route_evidence::operator+=(const route_evidence& other) noexcept
+double relative_pace(duration between_events) noexcept
 {
+	constexpr double idle_ms = 20;
+	return to_milliseconds(between_events) / idle_ms;
+}
+
+route_evidence& route_evidence::operator+=(const route_evidence& other)
+{
+	before += other.before;
 	old_version += other.old_version;
-	for (std::size_t i = 0; i < replica_groups; ++i)
-	{
-		new_version[i] += other.new_version[i];
-	}
+	new_version += other.new_version;
 	return *this;
 }
 
-route_evidence& route_evidence::operator-=(const route_evidence& other) noexcept
+route_evidence& route_evidence::operator-=(const route_evidence& other)
 {
+	before -= other.before;
 	old_version -= other.old_version;
-	for (std::size_t i = 0; i < replica_groups; ++i)
-	{
-		new_version[i] -= other.new_version[i];
-	}
+	new_version -= other.new_version;
+	return *this;
+}
+
+time_evidence& time_evidence::operator+=(const time_evidence& other)
+{
+	before += other.before;
+	old_version += other.old_version;
+	new_version += other.new_version;
+	return *this;
+}
+
+time_evidence& time_evidence::operator-=(const time_evidence& other)
+{
+	before -= other.before;
+	old_version -= other.old_version;
+	new_version -= other.new_version;
 	return *this;
 }
 
@@ -61,13 +90,8 @@
 	{
 		by_route[route] += seen;
 	}
-	for (const auto& [model, seen] : other.by_model)
-	{
-		auto& to = by_model[model];
-		to.before += seen.before;
-		to.old_version += seen.old_version;
-		to.new_version += seen.new_version;
-	}
+	add(by_model, other.by_model);
+	add(by_pace, other.by_pace);
 	at_peak += other.at_peak;
 	return *this;
 }
@@ -78,44 +102,31 @@
 	{
 		by_route[route] -= seen;
 	}
-	for (const auto& [model, seen] : other.by_model)
-	{
-		auto& from = by_model[model];
-		from.before -= seen.before;
-		from.old_version -= seen.old_version;
-		from.new_version -= seen.new_version;
-	}
+	take_off(by_model, other.by_model);
+	take_off(by_pace, other.by_pace);
 	at_peak -= other.at_peak;
 	return *this;
 }
 
-answer_counts version_evidence::all_old() const noexcept
-{
-	auto sum = at_peak.old_version;
-	for (const auto& [route, seen] : by_route)
-	{
-		sum += seen.old_version;
-	}
-	return sum;
-}
-
-answer_counts version_evidence::all_new() const noexcept
+route_evidence version_evidence::all_routes() const
 {
-	auto sum = at_peak.all_new();
+	auto all = at_peak;
 	for (const auto& [route, seen] : by_route)
 	{
-		sum += seen.all_new();
+		all += seen;
 	}
-	return sum;
+	return all;
 }
 
-std::uint64_t version_evidence::new_answers() const noexcept
+std::uint64_t version_evidence::new_answers() const
 {
-	return all_new().answers;
+	return all_routes().new_version.sum().answers;
 }
 
-std::uint64_t version_evidence::all_answers() const noexcept
+std::uint64_t version_evidence::size() const
 {
-	return new_answers() + all_old().answers;
+	const auto all = all_routes();
+	const auto answers = all.before.answers + all.old_version.sum().answers + all.new_version.sum().answers;
+	return answers + size_of(by_model) + size_of(by_pace);
 }
 } // namespace gingerdyke::rollout
--- a/src/rollout/version_shift.cpp
+++ b/src/rollout/version_shift.cpp
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: MIT
-// Moves a service's traffic from one software version to another: shares and plans. What is made of answers
-// is in version_shift_evidence.cpp.
+// Moves a service's traffic from one software version to another: versions for requests, and plans. What is
+// made of answers is in version_shift_evidence.cpp, when a plan goes on in version_shift_plans.cpp.
 #include <algorithm>
 #include <gingerdyke/base/crypto.hpp>
 #include <gingerdyke/rollout/version_shift.hpp>
@@ -100,11 +100,14 @@
 		state.suspended = false;
 		state.own = {};
 		state.known = {};
+		state.to_write = {};
 		state.others.clear();
 		state.relayed.clear();
 		state.unwritten.clear();
 		state.written_bad = 0;
+		state.bad_since.reset();
 		state.followed_since = now;
+		weigh(state);
 	}
 	state.plan = plan;
 	state.stable_version = plan.state == shift_state::completed ? plan.to_version : plan.from_version;
@@ -112,11 +115,33 @@
 	schedule(state, now);
 }
 
+bool version_shift::is_running(const service_state& state)
+{
+	return state.plan && state.plan->state == shift_state::running;
+}
+
+void version_shift::note_reads_registry(bool does)
+{
+	const bool begins = does && !reads_registry_;
+	reads_registry_ = does;
+	if (!begins)
+	{
+		return;
+	}
+	// What was left to the reader before is to be looked at now.
+	for (auto& [service, state] : services_)
+	{
+		if (is_running(state))
+		{
+			state.act_at = std::min(state.act_at.value_or(news_at_), news_at_);
+		}
+	}
+}
+
 bool version_shift::is_shifting() const
 {
-	return std::any_of(services_.begin(), services_.end(),
-		[](const auto& entry)
-		{ return entry.second.plan && entry.second.plan->state == shift_state::running; });
+	return std::any_of(
+		services_.begin(), services_.end(), [](const auto& entry) { return is_running(entry.second); });
 }
 
 void version_shift::note_replicas(
@@ -126,6 +151,7 @@
 	if (state.order)
 	{
 		state.new_replicas = count_version(replicas, state.order->to_version);
+		state.old_replicas = replicas.size() - state.new_replicas;
 	}
 	const bool is_stable_known = !state.stable_version.empty();
 	if (state.plan || (is_stable_known && has_version(replicas, state.stable_version)))
@@ -172,7 +198,7 @@
 	{
 		return {};
 	}
-	if (!state->plan || state->plan->state != shift_state::running)
+	if (!is_running(*state))
 	{
 		return state->stable_version;
 	}
@@ -183,7 +209,7 @@
 std::string version_shift::fallback_for(const service_id& service, std::uint64_t point, instant now) const
 {
 	const auto* state = find(service);
-	if (state == nullptr || !state->plan || state->plan->state != shift_state::running)
+	if (state == nullptr || !is_running(*state))
 	{
 		return {};
 	}
@@ -200,7 +226,8 @@
 	std::vector<shift_write> writes;
 	for (auto& [service, state] : services_)
 	{
-		if (evidence_grew(state) && now - state.written_at >= tuning_.report_pause)
+		const auto evidence_at = evidence_due_at(state);
+		if (evidence_at && *evidence_at <= now)
 		{
 			writes.push_back({std::nullopt, take_evidence(service, state, now)});
 		}
@@ -208,6 +235,8 @@
 		{
 			continue;
 		}
+		judge(state, now);
+		give_back_unproven(state, now);
 		if (auto plan = next_plan(state, now))
 		{
 			plan->service = service;
@@ -223,16 +252,14 @@
 std::optional<instant> version_shift::next_due() const
 {
 	std::optional<instant> next;
-	const auto consider = [&next](instant when) { next = next ? std::min(*next, when) : when; };
 	for (const auto& [service, state] : services_)
 	{
-		if (state.act_at)
-		{
-			consider(*state.act_at);
-		}
-		if (evidence_grew(state))
+		for (const auto& moment : {state.act_at, evidence_due_at(state)})
 		{
-			consider(state.written_at + tuning_.report_pause);
+			if (moment)
+			{
+				next = std::min(next.value_or(*moment), *moment);
+			}
 		}
 	}
 	return next;
@@ -267,6 +294,17 @@
 	return static_cast<double>(elapsed.count()) / static_cast<double>(plan.length.count());
 }
 
+double version_shift::promoted_part(const shift_plan& plan) const
+{
+	const auto elapsed = *plan.promoted - plan.started;
+	return static_cast<double>(elapsed.count()) / static_cast<double>(plan.length.count());
+}
+
+instant version_shift::moment_of(const shift_plan& plan, double part) const
+{
+	return instant{plan.started + scaled(plan.length, part) - clock_offset_.value_or(duration{0})};
+}
+
 shift_schedule version_shift::schedule_of(const shift_plan& plan) const
 {
 	return {plan.length, tuning_.exposure_limit, tuning_.schedule};
@@ -278,16 +316,17 @@
 	{
 		return 0;
 	}
+	const auto& plan = *state.plan;
 	const auto known_until = std::min(now, news_at_ + tuning_.news_limit);
-	return schedule_of(*state.plan).share_at(part_of(*state.plan, known_until));
+	const auto promoted = plan.promoted ? std::optional{promoted_part(plan)} : std::nullopt;
+	return schedule_of(plan).share_at(part_of(plan, known_until), promoted);
 }
 
 /// The hash picks the same replicas on all VMs, and never gives one up while the share grows.
 bool version_shift::is_in_use(const routing::replica& one, instant now) const
 {
 	const auto* state = find(one.service);
-	const bool is_new = state != nullptr && state->plan && state->plan->state == shift_state::running &&
-						one.version == state->plan->to_version;
+	const bool is_new = state != nullptr && is_running(*state) && one.version == state->plan->to_version;
 	if (!is_new)
 	{
 		return true;
@@ -305,94 +344,4 @@
 	return schedule_of(*state.plan).is_at_peak(part_of(*state.plan, now)) &&
 		   left >= static_cast<double>(tuning_.fewest_at_peak);
 }
-
-bool version_shift::has_new_order(const service_state& state)
-{
-	return state.order && (!state.plan || state.plan->order < state.order->order);
-}
-
-duration version_shift::time_to_completion(const shift_plan& plan, instant now) const
-{
-	const auto complete_at = scaled(plan.length, schedule_of(plan).complete_at());
-	return plan.started + complete_at - registry_now(now);
-}
-
-bool version_shift::knows_verdict(const service_state& state, instant now) const
-{
-	const auto& plan = *state.plan;
-	const auto first_use = plan.started + scaled(plan.length, tuning_.schedule.trial_at);
-	if (registry_now(state.followed_since) < first_use)
-	{
-		return true;
-	}
-	return now - state.followed_since >= tuning_.late_wait &&
-		   state.known.new_answers() >= tuning_.late_answers;
-}
-
-std::optional<shift_plan> version_shift::next_plan(const service_state& state, instant now) const
-{
-	if (has_new_order(state))
-	{
-		if (!clock_offset_ || state.stable_version.empty())
-		{
-			return std::nullopt;
-		}
-		shift_plan plan;
-		plan.from_version = state.stable_version;
-		plan.to_version = state.order->to_version;
-		plan.started = registry_now(now);
-		plan.length = state.order->length;
-		plan.order = state.order->order;
-		plan.row = state.plan ? state.plan->row : row_version{0};
-		return plan;
-	}
-	if (!state.plan || state.plan->state != shift_state::running)
-	{
-		return std::nullopt;
-	}
-	auto plan = *state.plan;
-	if (state.suspended)
-	{
-		plan.state = shift_state::rolled_back;
-		return plan;
-	}
-	const auto since_news = now - news_at_;
-	if (time_to_completion(plan, now) <= duration{0} && since_news < tuning_.news_limit &&
-		knows_verdict(state, now))
-	{
-		plan.state = shift_state::completed;
-		return plan;
-	}
-	return std::nullopt;
-}
-
-std::optional<instant> version_shift::moment_to_act(const service_state& state, instant now) const
-{
-	if (has_new_order(state))
-	{
-		return now + random_delay();
-	}
-	if (!state.plan || state.plan->state != shift_state::running)
-	{
-		return std::nullopt;
-	}
-	if (state.suspended)
-	{
-		return now + random_delay();
-	}
-	const auto left = time_to_completion(*state.plan, now);
-	return now + std::max(left, duration{0}) + random_delay();
-}
-
-void version_shift::schedule(service_state& state, instant now)
-{
-	state.act_at = moment_to_act(state, now);
-}
-
-duration version_shift::random_delay() const
-{
-	const auto spread = reads_registry_ ? tuning_.spread : tuning_.reader_advantage;
-	const auto least = reads_registry_ ? duration{0} : tuning_.reader_advantage;
-	return least + scaled(spread, random_unit(random_));
-}
 } // namespace gingerdyke::rollout
--- a/src/rollout/version_shift_evidence.cpp
+++ b/src/rollout/version_shift_evidence.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: MIT
 // Moves a service's traffic from one software version to another: what this VM and others see of the new
 // version, and what is made of it. The verdict itself is in version_verdict.cpp.
+#include <algorithm>
+#include <gingerdyke/base/crypto.hpp>
 #include <gingerdyke/rollout/version_shift.hpp>
 #include <utility>
 
@@ -8,6 +10,9 @@
 {
 namespace
 {
+/// Gives replicas their groups independently of which of them are in use.
+constexpr std::uint64_t group_salt = 0x67726f757073;
+
 /// Where an answer's time counts: the model's speed is the engine's, the route's a plain service's.
 const std::string& time_key(const answer_sample& answer)
 {
@@ -36,8 +41,7 @@
 	auto& state = services_[evidence.service];
 	if (keep_evidence(state, reporter, evidence))
 	{
-		state.relayed.insert(reporter);
-		state.unwritten.insert(reporter);
+		relay(state, reporter);
 		judge(state, now);
 	}
 }
@@ -51,16 +55,31 @@
 		return false;
 	}
 	auto& before = state.others[reporter];
-	if (evidence.seen.all_answers() <= before.all_answers())
+	if (evidence.seen.size() <= before.size())
 	{
 		return false;
 	}
 	state.known -= before;
 	state.known += evidence.seen;
+	if (state.relayed.contains(reporter))
+	{
+		state.to_write -= before;
+		state.to_write += evidence.seen;
+	}
 	before = evidence.seen;
 	return true;
 }
 
+/// From now on this VM writes what that one reports.
+void version_shift::relay(service_state& state, const std::string& reporter)
+{
+	state.unwritten.insert(reporter);
+	if (state.relayed.insert(reporter).second)
+	{
+		state.to_write += state.others[reporter];
+	}
+}
+
 void version_shift::on_suspension(const shift_suspension& suspension, instant now)
 {
 	const auto found = services_.find(suspension.service);
@@ -69,8 +88,7 @@
 		return;
 	}
 	auto& state = found->second;
-	const bool concerns_plan = state.plan && state.plan->order == suspension.order &&
-							   state.plan->state == shift_state::running && !state.suspended;
+	const bool concerns_plan = is_running(state) && state.plan->order == suspension.order && !state.suspended;
 	if (concerns_plan)
 	{
 		suspend(state, true);
@@ -83,7 +101,7 @@
 	std::vector<shift_evidence> all;
 	for (const auto& [service, state] : services_)
 	{
-		if (state.plan && state.plan->state == shift_state::running && state.own.all_answers() > 0)
+		if (is_running(state) && state.own.size() > 0)
 		{
 			all.push_back({service, state.plan->order, state.own});
 		}
@@ -96,7 +114,7 @@
 	std::vector<shift_suspension> all;
 	for (const auto& [service, state] : services_)
 	{
-		if (state.plan && state.plan->state == shift_state::running && state.suspended)
+		if (is_running(state) && state.suspended)
 		{
 			all.push_back({service, state.plan->order});
 		}
@@ -113,7 +131,7 @@
 		return;
 	}
 	auto& state = found->second;
-	if (!state.plan || state.plan->state != shift_state::running)
+	if (!is_running(state))
 	{
 		return;
 	}
@@ -126,34 +144,45 @@
 	}
 }
 
+bool version_shift::is_control(const service_state& state, std::uint64_t replica) const
+{
+	const auto count = static_cast<double>(std::max<std::size_t>(1, state.old_replicas));
+	return unit_of(replica) < static_cast<double>(tuning_.control_replicas) / count;
+}
+
 /// Times are compared during the trial only, and not at its peak: else the engines of the two versions bear
 /// unlike loads.
 void version_shift::note_seen(
 	service_state& state, bool is_new, const answer_sample& answer, instant now) const
 {
-	const auto part = part_of(*state.plan, now);
 	const auto schedule = schedule_of(*state.plan);
+	const auto part = part_of(*state.plan, now);
+	const bool is_before = !is_new && part < schedule.trial_at();
+	if (!is_new && !is_before && !is_control(state, answer.replica))
+	{
+		return;
+	}
 	const bool at_peak = is_at_peak(state, now);
-	for (auto* to : {&state.own, &state.known})
+	const bool is_growing = state.plan->promoted && part >= schedule.trial_ends_at();
+	const auto group = mix_hash(answer.replica, group_salt) % replica_groups;
+	const auto cell = cell_of(group, random_below(random_, answer_halves));
+	for (auto* to : {&state.own, &state.known, &state.to_write})
 	{
-		if (!answer.silent)
+		auto& outcomes = at_peak ? to->at_peak : to->by_route[answer.route];
+		if (answer.kind == sample_kind::answer)
 		{
-			auto& outcomes = at_peak ? to->at_peak : to->by_route[answer.route];
 			add_outcome(answer,
-				is_new ? outcomes.new_version[answer.replica_group % replica_groups] : outcomes.old_version);
+				is_before ? outcomes.before : (is_new ? outcomes.new_version : outcomes.old_version)[cell]);
 		}
-		auto& times = to->by_model[time_key(answer)];
-		if (part < schedule.trial_at())
+		auto& by_model = answer.kind == sample_kind::pace ? to->by_pace : to->by_model;
+		auto& times = by_model[time_key(answer)];
+		if (is_before)
 		{
-			if (!is_new)
-			{
-				times.before.note(answer.relative_time);
-			}
-			continue;
+			times.before.note(answer.relative_time);
 		}
-		if (part < schedule.trial_ends_at() && !at_peak)
+		else if (!is_growing && !at_peak)
 		{
-			(is_new ? times.new_version : times.old_version).note(answer.relative_time);
+			(is_new ? times.new_version : times.old_version)[cell].note(answer.relative_time);
 		}
 	}
 }
@@ -161,49 +190,35 @@
 bool version_shift::has_evidence(const service_id& service) const
 {
 	const auto* state = find(service);
-	return state != nullptr && evidence_grew(*state);
+	return state != nullptr && evidence_due_at(*state).has_value();
 }
 
-version_evidence version_shift::evidence_to_write(const service_state& state) const
+/// Evidence is written as its bad answers grow, and at the end of a trial where the answers known here don't
+/// show that the version is good: those known elsewhere may, together with these.
+std::optional<instant> version_shift::evidence_due_at(const service_state& state) const
 {
-	auto sum = state.own;
-	for (const auto& reporter : state.relayed)
+	if (!reads_registry_ || !is_running(state) || state.unwritten.empty())
 	{
-		const auto found = state.others.find(reporter);
-		if (found != state.others.end())
-		{
-			sum += found->second;
-		}
+		return std::nullopt;
 	}
-	return sum;
-}
-
-/// The bad answers in what this VM would write, where more is bad than tolerated; else 0.
-std::uint64_t version_shift::suspicious_answers(const service_state& state) const
-{
-	auto tuning = tuning_.verdict;
-	tuning.fewest_failed = tuning_.fewest_reported;
-	tuning.fewest_slow = tuning_.fewest_reported;
-	const auto verdict = rollout::judge(evidence_to_write(state), tuning);
-	return verdict.evidence > 0 ? verdict.bad : 0;
-}
-
-bool version_shift::evidence_grew(const service_state& state) const
-{
-	if (!reads_registry_ || !state.plan || state.plan->state != shift_state::running ||
-		state.unwritten.empty())
+	const auto grown = static_cast<double>(state.written_bad) * tuning_.report_growth;
+	if (state.suspicious > state.written_bad && static_cast<double>(state.suspicious) >= grown)
 	{
-		return false;
+		return state.written_at + tuning_.report_pause;
 	}
-	const auto bad = suspicious_answers(state);
-	const auto grown = static_cast<double>(state.written_bad) * tuning_.report_growth;
-	return bad > state.written_bad && static_cast<double>(bad) >= grown;
+	if (state.plan->promoted || state.suspended || state.proof.is_shown)
+	{
+		return std::nullopt;
+	}
+	const auto closing_at =
+		moment_of(*state.plan, schedule_of(*state.plan).trial_ends_at()) - tuning_.closing;
+	return std::max(closing_at, state.written_at + tuning_.closing_pause);
 }
 
 std::vector<reported_evidence> version_shift::take_evidence(
 	const service_id& service, service_state& state, instant now)
 {
-	state.written_bad = suspicious_answers(state);
+	state.written_bad = state.suspicious;
 	state.written_at = now;
 	std::vector<reported_evidence> taken;
 	for (const auto& reporter : std::exchange(state.unwritten, {}))
@@ -214,24 +229,45 @@
 	return taken;
 }
 
+/// Makes of the known answers what is asked for later.
+void version_shift::weigh(service_state& state) const
+{
+	state.verdict = rollout::judge(state.known, tuning_.verdict);
+	if (!reads_registry_)
+	{
+		return;
+	}
+	state.proof = prove(state.known, tuning_.verdict);
+	auto reported = tuning_.verdict;
+	reported.fewest_failed = tuning_.fewest_reported;
+	reported.fewest_slow = tuning_.fewest_reported;
+	const auto to_write = rollout::judge(state.to_write, reported);
+	state.suspicious = to_write.evidence > 0 ? to_write.bad : 0;
+}
+
 /// A VM that reads the registry knows what many VMs saw: with the trial over it looks once more, since the
 /// version would get all traffic next. Others know too little for that; they would find chance.
 void version_shift::judge(service_state& state, instant now)
 {
-	if (state.suspended || !state.plan || state.plan->state != shift_state::running)
+	if (state.suspended || !is_running(state))
 	{
 		return;
 	}
-	const auto verdict = rollout::judge(state.known, tuning_.verdict);
+	weigh(state);
 	const bool is_trial_over = part_of(*state.plan, now) >= schedule_of(*state.plan).trial_ends_at();
 	const bool is_last_look = reads_registry_ && is_trial_over;
 	const auto bound = is_last_look ? tuning_.verdict.doubtful : tuning_.verdict.conclusive;
-	if (verdict.evidence <= bound)
+	if (state.verdict.evidence > bound)
 	{
+		suspend(state, false);
+		state.act_at = reads_registry_ ? now : now + random_delay();
 		return;
 	}
-	suspend(state, false);
-	state.act_at = reads_registry_ ? now : now + random_delay();
+	if (!state.bad_since && state.proof.bad >= tuning_.patience_bad)
+	{
+		state.bad_since = now;
+	}
+	schedule_sooner(state, now);
 }
 
 void version_shift::suspend(service_state& state, bool told)
@@ -242,10 +278,12 @@
 
 shift_summary version_shift::summary_of(const service_state& state) const
 {
+	const auto all = state.known.all_routes();
 	shift_summary summary;
-	summary.old_version = state.known.all_old();
-	summary.new_version = state.known.all_new();
-	summary.verdict = rollout::judge(state.known, tuning_.verdict);
+	summary.old_version = all.old_version.sum();
+	summary.new_version = all.new_version.sum();
+	summary.verdict = state.verdict;
+	summary.proof = state.proof;
 	summary.vms = state.others.size() + 1;
 	return summary;
 }
--- a/src/rollout/version_verdict.cpp
+++ b/src/rollout/version_verdict.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: MIT
-// Whether a new version is worse than the old one.
+// Whether a new version is worse than the old one, or shown to be as good.
 #include <algorithm>
+#include <boost/math/distributions/binomial.hpp>
 #include <cmath>
 #include <gingerdyke/rollout/sequential_test.hpp>
 #include <gingerdyke/rollout/version_verdict.hpp>
@@ -10,51 +11,100 @@
 {
 namespace
 {
-/// Bounds of a tolerated share that the test can work with.
+/// Bounds of a tolerated share that the tests can work with.
 constexpr double least_tolerated = 0.01;
 constexpr double most_tolerated = 0.9;
 
-double share_of(std::uint64_t part, std::uint64_t whole)
+/// The better half of each version's replicas, by their failures on all routes together: a sick replica is
+/// sick on each of them, and one route's answers are few.
+struct sound_cells
 {
-	return whole == 0 ? 0 : static_cast<double>(part) / static_cast<double>(whole);
+	explicit sound_cells(const route_evidence& all)
+		: of_old(better_half(all.old_version)), of_new(better_half(all.new_version))
+	{
+	}
+
+	cell_set of_old;
+	cell_set of_new;
+};
+
+/// The old version's share of failures at its better half, beside the new one; before it where that is not
+/// known well enough.
+double sound_old_share(const route_evidence& seen, const sound_cells& sound, const verdict_tuning& tuning)
+{
+	const auto beside = seen.old_version.sum(sound.of_old);
+	return beside.answers >= tuning.times.fewest_old ? beside.share() : seen.before.share();
 }
 
-/// Counts of the groups with the fewest failures that make up half of the answers.
-answer_counts better_half(const route_evidence& seen)
+double overall_old_share(const route_evidence& seen)
 {
-	auto groups = seen.new_version;
-	std::sort(groups.begin(), groups.end(),
-		[](const answer_counts& a, const answer_counts& b)
-		{ return share_of(a.failed, a.answers) < share_of(b.failed, b.answers); });
-	const auto half = (seen.all_new().answers + 1) / 2;
-	answer_counts sum;
-	for (const auto& one : groups)
-	{
-		if (sum.answers >= half)
-		{
-			break;
-		}
-		sum += one;
-	}
-	return sum;
+	auto all = seen.before;
+	all += seen.old_version.sum();
+	return all.share();
 }
 
 /// \param judged Answers of the new version.
-/// \param least Share of failures that is tolerated at least.
-version_verdict judge_failures(const std::string& route, const answer_counts& judged,
-	const answer_counts& of_old, double least, const verdict_tuning& tuning)
-{
-	const auto old_share = share_of(of_old.failed, of_old.answers);
-	const auto compared = tuning.tolerated_failures + tuning.tolerated_multiple * old_share;
-	const auto tolerated = std::clamp(std::max(least, compared), least_tolerated, most_tolerated);
-	version_verdict verdict{verdict_ground::failures, route, judged.answers, judged.failed, tolerated, 0};
+version_verdict judge_failures(
+	const std::string& route, const answer_counts& judged, double tolerated, const verdict_tuning& tuning)
+{
+	const auto bounded = std::clamp(tolerated, least_tolerated, most_tolerated);
+	version_verdict verdict{verdict_ground::failures, route, judged.answers, judged.failed, bounded, 0};
 	if (judged.failed >= tuning.fewest_failed)
 	{
-		verdict.evidence = log_evidence_against(judged.answers, judged.failed, tolerated);
+		verdict.evidence = log_evidence_against(judged.answers, judged.failed, bounded);
 	}
 	return verdict;
 }
 
+version_verdict judge_route(const std::string& route, const route_evidence& seen, const sound_cells& sound,
+	const verdict_tuning& tuning)
+{
+	const auto old_share = sound_old_share(seen, sound, tuning);
+	const auto tolerated = tuning.tolerated_failures + tuning.tolerated_multiple * old_share;
+	return judge_failures(route, seen.new_version.sum(sound.of_new), tolerated, tuning);
+}
+
+/// Share of failures that a trial's replicas at its peak showed before it, each by the answers that it gives
+/// now: some are sick whatever they bear.
+double share_before_peak(const version_evidence& seen)
+{
+	// Of a group with few answers, those of all groups tell about as much as so many of its own.
+	constexpr double common_answers = 2;
+	by_cell<answer_counts> before;
+	for (const auto& [route, one] : seen.by_route)
+	{
+		before += one.new_version;
+	}
+	const auto common = before.sum().share();
+	double expected = 0;
+	double answers = 0;
+	for (const auto& [cell, counts] : seen.at_peak.new_version)
+	{
+		const auto* known = before.find(cell);
+		const auto own = known == nullptr ? answer_counts{} : *known;
+		const auto share = (static_cast<double>(own.failed) + common_answers * common) /
+						   (static_cast<double>(own.answers) + common_answers);
+		expected += share * static_cast<double>(counts.answers);
+		answers += static_cast<double>(counts.answers);
+	}
+	return answers > 0 ? expected / answers : common;
+}
+
+version_verdict judge_peak(
+	const version_evidence& seen, const sound_cells& sound, const verdict_tuning& tuning)
+{
+	const auto usual = std::max(sound_old_share(seen.at_peak, sound, tuning), share_before_peak(seen));
+	const auto tolerated = tuning.tolerated_at_peak + tuning.tolerated_multiple * usual;
+	return judge_failures({}, seen.at_peak.new_version.sum(), tolerated, tuning);
+}
+
+version_verdict judge_overall(const route_evidence& all, const verdict_tuning& tuning)
+{
+	const auto compared = tuning.tolerated_failures + tuning.tolerated_multiple * overall_old_share(all);
+	const auto tolerated = std::max(tuning.tolerated_overall, compared);
+	return judge_failures({}, all.new_version.sum(), tolerated, tuning);
+}
+
 /// Slow answers of one model, and how many of them are tolerated.
 struct slow_counts
 {
@@ -63,43 +113,21 @@
 	double tolerated{};
 };
 
-/// The time that the old version's fast answers keep within, before the trial or beside it: a burst at one
-/// time would hide the engines' own speed. None where too little of the old version is known.
-std::optional<double> fast_time(const time_evidence& seen, const verdict_tuning& tuning)
-{
-	std::optional<double> fastest;
-	for (const auto* old : {&seen.before, &seen.old_version})
-	{
-		if (old->size() >= tuning.fewest_old)
-		{
-			const auto time = old->quantile(tuning.fast_quantile);
-			fastest = std::min(fastest.value_or(time), time);
-		}
-	}
-	return fastest;
-}
-
-std::optional<slow_counts> slow_answers(const time_evidence& seen, const verdict_tuning& tuning)
+slow_counts slow_answers(const compared_times& times, const verdict_tuning& tuning)
 {
-	const auto answers = static_cast<double>(seen.new_version.size());
-	const auto fast_quarter = fast_time(seen, tuning);
-	if (!fast_quarter || answers <= 0)
-	{
-		return std::nullopt;
-	}
-	const auto fast_within = *fast_quarter * tuning.fast_multiple;
+	const auto answers = static_cast<double>(times.new_version.size());
 	// A burst now slows both versions: no more is asked of the new one than of the old one beside it.
-	const auto& beside = seen.old_version.size() >= tuning.fewest_old ? seen.old_version : seen.before;
-	const auto fast_share = beside.share_within(fast_within);
-	const auto slow = answers * (1 - seen.new_version.share_within(fast_within));
-	return slow_counts{answers, slow, answers * (1 - tuning.tolerated_fast * fast_share)};
+	const auto fast_share = times.old_version.share_within(times.fast_within);
+	const auto slow = answers * (1 - times.new_version.share_within(times.fast_within));
+	return {answers, slow, answers * (1 - tuning.tolerated_fast * fast_share)};
 }
 
-version_verdict judge_times(const std::string& model, const slow_counts& counts, const verdict_tuning& tuning)
+version_verdict judge_slow(const std::string& model, const slow_counts& counts, const verdict_tuning& tuning)
 {
 	const auto answers = static_cast<std::uint64_t>(counts.answers);
 	const auto slow = static_cast<std::uint64_t>(std::lround(counts.slow));
-	const auto tolerated = std::clamp(counts.tolerated / counts.answers, least_tolerated, most_tolerated);
+	const auto share = counts.answers <= 0 ? most_tolerated : counts.tolerated / counts.answers;
+	const auto tolerated = std::clamp(share, least_tolerated, most_tolerated);
 	version_verdict verdict{verdict_ground::times, model, answers, slow, tolerated, 0};
 	if (slow >= tuning.fewest_slow)
 	{
@@ -107,6 +135,68 @@
 	}
 	return verdict;
 }
+
+/// Each model's times, and all together.
+std::vector<version_verdict> judge_times(
+	const std::vector<compared_times>& times, const verdict_tuning& tuning)
+{
+	std::vector<version_verdict> verdicts;
+	slow_counts all;
+	for (const auto& one : times)
+	{
+		const auto counts = slow_answers(one, tuning);
+		verdicts.push_back(judge_slow(one.model, counts, tuning));
+		all.answers += counts.answers;
+		all.slow += counts.slow;
+		all.tolerated += counts.tolerated;
+	}
+	verdicts.push_back(judge_slow({}, all, tuning));
+	return verdicts;
+}
+
+/// Probability of so few failures where the tolerated share fails.
+double risk_of(const answer_counts& judged, double tolerated)
+{
+	if (judged.answers == 0)
+	{
+		return 1;
+	}
+	const boost::math::binomial_distribution<double> failures{static_cast<double>(judged.answers), tolerated};
+	return boost::math::cdf(failures, static_cast<double>(judged.failed));
+}
+
+/// By all of its replicas or by the better half of them, whichever shows more: few answers are too few by
+/// half.
+void prove_failures(const route_evidence& all, const verdict_tuning& tuning, version_proof& proof)
+{
+	const sound_cells sound{all};
+	proof.tolerated = std::min(tuning.most_failures, sound_old_share(all, sound, tuning) + tuning.margin);
+	for (const auto& judged : {all.new_version.sum(), all.new_version.sum(sound.of_new)})
+	{
+		const auto risk = risk_of(judged, proof.tolerated);
+		if (risk < proof.failure_risk)
+		{
+			proof.failure_risk = risk;
+			proof.judged = judged;
+		}
+	}
+}
+
+double evidence_as_fast(const std::vector<compared_times>& times)
+{
+	return std::max(log_evidence_as_fast(times, true), log_evidence_as_fast(times, false));
+}
+
+std::uint64_t count_slow(const std::vector<compared_times>& times)
+{
+	double slow = 0;
+	for (const auto& one : times)
+	{
+		const auto fast = one.all_new.share_within(one.fast_within);
+		slow += static_cast<double>(one.all_new.size()) * (1 - fast);
+	}
+	return static_cast<std::uint64_t>(std::lround(slow));
+}
 } // namespace
 
 const char* name_of(verdict_ground ground) noexcept
@@ -119,6 +209,8 @@
 		return "failures";
 	case verdict_ground::times:
 		return "times";
+	case verdict_ground::unproven:
+		return "unproven";
 	}
 	return "unknown";
 }
@@ -134,32 +226,39 @@
 			worst = one;
 		}
 	};
-	const auto consider_route = [&](const std::string& route, const route_evidence& one) {
-		consider(judge_failures(route, better_half(one), one.old_version, tuning.tolerated_failures, tuning));
-	};
-	auto overall = seen.at_peak;
+	const auto all_routes = seen.all_routes();
+	const sound_cells sound{all_routes};
 	for (const auto& [route, one] : seen.by_route)
 	{
-		consider_route(route, one);
-		overall += one;
+		consider(judge_route(route, one, sound, tuning));
 	}
-	consider_route({}, seen.at_peak);
-	consider(judge_failures({}, overall.all_new(), overall.old_version, tuning.tolerated_overall, tuning));
-	slow_counts all;
-	for (const auto& [model, one] : seen.by_model)
+	consider(judge_peak(seen, sound, tuning));
+	consider(judge_overall(all_routes, tuning));
+	for (const auto* times : {&seen.by_model, &seen.by_pace})
 	{
-		if (const auto counts = slow_answers(one, tuning))
+		for (const auto& one : judge_times(compare_times(*times, tuning.times), tuning))
 		{
-			consider(judge_times(model, *counts, tuning));
-			all.answers += counts->answers;
-			all.slow += counts->slow;
-			all.tolerated += counts->tolerated;
+			consider(one);
 		}
 	}
-	if (all.answers > 0)
+	return worst;
+}
+
+version_proof prove(const version_evidence& seen, const verdict_tuning& tuning)
+{
+	version_proof proof;
+	const auto all = seen.all_routes();
+	prove_failures(all, tuning, proof);
+	const auto times = compare_times(seen.by_model, tuning.times);
+	const auto paces = compare_times(seen.by_pace, tuning.times);
+	proof.fast_evidence = evidence_as_fast(times);
+	if (!paces.empty())
 	{
-		consider(judge_times({}, all, tuning));
+		proof.fast_evidence = std::min(proof.fast_evidence, evidence_as_fast(paces));
 	}
-	return worst;
+	proof.bad = std::max({all.new_version.sum().failed, count_slow(times), count_slow(paces)});
+	const bool is_fast = proof.fast_evidence >= -std::log(tuning.risk);
+	proof.is_shown = proof.failure_risk <= tuning.risk && is_fast;
+	return proof;
 }
 } // namespace gingerdyke::rollout
--- a/thrift/relay.thrift
+++ b/thrift/relay.thrift
@@ -15,19 +15,32 @@
 	2: required i64 failed
 }
 
-// Failures on one route; the new version's by group of replicas.
+// Counts of a cell: one half of the answers of a group of replicas. Cells without answers are left out.
+struct RelayCellCounts {
+	1: required i32 cell
+	2: required i64 answers
+	3: required i64 failed
+}
+
+// Failures on one route.
 struct RelayRouteEvidence {
 	1: required string route
-	2: required RelayCounts old_version
-	3: required list<RelayCounts> new_version
+	2: required RelayCounts before
+	3: required list<RelayCellCounts> old_version
+	4: required list<RelayCellCounts> new_version
 }
 
 // Counts of relative answer times by level, the lowest first; empty levels at the end are left out.
+struct RelayCellTimes {
+	1: required i32 cell
+	2: required list<i32> levels
+}
+
 struct RelayTimeEvidence {
 	1: required string model
 	2: required list<i32> before
-	3: required list<i32> old_version
-	4: required list<i32> new_version
+	3: required list<RelayCellTimes> old_version
+	4: required list<RelayCellTimes> new_version
 }
 
 struct RelayEvidence {
@@ -36,6 +49,7 @@
 	3: required list<RelayRouteEvidence> routes
 	4: required list<RelayTimeEvidence> models
 	5: required RelayRouteEvidence at_peak
+	6: required list<RelayTimeEvidence> paces
 }
 
 struct RelaySuspension {
