--- a/include/gingerdyke/rollout/version_shift.hpp
+++ b/include/gingerdyke/rollout/version_shift.hpp
@@ -305,6 +305,7 @@
 	{
 		std::string stable_version;
 		std::optional<shift_order> order;
+		instant order_known_at;
 		std::optional<shift_plan> plan;
 
 		/// Since when this VM has followed the plan without losing the registry.
@@ -379,7 +380,7 @@
 	[[nodiscard]] static bool has_new_order(const service_state& state);
 	[[nodiscard]] bool knows_verdict(const service_state& state, instant now) const;
 	void on_registry_back(instant now);
-	[[nodiscard]] std::optional<shift_plan> first_plan(const service_state& state, instant now) const;
+	[[nodiscard]] std::optional<shift_plan> first_plan(const service_state& state) const;
 	[[nodiscard]] std::optional<shift_plan> next_plan(const service_state& state, instant now) const;
 	[[nodiscard]] std::optional<instant> moment_to_act(const service_state& state, instant now) const;
 	void schedule(service_state& state, instant now);
--- a/src/rollout/version_shift.cpp
+++ b/src/rollout/version_shift.cpp
@@ -85,6 +85,7 @@
 		return;
 	}
 	state.order = order;
+	state.order_known_at = now;
 	schedule(state, now);
 }
 
--- a/src/rollout/version_shift_plans.cpp
+++ b/src/rollout/version_shift_plans.cpp
@@ -87,7 +87,7 @@
 	suspend(state, false);
 }
 
-std::optional<shift_plan> version_shift::first_plan(const service_state& state, instant now) const
+std::optional<shift_plan> version_shift::first_plan(const service_state& state) const
 {
 	if (!clock_offset_ || state.stable_version.empty())
 	{
@@ -96,7 +96,8 @@
 	shift_plan plan;
 	plan.from_version = state.stable_version;
 	plan.to_version = state.order->to_version;
-	plan.started = registry_now(now);
+	// The operator's time runs from the order: what passes until the plan is written is a part of it.
+	plan.started = registry_now(state.order_known_at);
 	plan.length = state.order->length;
 	plan.order = state.order->order;
 	plan.row = state.plan ? state.plan->row : row_version{0};
@@ -107,7 +108,7 @@
 {
 	if (has_new_order(state))
 	{
-		return first_plan(state, now);
+		return first_plan(state);
 	}
 	if (!is_running(state))
 	{
--- a/tests/rollout/version_shift.cpp
+++ b/tests/rollout/version_shift.cpp
@@ -422,3 +422,11 @@
 	one.see("v2", 1, 0);
 	CHECK(written(one, 12).promoted);
 }
+
+TEST_CASE("a shift's time runs from the order, not from the writing of its plan", "[shift]")
+{
+	vm one{1};
+	one.shift.on_order({service, "v2", seconds{20}, row_version{10}}, one.now);
+	const auto ordered = one.now.time_since_epoch() + seconds{7};
+	CHECK(written(one, 11).started == ordered);
+}
