A replica that starts again under its id is another process; entries of other writers name no replica

Cause of what was wrong: nothing read the moment of a replica's start, so that counts, ejection, expected work and connections of the process before were kept for the next under its id, and requests that ended late took their work off the new one's.

Change: the start is part of what a replica is; discovery tells a restart as such; the selector, the pool of connections, evidence on versions and the check before the first byte keep to one process. An entry is read strictly, and one that can't be read takes its id out of use until the replica writes again; the others hold.

--- a/include/gingerdyke/proxy/upstream_pool.hpp
+++ b/include/gingerdyke/proxy/upstream_pool.hpp
@@ -41,7 +41,8 @@
 	/// \brief Idle connections to a replica.
 	[[nodiscard]] std::size_t idle(const replica_id& id) const;
 
-	/// \brief Closes idle connections to a replica that is gone.
+	/// \brief Closes idle connections to a replica that is gone or started again; those in use are closed
+	/// when they are given back.
 	void drop(const replica_id& id);
 
   private:
@@ -53,10 +54,14 @@
 
 	struct entry
 	{
+		/// The process that the connections lead to.
+		routing::replica_incarnation incarnation;
 		std::vector<idle_link> idle;
 		unsigned in_use{};
 	};
 
+	[[nodiscard]] entry& entry_of(const routing::replica& to);
+	static void close_idle(entry& of);
 	[[nodiscard]] bool fits(const idle_link& one, bool may_run_again, instant now) const;
 	void remove_idle(const replica_id& id, const upstream_link* link);
 
--- a/include/gingerdyke/routing/replica_selector.hpp
+++ b/include/gingerdyke/routing/replica_selector.hpp
@@ -127,15 +127,15 @@
 	/// \brief Chooses a replica, or null where none is usable.
 	[[nodiscard]] replica_ptr choose(const selection& what, instant now) const;
 
-	/// \brief Notes a request sent to a replica.
-	/// \param tokens Size of the work; 0 for plain services.
-	void note_sent(const replica_id& id, double tokens);
+	/// \brief Notes a request sent to a replica. What is noted of a process that is gone, or has started
+	/// again since, is left out, here and below. \param tokens Size of the work; 0 for plain services.
+	void note_sent(const replica& one, double tokens);
 
 	/// \brief Notes that a part of the work of a request sent before is done.
-	void note_part_done(const replica_id& id, double tokens);
+	void note_part_done(const replica& one, double tokens);
 
 	/// \brief Notes that a request sent before is over.
-	void note_over(const replica_id& id, double tokens);
+	void note_over(const replica& one, double tokens);
 
 	/// \brief Notes how an attempt ended.
 	/// \param took Time to the first byte of the answer, where there was one.
@@ -150,7 +150,8 @@
 	/// \brief Takes the work that other VMs have open, in place of what was known of it.
 	void note_elsewhere(const std::vector<replica_work>& work, instant now);
 
-	/// \brief Forgets a replica that is gone.
+	/// \brief Forgets a replica that is gone, or that started again: the work, failures and ejection were
+	/// those of the process before.
 	void forget(const replica_id& id);
 
   private:
@@ -184,6 +185,7 @@
 	[[nodiscard]] replica_ptr by_load(const candidates& from) const;
 	[[nodiscard]] double cost_of(const replica& one) const;
 	[[nodiscard]] const state* find(const replica_id& id) const;
+	[[nodiscard]] state* find_current(const replica& one);
 	void eject(const replica& one, state& of, instant now);
 	[[nodiscard]] bool is_dark(const failure_domain_id& domain, instant now) const;
 	void note_domain(const replica& one, replica_result result, instant now);
--- a/include/gingerdyke/routing/replica_set.hpp
+++ b/include/gingerdyke/routing/replica_set.hpp
@@ -14,10 +14,14 @@
 
 namespace gingerdyke::routing
 {
+/// \brief Tells one start of a replica from another under the same id; no order is meant. 0: not stated.
+using replica_incarnation = quantity<struct replica_incarnation_tag>;
+
 /// \brief One replica as discovery describes it.
 struct replica
 {
 	replica_id id;
+	replica_incarnation incarnation;
 	service_id service;
 	address at;
 	failure_domain_id domain;
@@ -32,6 +36,12 @@
 	bool leaving{};
 
 	auto operator<=>(const replica&) const = default;
+
+	/// \brief Whether both are one process: one that started again under its id holds nothing of before.
+	[[nodiscard]] bool is_same_process(const replica& other) const noexcept
+	{
+		return id == other.id && incarnation == other.incarnation;
+	}
 };
 
 using replica_ptr = std::shared_ptr<const replica>;
@@ -41,6 +51,8 @@
 {
 	added,
 	changed,
+	/// It started again under its id.
+	restarted,
 	leaving,
 	/// Its entry is missing while the registry is unsound: kept until the registry had time to recover.
 	suspected,
@@ -97,8 +109,12 @@
 	/// missing, and enough others have theirs.
 	[[nodiscard]] bool avoids_suspected(const service_id& service) const;
 
-	/// \brief Whether a replica may be sent new work: it is known, does not leave and is not left out.
-	[[nodiscard]] bool takes_work(const replica_id& id) const;
+	/// \brief Whether a replica may be sent new work: it is known as this process, does not leave and is not
+	/// left out.
+	[[nodiscard]] bool takes_work(const replica& one) const;
+
+	/// \brief Whether a replica is known, as the process that it is here.
+	[[nodiscard]] bool is_current(const replica& one) const;
 
 	/// \brief Replicas of a service, leaving ones too.
 	[[nodiscard]] const std::vector<replica_ptr>& of(const service_id& service) const;
--- a/src/control/coordinator.cpp
+++ b/src/control/coordinator.cpp
@@ -203,7 +203,12 @@
 			gateway_.replicas().remove(replica_id{one.key}, now);
 		}
 	}
-	for (auto& entry : read_replicas(rows))
+	auto read = read_replicas(rows);
+	for (const auto& id : read.unreadable)
+	{
+		gateway_.replicas().remove(id, now);
+	}
+	for (auto& entry : read.entries)
 	{
 		gateway_.replicas().put(std::move(entry), now);
 	}
@@ -213,15 +218,18 @@
 
 void coordinator::on_replicas(const std::vector<row>& rows)
 {
-	auto entries = read_replicas(rows);
-	log::write(log::level::info, "replicas read", {{"count", entries.size()}});
-	gateway_.take_replicas(std::move(entries), proxy::steady_now());
+	auto read = read_replicas(rows);
+	log::write(log::level::info, "replicas read",
+		{{"count", read.entries.size()}, {"unreadable", read.unreadable.size()}});
+	gateway_.take_replicas(std::move(read.entries), proxy::steady_now());
 	relay_.on_change(layout_.replica_table);
 }
 
-std::vector<routing::replica> coordinator::read_replicas(const std::vector<row>& rows) const
+/// An entry that can't be read names no replica to use, also where one was known under its id: another writer
+/// may have put it there. The replica's own next heartbeat brings it back.
+coordinator::replica_rows coordinator::read_replicas(const std::vector<row>& rows) const
 {
-	std::vector<routing::replica> entries;
+	replica_rows read;
 	for (const auto& one : rows)
 	{
 		if (one.removed)
@@ -230,14 +238,15 @@
 		}
 		if (auto entry = layout_.read_replica_row(one))
 		{
-			entries.push_back(std::move(*entry));
+			read.entries.push_back(std::move(*entry));
 		}
 		else
 		{
+			read.unreadable.emplace_back(one.key);
 			log_findings("replica's row not understood", entry.error());
 		}
 	}
-	return entries;
+	return read;
 }
 
 void coordinator::on_own_rows(const std::vector<row>& rows)
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -230,7 +230,7 @@
 	attempt_->work_ahead = work_before_first_token(*to);
 	const auto weight = model_weight();
 	attempt_->work = prompt_.tokens_in * weight + prompt_.generating_work() * weight;
-	shared_.selector().note_sent(to->id, attempt_->work);
+	shared_.selector().note_sent(*to, attempt_->work);
 	attempt_->connected = attempt_->link->was_used();
 	arm_attempt_timer(attempt_->connected ? first_byte_limit() : shared_.tuning().connect_limit);
 
@@ -265,7 +265,7 @@
 void exchange::note_prompt_read()
 {
 	const auto read = prompt_.tokens_in * model_weight();
-	shared_.selector().note_part_done(attempt_->to->id, read);
+	shared_.selector().note_part_done(*attempt_->to, read);
 	attempt_->work -= read;
 }
 
@@ -276,7 +276,7 @@
 		return;
 	}
 	attempt_timer_.cancel();
-	shared_.selector().note_over(attempt_->to->id, attempt_->work);
+	shared_.selector().note_over(*attempt_->to, attempt_->work);
 	if (!answered_whole)
 	{
 		attempt_->link->close();
--- a/src/proxy/exchange_answers.cpp
+++ b/src/proxy/exchange_answers.cpp
@@ -25,7 +25,7 @@
 /// The connection may have taken hundreds of milliseconds to come up: the replica may have left meanwhile.
 void exchange::on_connected()
 {
-	if (!shared_.replicas().takes_work(attempt_->to->id))
+	if (!shared_.replicas().takes_work(*attempt_->to))
 	{
 		take_back_attempt();
 		dispatch();
@@ -85,11 +85,12 @@
 
 rollout::answer_sample exchange::sample_of(duration took) const
 {
+	const auto& to = *attempt_->to;
 	rollout::answer_sample sample;
 	sample.route = route_->id.str();
 	sample.model = route_->models.empty() ? std::string{} : route_->models[attempt_->size.index].str();
 	sample.relative_time = rollout::relative_answer_time(took, prompt_.tokens_in);
-	sample.replica = stable_hash(attempt_->to->id.str());
+	sample.replica = mix_hash(stable_hash(to.id.str()), static_cast<std::uint64_t>(to.incarnation.value()));
 	return sample;
 }
 
--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -211,7 +211,7 @@
 	{
 		log_replica(one, change);
 	}
-	if (change == routing::replica_change::gone)
+	if (change == routing::replica_change::gone || change == routing::replica_change::restarted)
 	{
 		pool_.drop(one.id);
 		selector_.forget(one.id);
--- a/src/proxy/upstream_pool.cpp
+++ b/src/proxy/upstream_pool.cpp
@@ -13,7 +13,7 @@
 std::shared_ptr<upstream_link> upstream_pool::take(
 	const routing::replica_ptr& to, bool may_run_again, instant now)
 {
-	auto& known = entries_[to->id];
+	auto& known = entry_of(*to);
 	++known.in_use;
 	// The one used last is the least likely to be dead.
 	while (!known.idle.empty())
@@ -29,11 +29,31 @@
 	return std::make_shared<upstream_link>(context_, to, id_field_);
 }
 
+/// The connections to a replica's process; those to the one before under its id are of no use.
+upstream_pool::entry& upstream_pool::entry_of(const routing::replica& to)
+{
+	const auto found = entries_.find(to.id);
+	if (found != entries_.end() && found->second.incarnation != to.incarnation)
+	{
+		close_idle(found->second);
+		entries_.erase(found);
+	}
+	return entries_.try_emplace(to.id, entry{to.incarnation, {}, 0}).first->second;
+}
+
+void upstream_pool::close_idle(entry& of)
+{
+	for (const auto& one : std::exchange(of.idle, {}))
+	{
+		one.link->close();
+	}
+}
+
 void upstream_pool::give_back(const std::shared_ptr<upstream_link>& link, instant now)
 {
 	const auto id = link->to()->id;
 	const auto found = entries_.find(id);
-	if (found == entries_.end())
+	if (found == entries_.end() || found->second.incarnation != link->to()->incarnation)
 	{
 		link->close();
 		return;
@@ -68,10 +88,7 @@
 	{
 		return;
 	}
-	for (const auto& one : std::exchange(found->second.idle, {}))
-	{
-		one.link->close();
-	}
+	close_idle(found->second);
 	if (found->second.in_use == 0)
 	{
 		entries_.erase(found);
--- a/src/routing/replica_selector.cpp
+++ b/src/routing/replica_selector.cpp
@@ -174,37 +174,43 @@
 	return mean * (1 + open) + penalty;
 }
 
-void replica_selector::note_sent(const replica_id& id, double tokens)
+void replica_selector::note_sent(const replica& one, double tokens)
 {
-	auto& known = states_[id];
-	++known.open;
-	known.open_tokens += tokens;
+	if (auto* known = find_current(one))
+	{
+		++known->open;
+		known->open_tokens += tokens;
+	}
 }
 
-void replica_selector::note_part_done(const replica_id& id, double tokens)
+void replica_selector::note_part_done(const replica& one, double tokens)
 {
-	const auto found = states_.find(id);
-	if (found != states_.end())
+	if (auto* known = find_current(one))
 	{
-		found->second.take_off(tokens);
+		known->take_off(tokens);
 	}
 }
 
-void replica_selector::note_over(const replica_id& id, double tokens)
+void replica_selector::note_over(const replica& one, double tokens)
 {
-	const auto found = states_.find(id);
-	if (found == states_.end() || found->second.open == 0)
+	auto* known = find_current(one);
+	if (known == nullptr || known->open == 0)
 	{
 		return;
 	}
-	--found->second.open;
-	found->second.take_off(tokens);
+	--known->open;
+	known->take_off(tokens);
 }
 
 void replica_selector::note_result(const replica& one, replica_result result, duration took, instant now)
 {
+	auto* current = find_current(one);
+	if (current == nullptr)
+	{
+		return;
+	}
 	note_domain(one, result, now);
-	auto& known = states_[one.id];
+	auto& known = *current;
 	const bool is_unreachable = result == replica_result::not_connected;
 	const bool failed =
 		result == replica_result::failed || result == replica_result::no_answer || is_unreachable;
@@ -282,6 +288,7 @@
 void replica_selector::forget(const replica_id& id)
 {
 	states_.erase(id);
+	elsewhere_.erase(id);
 }
 
 std::vector<replica_work> replica_selector::open_work() const
@@ -312,4 +319,9 @@
 	const auto found = states_.find(id);
 	return found == states_.end() ? nullptr : &found->second;
 }
+
+replica_selector::state* replica_selector::find_current(const replica& one)
+{
+	return replicas_.is_current(one) ? &states_[one.id] : nullptr;
+}
 } // namespace gingerdyke::routing
--- a/src/routing/replica_set.cpp
+++ b/src/routing/replica_set.cpp
@@ -14,6 +14,8 @@
 		return "added";
 	case replica_change::changed:
 		return "changed";
+	case replica_change::restarted:
+		return "restarted";
 	case replica_change::leaving:
 		return "leaving";
 	case replica_change::suspected:
@@ -24,6 +26,18 @@
 	return "unknown";
 }
 
+namespace
+{
+replica_change change_from(const replica& before, const replica& now)
+{
+	if (!now.is_same_process(before))
+	{
+		return replica_change::restarted;
+	}
+	return now.leaving && !before.leaving ? replica_change::leaving : replica_change::changed;
+}
+} // namespace
+
 replica_set::replica_set(change_hook changed, replica_set_tuning tuning)
 	: changed_(std::move(changed)), tuning_(tuning)
 {
@@ -37,10 +51,9 @@
 	{
 		return;
 	}
-	auto change = replica_change::added;
+	const auto change = known ? change_from(*known, entry) : replica_change::added;
 	if (known)
 	{
-		change = entry.leaving && !known->leaving ? replica_change::leaving : replica_change::changed;
 		unindex(known);
 	}
 	const auto kept = std::make_shared<const replica>(std::move(entry));
@@ -168,14 +181,20 @@
 	return found == by_id_.end() ? nullptr : found->second;
 }
 
-bool replica_set::takes_work(const replica_id& id) const
+bool replica_set::takes_work(const replica& one) const
 {
-	const auto known = find(id);
-	if (!known || known->leaving)
+	const auto known = find(one.id);
+	if (!known || known->leaving || !known->is_same_process(one))
 	{
 		return false;
 	}
-	return !is_suspected(id) || !avoids_suspected(known->service);
+	return !is_suspected(one.id) || !avoids_suspected(known->service);
+}
+
+bool replica_set::is_current(const replica& one) const
+{
+	const auto known = find(one.id);
+	return known && known->is_same_process(one);
 }
 
 duration replica_set::sound_time(instant now) const
--- a/tests/platform/platform.cpp
+++ b/tests/platform/platform.cpp
@@ -1,12 +1,8 @@
 // SPDX-License-Identifier: MIT
 // The adapter: rows and settings decoded, the store's protocol against its stand-in, a VM's control as a
 // whole.
-#include "../support/proxy_world.hpp"
-#include <gingerdyke/control/coordinator.hpp>
-#include <layout.hpp>
-#include <registry_client.hpp>
+#include "../support/controlled_vm.hpp"
 #include <settings.hpp>
-#include <standin/registry.hpp>
 
 using namespace gingerdyke;
 using namespace gingerdyke::test;
@@ -38,35 +34,6 @@
 {
 	return {"op", key, value.dump(), control::row_version{5}, false};
 }
-
-routing::address free_address(proxy::asio::io_context& context)
-{
-	proxy::tcp::acceptor probe{context, {proxy::asio::ip::address_v4::loopback(), 0}};
-	return {"127.0.0.1", probe.local_endpoint().port()};
-}
-
-/// A VM's control over a stand-in registry.
-struct controlled_vm
-{
-	controlled_vm(proxy_world& world, const platform::standin::registry& registry, const std::string& name)
-		: controlled_vm(world, registry, name, free_address(world.context))
-	{
-	}
-
-	controlled_vm(proxy_world& world, const platform::standin::registry& registry, const std::string& name,
-		const routing::address& at)
-		: client(world.context, registry.at()),
-		  coordinator(world.gateway(), client, platform::layout(),
-			  {vm_id{name}, failure_domain_id{"a"}, at, 0}, name + "-1", seeded_random{4})
-	{
-		REQUIRE_FALSE(coordinator.start());
-	}
-
-	~controlled_vm() { coordinator.stop(); }
-
-	platform::registry_client client;
-	control::coordinator coordinator;
-};
 } // namespace
 
 TEST_CASE("a configuration becomes routes, services, keys and limits", "[platform]")
--- a/tests/routing/replica_selector.cpp
+++ b/tests/routing/replica_selector.cpp
@@ -37,6 +37,8 @@
 		return selector.choose(what, now);
 	}
 
+	[[nodiscard]] const replica& of(const replica_id& id) const { return *replicas.find(id); }
+
 	instant now{seconds{50}};
 	unsigned ejections = 0;
 	replica_set replicas{[](const replica&, replica_change) {}};
@@ -62,10 +64,10 @@
 {
 	selector_world world{3};
 	const auto favoured = world.choose(42)->id;
-	world.selector.note_sent(favoured, 200000);
+	world.selector.note_sent(world.of(favoured), 200000);
 	const auto next = world.choose(42)->id;
 	CHECK(next != favoured);
-	world.selector.note_over(favoured, 200000);
+	world.selector.note_over(world.of(favoured), 200000);
 	CHECK(world.choose(42)->id == favoured);
 }
 
@@ -73,13 +75,13 @@
 {
 	selector_world world{3};
 	const auto favoured = world.choose(42)->id;
-	world.selector.note_sent(favoured, 200000);
+	world.selector.note_sent(world.of(favoured), 200000);
 	REQUIRE(world.choose(42)->id != favoured);
-	world.selector.note_part_done(favoured, 190000);
+	world.selector.note_part_done(world.of(favoured), 190000);
 	CHECK(world.choose(42)->id == favoured);
 	REQUIRE(world.selector.open_work().size() == 1);
 	CHECK(world.selector.open_work().front().tokens == 10000);
-	world.selector.note_over(favoured, 10000);
+	world.selector.note_over(world.of(favoured), 10000);
 	CHECK(world.selector.open_work().empty());
 }
 
@@ -105,9 +107,9 @@
 	what.is_engine = true;
 	what.usable = [](const replica&) { return true; };
 	const auto favoured = world.selector.choose(what, world.now)->id;
-	world.selector.note_sent(favoured, 60000);
+	world.selector.note_sent(world.of(favoured), 60000);
 	CHECK(world.selector.choose(what, world.now)->id == favoured);
-	world.selector.note_sent(favoured, 60000);
+	world.selector.note_sent(world.of(favoured), 60000);
 	CHECK(world.selector.choose(what, world.now)->id != favoured);
 	CHECK(world.selector.open_work().front().tokens == 120000);
 }
@@ -147,7 +149,7 @@
 	"small models' prompts leave the failure domain where its replicas have too much work", "[selector]")
 {
 	selector_world world{6};
-	world.selector.note_sent(replica_id{"r0"}, 50000);
+	world.selector.note_sent(world.of(replica_id{"r0"}), 50000);
 	for (std::uint64_t prompt = 1; prompt <= 40; ++prompt)
 	{
 		CHECK(world.selector.choose(prompt_for(0.05, prompt), world.now)->domain.str() == "far");
@@ -158,7 +160,7 @@
 {
 	selector_world world{3};
 	CHECK(world.choose()->id.str() == "r0");
-	world.selector.note_sent(replica_id{"r0"}, 0);
+	world.selector.note_sent(world.of(replica_id{"r0"}), 0);
 	CHECK(world.choose()->id.str() != "r0");
 }
 
