A slow version beside an overloaded one: paces are held against what the old version's engines did at their best

With 7 VMs and 18 replicas a trial's twelve replicas bear a tenth of what the others do. Slow ones kept a pace of 50 ms between events, where the old version's, overloaded, needed 70 to 300 ms and an idle one needs 15 ms: evidence 57 for "as fast". Of 1,668 first bytes the slow version's came earlier, too. Ruled out: too few answers (81 known), lost evidence (no VM restarted).

Change: a version is shown to be as fast only where some of its streams keep the pace that the old version's engines had at their best: before the order (each VM keeps that), before the trial, or beside it. Emulator: traffic before the order, overload lengthens paces, a VM does not read its own rows back.

--- a/emulator/shift_emulator.cpp
+++ b/emulator/shift_emulator.cpp
@@ -33,6 +33,9 @@
 constexpr std::uint64_t bad_before_verdict = 50;
 constexpr duration verdict_limit = seconds{5};
 
+/// Traffic before the order, and before any trouble.
+constexpr duration calm_before = seconds{2};
+
 /// Registry clock of the emulated platform, ahead of the VMs' own.
 constexpr duration registry_ahead = seconds{7};
 
@@ -52,8 +55,9 @@
 {
   public:
 	explicit shift_play(const shift_setup& setup)
-		: setup_(setup), random_(seeded_random{setup.seed}), origin_(now_), burst_at_(drawn_time()),
-		  slowed_at_(drawn_time()), lost_at_(drawn_time()), slowdown_(draw(slowest_factor, fastest_factor))
+		: setup_(setup), random_(seeded_random{setup.seed}), origin_(now_ + calm_before),
+		  burst_at_(drawn_time()), slowed_at_(drawn_time()), lost_at_(drawn_time()),
+		  slowdown_(draw(slowest_factor, fastest_factor))
 	{
 		make_engines(old_version, old_engines_);
 		make_engines(new_version, new_engines_);
@@ -67,6 +71,10 @@
 	{
 		for (; now_ < origin_ + setup_.length; now_ += step)
 		{
+			if (now_ == origin_)
+			{
+				give_order();
+			}
 			one_step();
 		}
 		result_.exposure = static_cast<double>(new_requests_) / std::max(1.0, double(requests_));
@@ -119,20 +127,32 @@
 			vms_.emplace_back(std::make_unique<version_shift>(seeded_random{mix_hash(setup_.seed, i)},
 				[this](const rollout::shift_news& news) { note(news); }));
 		made->note_reads_registry(is_reader(i));
-		made->on_order({service, new_version, setup_.length, rollout::row_version{10}}, now_);
+		made->note_replicas(service, replicas_of({&old_engines_}));
+	}
+
+	[[nodiscard]] static std::vector<routing::replica_ptr> replicas_of(
+		const std::vector<const std::vector<engine>*>& versions)
+	{
 		std::vector<routing::replica_ptr> all;
-		for (const auto* engines : {&old_engines_, &new_engines_})
+		for (const auto* engines : versions)
 		{
 			for (const auto& one : *engines)
 			{
 				all.push_back(one.replica);
 			}
 		}
-		made->note_replicas(service, all);
+		return all;
 	}
 
 	void note(const rollout::shift_news& news)
 	{
+		if (getenv("VP") && news.plan.promoted && news.known.vms > 3)
+		{
+			auto& k = news.known;
+			fprintf(stderr, "promoted %.1f vms %zu new %lu risk %.3f fast %.1f slowrisk %.3f slowdown %.1f\n",
+				to_milliseconds(now_ - origin_) / 1000, k.vms, k.new_version.answers, k.proof.failure_risk,
+				k.proof.fast_evidence, k.proof.slow_risk, slowdown_);
+		}
 		if (news.suspended && !news.told && !result_.suspended)
 		{
 			result_.suspended = news.known;
@@ -140,6 +160,23 @@
 		}
 	}
 
+	void give_order()
+	{
+		requests_ = 0;
+		for (auto& vm : vms_)
+		{
+			vm->on_order({service, new_version, setup_.length, rollout::row_version{10}}, now_);
+			vm->note_replicas(service, replicas_of({&old_engines_, &new_engines_}));
+		}
+	}
+
+	/// Trouble of the old version's replicas alone begins with the shift.
+	[[nodiscard]] bool is_old_in_trouble() const { return setup_.trouble.is_old_only && now_ >= origin_; }
+
+	[[nodiscard]] bool is_overloaded() const { return setup_.trouble.overload > 0 && now_ >= origin_; }
+
+	[[nodiscard]] static std::string name_of_vm(std::size_t i) { return "vm" + std::to_string(i); }
+
 	[[nodiscard]] bool is_reader(std::size_t i) const { return i < setup_.domains; }
 	[[nodiscard]] std::size_t reader_of(std::size_t i) const { return i % setup_.domains; }
 
@@ -176,7 +213,10 @@
 			}
 			for (std::size_t i = 0; i < setup_.domains; ++i)
 			{
-				vms_[i]->on_evidence(row.reporter, row.evidence, now_);
+				if (row.reporter != name_of_vm(i))
+				{
+					vms_[i]->on_evidence(row.reporter, row.evidence, now_);
+				}
 			}
 		}
 	}
@@ -292,8 +332,10 @@
 	double pace_at(const engine& at, bool is_new)
 	{
 		constexpr double whole_batch = 1.5;
+		constexpr double overloaded_batch = 3;
 		constexpr double reads_prompt = 0.3;
-		const auto batch = 1 + std::min(whole_batch, load_of(at) * unit());
+		const auto queued = !is_new && is_overloaded() ? overloaded_batch : 0;
+		const auto batch = 1 + queued + std::min(whole_batch, load_of(at) * unit());
 		const auto prompt = unit() < reads_prompt ? draw(1, 3) : 1;
 		return slowness_of(at, is_new) * at.speed * batch * prompt;
 	}
@@ -307,7 +349,7 @@
 		{
 			queue -= 3 * load_of(at) * std::log(1 - unit());
 		}
-		if (!is_new && setup_.trouble.overload > 0)
+		if (!is_new && is_overloaded())
 		{
 			queue -= setup_.trouble.overload * std::log(1 - unit());
 		}
@@ -316,7 +358,7 @@
 
 	[[nodiscard]] double slowness_of(const engine& at, bool is_new) const
 	{
-		const bool is_slowed = at.is_slowed && (setup_.trouble.is_old_only || is_within(slowed_at_));
+		const bool is_slowed = at.is_slowed && (is_old_in_trouble() || is_within(slowed_at_));
 		const auto own = is_slowed ? setup_.trouble.slowed_by : 1;
 		return is_new && setup_.fault == version_fault::slow ? own * slowdown_ : own;
 	}
@@ -324,7 +366,8 @@
 	double failure_share(const engine& at, bool is_new, bool is_first_route) const
 	{
 		constexpr double of_bad_version = 0.5;
-		const auto own = at.is_failing ? setup_.trouble.failing_rate : 0;
+		const bool is_failing = at.is_failing && (now_ >= origin_ || !setup_.trouble.is_old_only);
+		const auto own = is_failing ? setup_.trouble.failing_rate : 0;
 		if (!is_new)
 		{
 			return own;
@@ -362,7 +405,7 @@
 			auto& reader = *vms_[reader_of(i)];
 			for (const auto& one : vms_[i]->own_evidence())
 			{
-				reader.on_relayed_evidence("vm" + std::to_string(i), one, now_);
+				reader.on_relayed_evidence(name_of_vm(i), one, now_);
 			}
 			for (const auto& one : vms_[i]->suspensions())
 			{
@@ -387,7 +430,7 @@
 				}
 				for (auto one : write.evidence)
 				{
-					one.reporter = one.reporter.empty() ? "vm" + std::to_string(i) : one.reporter;
+					one.reporter = one.reporter.empty() ? name_of_vm(i) : one.reporter;
 					rows_.emplace_back(now_ + row_delay, std::move(one));
 				}
 				take_plan(write.plan);
--- a/include/gingerdyke/rollout/time_comparison.hpp
+++ b/include/gingerdyke/rollout/time_comparison.hpp
@@ -19,6 +19,15 @@
 	/// add up to half to them, a version that is several times slower more than the multiple.
 	double fast_quantile = 0.25;
 	double fast_multiple = 2;
+
+	/// Answers within this multiple of the time that a tenth of the old version's keep within are as fast as
+	/// an idle engine gives them. Paces of idle engines of one kind differ by a tenth; slow versions' are
+	/// twice to four times as long.
+	double fastest_quantile = 0.1;
+	double fastest_multiple = 1.7;
+
+	/// Of a slow version no more than this share of answers comes as fast as that.
+	double slow_share_as_fast = 0.08;
 };
 
 /// \brief Times of one model's answers at the better half of each version's replicas.
@@ -33,6 +42,10 @@
 
 	/// The relative time up to which an answer is fast.
 	double fast_within{};
+
+	/// The relative time of the old version's very fastest answers, whenever they came: what an idle engine
+	/// needs.
+	double fastest{};
 };
 
 /// \brief What there is to compare, by model; models of whose old version too little is known are left out.
@@ -44,4 +57,10 @@
 /// probability at most a, however often one looks.
 /// \param all Whether all answers of the new version count, or those of its better half.
 [[nodiscard]] double log_evidence_as_fast(const std::vector<compared_times>& times, bool all);
+
+/// \brief Probability that a slow version gives as many answers that are as fast as an idle engine's. For
+/// paces of streams, which caches don't change: beside replicas that are overloaded a slow version's are
+/// fast, since its own bear little in a trial, but none is as fast as theirs were at their best.
+[[nodiscard]] double risk_of_slow_at_best(
+	const std::vector<compared_times>& paces, const time_tuning& tuning);
 } // namespace gingerdyke::rollout
--- a/include/gingerdyke/rollout/version_evidence.hpp
+++ b/include/gingerdyke/rollout/version_evidence.hpp
@@ -38,6 +38,9 @@
 /// \brief Relative times of one model's answers, or of one route's where the service has no models.
 struct time_evidence
 {
+	/// Of the old version, from before the order; paces only.
+	answer_times usual;
+
 	/// As in `route_evidence`.
 	answer_times before;
 	by_cell<answer_times> old_version;
--- a/include/gingerdyke/rollout/version_shift.hpp
+++ b/include/gingerdyke/rollout/version_shift.hpp
@@ -316,6 +316,10 @@
 		std::size_t new_replicas{};
 		std::size_t old_replicas{};
 
+		/// Paces of the version in force by model, as this VM saw them while no shift was under way. Engines
+		/// that are overloaded when a shift begins showed before how fast they are.
+		std::map<std::string, answer_times> usual_paces;
+
 		/// What this VM saw, what others reported, and the sum of all.
 		version_evidence own;
 		std::map<std::string, version_evidence> others;
@@ -357,6 +361,8 @@
 	[[nodiscard]] static bool is_running(const service_state& state);
 
 	[[nodiscard]] bool is_control(const service_state& state, std::uint64_t replica) const;
+	static void note_usual(service_state& state, const answer_sample& answer);
+	static void note_before(version_evidence& to, const answer_sample& answer);
 	void note_seen(service_state& state, bool is_new, const answer_sample& answer, instant now) const;
 	static void relay(service_state& state, const std::string& reporter);
 	bool keep_evidence(service_state& state, const std::string& reporter, const shift_evidence& evidence);
--- a/include/gingerdyke/rollout/version_verdict.hpp
+++ b/include/gingerdyke/rollout/version_verdict.hpp
@@ -113,6 +113,10 @@
 	/// the lower of both.
 	double fast_evidence{};
 
+	/// Probability that a slow version's streams are as often as fast as an idle engine's; 0: no streams are
+	/// known.
+	double slow_risk{};
+
 	/// Bad answers seen of it: failures, or slow ones, whichever are more.
 	std::uint64_t bad{};
 
--- a/src/control/own_rows.cpp
+++ b/src/control/own_rows.cpp
@@ -85,7 +85,7 @@
 	json models = json::array();
 	for (const auto& [model, seen] : times)
 	{
-		models.push_back({{"model", model}, {"before", seen.before.counts()},
+		models.push_back({{"model", model}, {"usual", seen.usual.counts()}, {"before", seen.before.counts()},
 			{"old", time_cells_json(seen.old_version)}, {"new", time_cells_json(seen.new_version)}});
 	}
 	return models;
@@ -96,8 +96,8 @@
 	std::map<std::string, rollout::time_evidence> times;
 	for (const auto& one : value)
 	{
-		times[one.at("model").get<std::string>()] = {
-			times_of(one.at("before")), time_cells_of(one.at("old")), time_cells_of(one.at("new"))};
+		times[one.at("model").get<std::string>()] = {times_of(one.at("usual")), times_of(one.at("before")),
+			time_cells_of(one.at("old")), time_cells_of(one.at("new"))};
 	}
 	return times;
 }
--- a/src/control/relay_codec.cpp
+++ b/src/control/relay_codec.cpp
@@ -198,6 +198,7 @@
 	{
 		auto& added = all.emplace_back();
 		added.model = model;
+		added.usual = written(seen.usual);
 		added.before = written(seen.before);
 		added.old_version = written(seen.old_version);
 		added.new_version = written(seen.new_version);
@@ -210,7 +211,7 @@
 	times_by_model all;
 	for (const auto& one : times)
 	{
-		all[one.model] = {read(one.before), read(one.old_version), read(one.new_version)};
+		all[one.model] = {read(one.usual), read(one.before), read(one.old_version), read(one.new_version)};
 	}
 	return all;
 }
--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -54,6 +54,7 @@
 	fields["failure_limit"] = proof.tolerated;
 	fields["failure_risk"] = proof.failure_risk;
 	fields["fast_evidence"] = proof.fast_evidence;
+	fields["slow_risk"] = proof.slow_risk;
 	if (!news.suspended)
 	{
 		log::write(log::level::info, "version shift", std::move(fields));
--- a/src/rollout/time_comparison.cpp
+++ b/src/rollout/time_comparison.cpp
@@ -2,8 +2,10 @@
 // Answer times of a new version beside the old one's.
 #include <algorithm>
 #include <array>
+#include <boost/math/distributions/binomial.hpp>
 #include <cmath>
 #include <gingerdyke/rollout/time_comparison.hpp>
+#include <initializer_list>
 #include <optional>
 
 namespace gingerdyke::rollout
@@ -20,21 +22,28 @@
 
 using level_shares = std::array<double, answer_times::levels>;
 
-/// The time that the old version's fast answers keep within, before the trial or beside it: trouble at one
-/// time would hide the engines' own speed. None where too little of the old version is known.
-std::optional<double> fast_limit(
-	const answer_times& before, const answer_times& beside, const time_tuning& tuning)
+/// The time that a share of the old version's answers keeps within, at the time when it was least: trouble at
+/// one time would hide the engines' own speed. None where too little of the old version is known.
+std::optional<double> least_quantile(
+	std::initializer_list<const answer_times*> of_old, double share, const time_tuning& tuning)
 {
-	std::optional<double> fastest;
-	for (const auto* old : {&before, &beside})
+	std::optional<double> least;
+	for (const auto* times : of_old)
 	{
-		if (old->size() >= tuning.fewest_old)
+		if (times->size() >= tuning.fewest_old)
 		{
-			const auto time = old->quantile(tuning.fast_quantile) * tuning.fast_multiple;
-			fastest = std::min(fastest.value_or(time), time);
+			const auto time = times->quantile(share);
+			least = std::min(least.value_or(time), time);
 		}
 	}
-	return fastest;
+	return least;
+}
+
+std::optional<double> fast_limit(
+	const answer_times& before, const answer_times& beside, const time_tuning& tuning)
+{
+	const auto time = least_quantile({&before, &beside}, tuning.fast_quantile, tuning);
+	return time ? std::optional{*time * tuning.fast_multiple} : std::nullopt;
 }
 
 /// Adds the answers of a model by cell, and how many of them are slow.
@@ -147,10 +156,12 @@
 	for (const auto& [model, limit] : limits)
 	{
 		const auto& one = seen.at(model);
-		auto beside = one.old_version.sum(sound_old);
+		const auto beside = one.old_version.sum(sound_old);
 		const bool is_enough = beside.size() >= tuning.fewest_old;
+		const auto fastest =
+			least_quantile({&one.usual, &one.before, &beside}, tuning.fastest_quantile, tuning);
 		compared.push_back({model, is_enough ? beside : one.before, one.new_version.sum(sound_new),
-			one.new_version.sum(), limit});
+			one.new_version.sum(), limit, fastest.value_or(limit)});
 	}
 	return compared;
 }
@@ -159,4 +170,23 @@
 {
 	return log_mean_likelihood(times, all, as_fast) - log_mean_likelihood(times, all, slower);
 }
+
+double risk_of_slow_at_best(const std::vector<compared_times>& paces, const time_tuning& tuning)
+{
+	double answers = 0;
+	double as_fast = 0;
+	for (const auto& one : paces)
+	{
+		const auto size = static_cast<double>(one.all_new.size());
+		answers += size;
+		as_fast += size * one.all_new.share_within(one.fastest * tuning.fastest_multiple);
+	}
+	const auto count = std::floor(as_fast);
+	if (count < 1)
+	{
+		return 1;
+	}
+	const boost::math::binomial_distribution<double> of_slow{answers, tuning.slow_share_as_fast};
+	return boost::math::cdf(boost::math::complement(of_slow, count - 1));
+}
 } // namespace gingerdyke::rollout
--- a/src/rollout/version_evidence.cpp
+++ b/src/rollout/version_evidence.cpp
@@ -30,7 +30,8 @@
 	std::uint64_t sum = 0;
 	for (const auto& [model, seen] : times)
 	{
-		sum += seen.before.size() + seen.old_version.sum().size() + seen.new_version.sum().size();
+		sum += seen.usual.size() + seen.before.size() + seen.old_version.sum().size() +
+			   seen.new_version.sum().size();
 	}
 	return sum;
 }
@@ -70,6 +71,7 @@
 
 time_evidence& time_evidence::operator+=(const time_evidence& other)
 {
+	usual += other.usual;
 	before += other.before;
 	old_version += other.old_version;
 	new_version += other.new_version;
@@ -78,6 +80,7 @@
 
 time_evidence& time_evidence::operator-=(const time_evidence& other)
 {
+	usual -= other.usual;
 	before -= other.before;
 	old_version -= other.old_version;
 	new_version -= other.new_version;
--- a/src/rollout/version_shift.cpp
+++ b/src/rollout/version_shift.cpp
@@ -100,8 +100,12 @@
 	{
 		state.suspended = false;
 		state.own = {};
-		state.known = {};
-		state.to_write = {};
+		for (const auto& [model, paces] : state.usual_paces)
+		{
+			state.own.by_pace[model].usual = paces;
+		}
+		state.known = state.own;
+		state.to_write = state.own;
 		state.others.clear();
 		state.relayed.clear();
 		state.unwritten.clear();
@@ -110,6 +114,10 @@
 		state.followed_since = now;
 		weigh(state);
 	}
+	if (plan.state == shift_state::completed)
+	{
+		state.usual_paces.clear();
+	}
 	state.plan = plan;
 	state.stable_version = plan.state == shift_state::completed ? plan.to_version : plan.from_version;
 	news_({plan, false, false, summary_of(state)});
--- a/src/rollout/version_shift_evidence.cpp
+++ b/src/rollout/version_shift_evidence.cpp
@@ -19,6 +19,12 @@
 	return answer.model.empty() ? answer.route : answer.model;
 }
 
+time_evidence& times_of(version_evidence& seen, const answer_sample& answer)
+{
+	auto& times = answer.kind == sample_kind::pace ? seen.by_pace : seen.by_model;
+	return times[time_key(answer)];
+}
+
 void add_outcome(const answer_sample& answer, answer_counts& to)
 {
 	++to.answers;
@@ -133,6 +139,10 @@
 	auto& state = found->second;
 	if (!is_running(state))
 	{
+		if (version == state.stable_version)
+		{
+			note_usual(state, answer);
+		}
 		return;
 	}
 	const bool is_new = version == state.plan->to_version;
@@ -144,6 +154,23 @@
 	}
 }
 
+void version_shift::note_usual(service_state& state, const answer_sample& answer)
+{
+	if (answer.kind == sample_kind::pace)
+	{
+		state.usual_paces[time_key(answer)].note(answer.relative_time);
+	}
+}
+
+void version_shift::note_before(version_evidence& to, const answer_sample& answer)
+{
+	if (answer.kind == sample_kind::answer)
+	{
+		add_outcome(answer, to.by_route[answer.route].before);
+	}
+	times_of(to, answer).before.note(answer.relative_time);
+}
+
 bool version_shift::is_control(const service_state& state, std::uint64_t replica) const
 {
 	const auto count = static_cast<double>(std::max<std::size_t>(1, state.old_replicas));
@@ -157,8 +184,16 @@
 {
 	const auto schedule = schedule_of(*state.plan);
 	const auto part = part_of(*state.plan, now);
-	const bool is_before = !is_new && part < schedule.trial_at();
-	if (!is_new && !is_before && !is_control(state, answer.replica))
+	const auto sums = {&state.own, &state.known, &state.to_write};
+	if (!is_new && part < schedule.trial_at())
+	{
+		for (auto* to : sums)
+		{
+			note_before(*to, answer);
+		}
+		return;
+	}
+	if (!is_new && !is_control(state, answer.replica))
 	{
 		return;
 	}
@@ -166,22 +201,16 @@
 	const bool is_growing = state.plan->promoted && part >= schedule.trial_ends_at();
 	const auto group = mix_hash(answer.replica, group_salt) % replica_groups;
 	const auto cell = cell_of(group, random_below(random_, answer_halves));
-	for (auto* to : {&state.own, &state.known, &state.to_write})
+	for (auto* to : sums)
 	{
-		auto& outcomes = at_peak ? to->at_peak : to->by_route[answer.route];
 		if (answer.kind == sample_kind::answer)
 		{
-			add_outcome(answer,
-				is_before ? outcomes.before : (is_new ? outcomes.new_version : outcomes.old_version)[cell]);
-		}
-		auto& by_model = answer.kind == sample_kind::pace ? to->by_pace : to->by_model;
-		auto& times = by_model[time_key(answer)];
-		if (is_before)
-		{
-			times.before.note(answer.relative_time);
+			auto& outcomes = at_peak ? to->at_peak : to->by_route[answer.route];
+			add_outcome(answer, (is_new ? outcomes.new_version : outcomes.old_version)[cell]);
 		}
-		else if (!is_growing && !at_peak)
+		if (!is_growing && !at_peak)
 		{
+			auto& times = times_of(*to, answer);
 			(is_new ? times.new_version : times.old_version)[cell].note(answer.relative_time);
 		}
 	}
--- a/src/rollout/version_verdict.cpp
+++ b/src/rollout/version_verdict.cpp
@@ -187,13 +187,16 @@
 	return std::max(log_evidence_as_fast(times, true), log_evidence_as_fast(times, false));
 }
 
-std::uint64_t count_slow(const std::vector<compared_times>& times)
+/// Answers that a version as fast as the old one would hardly give. Paces count against idle engines': those
+/// of an overloaded old version hide that the new one's are slow.
+std::uint64_t count_slow(const std::vector<compared_times>& times, bool are_paces, const time_tuning& tuning)
 {
 	double slow = 0;
 	for (const auto& one : times)
 	{
-		const auto fast = one.all_new.share_within(one.fast_within);
-		slow += static_cast<double>(one.all_new.size()) * (1 - fast);
+		const auto limit =
+			are_paces ? std::min(one.fast_within, one.fastest * tuning.fastest_multiple) : one.fast_within;
+		slow += static_cast<double>(one.all_new.size()) * (1 - one.all_new.share_within(limit));
 	}
 	return static_cast<std::uint64_t>(std::lround(slow));
 }
@@ -255,9 +258,11 @@
 	if (!paces.empty())
 	{
 		proof.fast_evidence = std::min(proof.fast_evidence, evidence_as_fast(paces));
+		proof.slow_risk = risk_of_slow_at_best(paces, tuning.times);
 	}
-	proof.bad = std::max({all.new_version.sum().failed, count_slow(times), count_slow(paces)});
-	const bool is_fast = proof.fast_evidence >= -std::log(tuning.risk);
+	proof.bad = std::max({all.new_version.sum().failed, count_slow(times, false, tuning.times),
+		count_slow(paces, true, tuning.times)});
+	const bool is_fast = proof.fast_evidence >= -std::log(tuning.risk) && proof.slow_risk <= tuning.risk;
 	proof.is_shown = proof.failure_risk <= tuning.risk && is_fast;
 	return proof;
 }
--- a/tests/control/peer_report.cpp
+++ b/tests/control/peer_report.cpp
@@ -44,6 +44,7 @@
 	seen.seen.by_model["m"].before.note(1);
 	seen.seen.by_model["m"].old_version[31].note(2);
 	seen.seen.by_model["m"].new_version[0].note(8);
+	seen.seen.by_pace["m"].usual.note(0.8);
 	seen.seen.by_pace["m"].new_version[5].note(3);
 	seen.seen.at_peak.new_version[1] = {4, 1};
 	const rollout::shift_suspension verdict{service_id{"s"}, row_version{12}};
--- a/tests/emulator/shift_beside_sick_replicas.cpp
+++ b/tests/emulator/shift_beside_sick_replicas.cpp
@@ -54,3 +54,40 @@
 	check_never_completed(
 		version_fault::slow, {.slowed_share = 0.5, .slowed_by = 6, .is_old_only = true, .overload = 8});
 }
+
+// With 7 VMs and 18 replicas a trial's twelve replicas bear a tenth of what the others do: slow ones among
+// them kept a pace of 50 ms where the old version's, overloaded, needed 70 to 300 ms; an idle one needs 15
+// ms.
+TEST_CASE("a slow version is not taken for a fast one where only the old one bears an overload",
+	"[emulator][shift]")
+{
+	shift_setup setup;
+	setup.fault = version_fault::slow;
+	setup.trouble = {.slowed_share = 0.15, .slowed_by = 6, .is_old_only = true, .overload = 8};
+	for (setup.seed = 1; setup.seed <= 20; ++setup.seed)
+	{
+		CAPTURE(setup.seed);
+		const auto result = play(setup);
+		CHECK(result.state == shift_state::rolled_back);
+		CHECK(result.late_requests == 0);
+	}
+}
+
+TEST_CASE("a good version is completed although the old replicas fail, are slowed or overloaded",
+	"[emulator][shift]")
+{
+	const shift_trouble failing{.failing_share = 0.5, .failing_rate = 0.5, .is_old_only = true};
+	const shift_trouble slowed{.slowed_share = 0.5, .slowed_by = 6, .is_old_only = true, .overload = 8};
+	for (const auto& trouble : {failing, slowed})
+	{
+		for (auto setup : {shift_setup{}, middle_deployment()})
+		{
+			setup.trouble = trouble;
+			for (setup.seed = 1; setup.seed <= 4; ++setup.seed)
+			{
+				CAPTURE(setup.vms, setup.seed, trouble.overload);
+				CHECK(play(setup).state == shift_state::completed);
+			}
+		}
+	}
+}
--- a/thrift/relay.thrift
+++ b/thrift/relay.thrift
@@ -41,6 +41,7 @@
 	2: required list<i32> before
 	3: required list<RelayCellTimes> old_version
 	4: required list<RelayCellTimes> new_version
+	5: required list<i32> usual
 }
 
 struct RelayEvidence {
