--- a/bench/experiment_shifts.cpp
+++ b/bench/experiment_shifts.cpp
@@ -4,7 +4,9 @@
 #include "shift_emulator.hpp"
 #include <array>
 #include <atomic>
+#include <cmath>
 #include <iostream>
+#include <string>
 #include <thread>
 #include <vector>
 
@@ -47,6 +49,17 @@
 const std::array sizes{
 	named_size{"7 VMs", setup_of(7, 3, 18, 120)}, named_size{"300 VMs", setup_of(300, 5, 192, 1200)}};
 
+/// Sizes for shifts beside an old version in trouble, of which there are many.
+const std::array sizes_beside{
+	named_size{"7 VMs", setup_of(7, 3, 18, 120)}, named_size{"91 VMs", setup_of(91, 3, 140, 300)}};
+
+/// Share of the old version's answers that fail, and how many times slower its replicas are.
+constexpr std::array failing_shares{0.1, 0.25, 0.5, 0.75};
+constexpr std::array slow_factors{2.0, 4.0, 8.0};
+
+/// The trouble strikes this share of its replicas.
+constexpr std::array struck_shares{0.5, 1.0};
+
 struct tally
 {
 	unsigned rolled_back{};
@@ -89,11 +102,69 @@
 }
 } // namespace
 
+namespace
+{
+void print_row(const version_fault fault, const char* size, const std::string& trouble, const tally& sums)
+{
+	std::cout << "| " << name_of(fault) << " | " << size << " | " << trouble << " | " << sums.rolled_back
+			  << " | " << sums.completed << " | " << sums.late << " | " << sums.highest_exposure << " |"
+			  << std::endl;
+}
+
+void print_head(const std::string& caption)
+{
+	std::cout << "\n"
+			  << caption << "\n\n| version | VMs | trouble | rolled back | completed | "
+			  << "requests over 5 s after the 50th bad answer | highest part of requests "
+				 "|\n|---|---|---|---|---|---|---|\n";
+}
+
+/// Trouble of the old version's replicas alone, failing and slow, on a part of them and on all.
+std::vector<std::pair<std::string, shift_trouble>> troubles_of_old()
+{
+	std::vector<std::pair<std::string, shift_trouble>> all;
+	for (const auto struck : struck_shares)
+	{
+		const auto on = struck < 1 ? " of half of the old replicas" : " of all old replicas";
+		for (const auto share : failing_shares)
+		{
+			const auto rate = std::min(1.0, share / struck);
+			const auto percent = static_cast<int>(std::lround(rate * 100));
+			all.emplace_back("fails " + std::to_string(percent) + " in 100" + on,
+				shift_trouble{.failing_share = struck, .failing_rate = rate, .is_old_only = true});
+		}
+		for (const auto factor : slow_factors)
+		{
+			all.emplace_back(std::to_string(static_cast<int>(factor)) + " times slower," + on,
+				shift_trouble{.slowed_share = struck, .slowed_by = factor, .is_old_only = true});
+		}
+	}
+	return all;
+}
+
+void shifts_beside_trouble(unsigned plays)
+{
+	print_head("Beside an old version in trouble:");
+	for (const auto& size : sizes_beside)
+	{
+		for (const auto fault : faults)
+		{
+			for (const auto& [name, trouble] : troubles_of_old())
+			{
+				auto setup = size.setup;
+				setup.fault = fault;
+				setup.trouble = trouble;
+				const auto of_size = setup.vms > 7 ? std::max(1U, plays / 10) : plays;
+				print_row(fault, size.name, name, play_all(setup, of_size));
+			}
+		}
+	}
+}
+} // namespace
+
 void shifts(unsigned plays)
 {
-	std::cout << "| version | VMs | trouble | rolled back | completed | requests over 5 s after the 50th bad "
-				 "answer | "
-				 "highest part of requests |\n|---|---|---|---|---|---|---|\n";
+	print_head("Trouble of both versions alike:");
 	for (const auto& size : sizes)
 	{
 		for (const auto fault : faults)
@@ -103,12 +174,11 @@
 				auto setup = size.setup;
 				setup.fault = fault;
 				setup.trouble = trouble.trouble;
-				const auto sums = play_all(setup, plays);
-				std::cout << "| " << name_of(fault) << " | " << size.name << " | " << trouble.name << " | "
-						  << sums.rolled_back << " | " << sums.completed << " | " << sums.late << " | "
-						  << sums.highest_exposure << " |" << std::endl;
+				const auto of_size = setup.vms > 7 ? std::max(1U, plays / 4) : plays;
+				print_row(fault, size.name, trouble.name, play_all(setup, of_size));
 			}
 		}
 	}
+	shifts_beside_trouble(plays);
 }
 } // namespace gingerdyke::bench
--- a/include/gingerdyke/rollout/version_shift.hpp
+++ b/include/gingerdyke/rollout/version_shift.hpp
@@ -184,6 +184,9 @@
 	/// late by at most a third of them.
 	double report_growth = 1.5;
 
+	/// Most VMs whose evidence goes into one write; the registry takes 100 rows and 1 MB at once.
+	std::size_t most_reported = 90;
+
 	/// Fewest bad answers that are written: other VMs may have seen as many.
 	std::uint64_t fewest_reported = 2;
 
--- a/src/rollout/version_shift_evidence.cpp
+++ b/src/rollout/version_shift_evidence.cpp
@@ -250,8 +250,9 @@
 	state.written_bad = state.suspicious;
 	state.written_at = now;
 	std::vector<reported_evidence> taken;
-	for (const auto& reporter : std::exchange(state.unwritten, {}))
+	while (!state.unwritten.empty() && taken.size() < tuning_.most_reported)
 	{
+		const auto reporter = state.unwritten.extract(state.unwritten.begin()).value();
 		const auto& seen = reporter.empty() ? state.own : state.others[reporter];
 		taken.push_back({reporter, {service, state.plan->order, seen}});
 	}
--- a/tests/rollout/version_shift.cpp
+++ b/tests/rollout/version_shift.cpp
@@ -430,3 +430,33 @@
 	const auto ordered = one.now.time_since_epoch() + seconds{7};
 	CHECK(written(one, 11).started == ordered);
 }
+
+TEST_CASE("at a trial's end a VM that can't tell writes what it knows, in writes that the registry takes",
+	"[shift]")
+{
+	vm one{1};
+	const auto plan = begin(one);
+	one.pass(milliseconds{10500});
+	constexpr std::size_t reporters = 130;
+	for (std::size_t i = 0; i < reporters; ++i)
+	{
+		one.shift.on_relayed_evidence("vm" + std::to_string(i), failures(plan, 1, 0, i), one.now);
+	}
+	const auto written_now = [&one]
+	{
+		std::size_t rows = 0;
+		for (const auto& write : one.shift.due(one.now))
+		{
+			rows += write.evidence.size();
+		}
+		return rows;
+	};
+	CHECK(written_now() == 0);
+	one.pass(milliseconds{5600});
+	const auto first = written_now();
+	CHECK(first > 0);
+	CHECK(first < 100);
+	CHECK(written_now() == 0);
+	one.pass(milliseconds{1100});
+	CHECK(written_now() == reporters - first);
+}
