A VM that restarts during a trial uses as few of the new replicas as the others

Cause: found by reading. The replicas of the new version were counted when a replica changed, and only if the order was known by then. A VM that started again read the replicas first, and counted none until one changed: all replicas of the new version took work there, so that each bore little, the trial had no peak, and times were compared under unlike loads.

Change: replicas are counted by version whenever they change, and the plan says which are new.

--- a/include/gingerdyke/rollout/version_shift.hpp
+++ b/include/gingerdyke/rollout/version_shift.hpp
@@ -315,9 +315,8 @@
 		instant followed_since;
 		bool suspended{};
 
-		/// Replicas of the version that the order names, and all others.
-		std::size_t new_replicas{};
-		std::size_t old_replicas{};
+		/// Replicas by version.
+		std::map<std::string, std::size_t> replicas;
 
 		/// Paces of the version in force by model, as this VM saw them while no shift was under way. Engines
 		/// that are overloaded when a shift begins showed before how fast they are.
@@ -363,6 +362,10 @@
 	[[nodiscard]] bool has_fresh_news(instant now) const { return now - news_at_ < tuning_.news_limit; }
 	[[nodiscard]] static bool is_running(const service_state& state);
 
+	/// Replicas of a plan's new version, and all others.
+	[[nodiscard]] static std::size_t new_replicas(const service_state& state);
+	[[nodiscard]] static std::size_t old_replicas(const service_state& state);
+
 	[[nodiscard]] bool is_control(const service_state& state, std::uint64_t replica) const;
 	static void note_usual(service_state& state, const answer_sample& answer);
 	static void note_before(version_evidence& to, const answer_sample& answer);
--- a/src/rollout/version_shift.cpp
+++ b/src/rollout/version_shift.cpp
@@ -147,6 +147,22 @@
 	}
 }
 
+std::size_t version_shift::new_replicas(const service_state& state)
+{
+	const auto found = state.replicas.find(state.plan->to_version);
+	return found == state.replicas.end() ? 0 : found->second;
+}
+
+std::size_t version_shift::old_replicas(const service_state& state)
+{
+	std::size_t all = 0;
+	for (const auto& [version, count] : state.replicas)
+	{
+		all += count;
+	}
+	return all - new_replicas(state);
+}
+
 bool version_shift::is_shifting() const
 {
 	return std::any_of(
@@ -157,10 +173,10 @@
 	const service_id& service, const std::vector<routing::replica_ptr>& replicas)
 {
 	auto& state = services_[service];
-	if (state.order)
+	state.replicas.clear();
+	for (const auto& one : replicas)
 	{
-		state.new_replicas = count_version(replicas, state.order->to_version);
-		state.old_replicas = replicas.size() - state.new_replicas;
+		++state.replicas[one->version];
 	}
 	const bool is_stable_known = !state.stable_version.empty();
 	if (state.plan || (is_stable_known && has_version(replicas, state.stable_version)))
@@ -340,7 +356,7 @@
 	{
 		return true;
 	}
-	const auto count = static_cast<double>(std::max<std::size_t>(1, state->new_replicas));
+	const auto count = static_cast<double>(std::max<std::size_t>(1, new_replicas(*state)));
 	const auto least = static_cast<double>(tuning_.fewest_replicas) / count;
 	const auto share = share_of(*state, now);
 	const auto used = is_at_peak(*state, now) ? share / tuning_.peak_load : std::max(least, share);
@@ -349,7 +365,7 @@
 
 bool version_shift::is_at_peak(const service_state& state, instant now) const
 {
-	const auto left = static_cast<double>(state.new_replicas) * share_of(state, now) / tuning_.peak_load;
+	const auto left = static_cast<double>(new_replicas(state)) * share_of(state, now) / tuning_.peak_load;
 	return schedule_of(*state.plan).is_at_peak(part_of(*state.plan, now)) &&
 		   left >= static_cast<double>(tuning_.fewest_at_peak);
 }
--- a/src/rollout/version_shift_evidence.cpp
+++ b/src/rollout/version_shift_evidence.cpp
@@ -173,7 +173,7 @@
 
 bool version_shift::is_control(const service_state& state, std::uint64_t replica) const
 {
-	const auto count = static_cast<double>(std::max<std::size_t>(1, state.old_replicas));
+	const auto count = static_cast<double>(std::max<std::size_t>(1, old_replicas(state)));
 	return unit_of(replica) < static_cast<double>(tuning_.control_replicas) / count;
 }
 
--- a/tests/rollout/version_shift.cpp
+++ b/tests/rollout/version_shift.cpp
@@ -1,5 +1,6 @@
 // SPDX-License-Identifier: MIT
 // Moving a service from one version to another: shares, evidence, and who writes what.
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <gingerdyke/rollout/version_shift.hpp>
 
@@ -460,3 +461,42 @@
 	one.pass(milliseconds{1100});
 	CHECK(written_now() == reporters - first);
 }
+
+TEST_CASE(
+	"a VM that knows the replicas before it learns of a shift uses as few of the new ones as the others",
+	"[shift]")
+{
+	const auto replicas = [](const char* version, unsigned count)
+	{
+		std::vector<routing::replica_ptr> made;
+		for (unsigned i = 0; i < count; ++i)
+		{
+			const auto one = std::make_shared<routing::replica>();
+			one->id = replica_id{std::string{version} + "-" + std::to_string(i)};
+			one->service = service;
+			one->version = version;
+			made.push_back(one);
+		}
+		return made;
+	};
+	const auto fresh = replicas("v2", 100);
+	auto all = replicas("v1", 100);
+	all.insert(all.end(), fresh.begin(), fresh.end());
+	vm early{1};
+	const auto plan = begin(early);
+	early.shift.note_replicas(service, all);
+	// One that starts again reads the replicas, then the order and the plan; no replica changes after that.
+	vm restarted{2};
+	restarted.shift.note_replicas(service, all);
+	restarted.shift.on_order({service, "v2", seconds{20}, row_version{10}}, restarted.now);
+	restarted.shift.on_plan(plan, restarted.now);
+	early.pass(milliseconds{10500});
+	restarted.pass(milliseconds{10500});
+	const auto used = [&fresh](const vm& one)
+	{
+		return std::count_if(fresh.begin(), fresh.end(),
+			[&one](const auto& replica) { return one.shift.is_in_use(*replica, one.now); });
+	};
+	CHECK(used(early) < 30);
+	CHECK(used(restarted) == used(early));
+}
