Both decisions on a new version compare its answers once; one rule and one type stand once; tests of promotion a file of their own

Read once more: `judge` and `prove` each summed the routes, ranked the groups and compared the times of the same answers, with each answer of a trial; `assess` does so once for both. The share that a good version stays below stood twice, the map of times by model four times under two names; a count of a version's replicas was used to see whether there is one. The experiment's numbers of plays have names.

--- a/bench/experiment_shifts.cpp
+++ b/bench/experiment_shifts.cpp
@@ -53,6 +53,16 @@
 const std::array sizes_beside{
 	named_size{"7 VMs", setup_of(7, 3, 18, 120)}, named_size{"91 VMs", setup_of(91, 3, 140, 300)}};
 
+/// Larger deployments take seconds a play: they get this part of the plays, at least one.
+constexpr unsigned large_divisor = 4;
+constexpr unsigned beside_divisor = 10;
+
+unsigned plays_of(const shift_setup& setup, unsigned plays, unsigned divisor)
+{
+	constexpr unsigned small_vms = 7;
+	return setup.vms > small_vms ? std::max(1U, plays / divisor) : plays;
+}
+
 /// Share of the old version's answers that fail, and how many times slower its replicas are.
 constexpr std::array failing_shares{0.1, 0.25, 0.5, 0.75};
 constexpr std::array slow_factors{2.0, 4.0, 8.0};
@@ -154,8 +164,7 @@
 				auto setup = size.setup;
 				setup.fault = fault;
 				setup.trouble = trouble;
-				const auto of_size = setup.vms > 7 ? std::max(1U, plays / 10) : plays;
-				print_row(fault, size.name, name, play_all(setup, of_size));
+				print_row(fault, size.name, name, play_all(setup, plays_of(setup, plays, beside_divisor)));
 			}
 		}
 	}
@@ -174,8 +183,8 @@
 				auto setup = size.setup;
 				setup.fault = fault;
 				setup.trouble = trouble.trouble;
-				const auto of_size = setup.vms > 7 ? std::max(1U, plays / 4) : plays;
-				print_row(fault, size.name, trouble.name, play_all(setup, of_size));
+				print_row(
+					fault, size.name, trouble.name, play_all(setup, plays_of(setup, plays, large_divisor)));
 			}
 		}
 	}
--- a/include/gingerdyke/rollout/time_comparison.hpp
+++ b/include/gingerdyke/rollout/time_comparison.hpp
@@ -50,7 +50,7 @@
 
 /// \brief What there is to compare, by model; models of whose old version too little is known are left out.
 [[nodiscard]] std::vector<compared_times> compare_times(
-	const std::map<std::string, time_evidence>& seen, const time_tuning& tuning);
+	const times_by_model& seen, const time_tuning& tuning);
 
 /// \brief How much likelier the answers are if the new version is about as fast as the old one than if it is
 /// three times slower or more, as a logarithm. A version as slow as that passes the logarithm of 1/a with
--- a/include/gingerdyke/rollout/version_evidence.hpp
+++ b/include/gingerdyke/rollout/version_evidence.hpp
@@ -51,14 +51,17 @@
 	bool operator==(const time_evidence&) const = default;
 };
 
+/// \brief Times by model.
+using times_by_model = std::map<std::string, time_evidence>;
+
 /// \brief All that was seen of a shift, by one VM or by several.
 struct version_evidence
 {
 	std::map<std::string, route_evidence> by_route;
 
 	/// Times to the first byte, and paces of streams.
-	std::map<std::string, time_evidence> by_model;
-	std::map<std::string, time_evidence> by_pace;
+	times_by_model by_model;
+	times_by_model by_pace;
 
 	/// Of these, failures on all routes in the last part of the trial: a version may turn bad late, or under
 	/// the load of a peak, which its replicas bear then where they are many.
--- a/include/gingerdyke/rollout/version_verdict.hpp
+++ b/include/gingerdyke/rollout/version_verdict.hpp
@@ -136,4 +136,15 @@
 
 /// \brief Weighs what shows that a new version is as good as the old one.
 [[nodiscard]] version_proof prove(const version_evidence& seen, const verdict_tuning& tuning);
+
+/// \brief Both decisions on the same answers.
+struct version_assessment
+{
+	version_verdict verdict;
+	version_proof proof;
+};
+
+/// \brief Weighs what speaks against a new version and what speaks for it, comparing the answers once: a VM
+/// that reads the registry does so with each answer of a trial.
+[[nodiscard]] version_assessment assess(const version_evidence& seen, const verdict_tuning& tuning);
 } // namespace gingerdyke::rollout
--- a/src/control/own_rows.cpp
+++ b/src/control/own_rows.cpp
@@ -80,7 +80,7 @@
 	return seen;
 }
 
-json models_json(const std::map<std::string, rollout::time_evidence>& times)
+json models_json(const rollout::times_by_model& times)
 {
 	json models = json::array();
 	for (const auto& [model, seen] : times)
@@ -91,9 +91,9 @@
 	return models;
 }
 
-std::map<std::string, rollout::time_evidence> models_of(const json& value)
+rollout::times_by_model models_of(const json& value)
 {
-	std::map<std::string, rollout::time_evidence> times;
+	rollout::times_by_model times;
 	for (const auto& one : value)
 	{
 		times[one.at("model").get<std::string>()] = {times_of(one.at("usual")), times_of(one.at("before")),
--- a/src/control/relay_codec.cpp
+++ b/src/control/relay_codec.cpp
@@ -189,9 +189,7 @@
 	return seen;
 }
 
-using times_by_model = std::map<std::string, rollout::time_evidence>;
-
-std::vector<wire::RelayTimeEvidence> written(const times_by_model& times)
+std::vector<wire::RelayTimeEvidence> written(const rollout::times_by_model& times)
 {
 	std::vector<wire::RelayTimeEvidence> all;
 	for (const auto& [model, seen] : times)
@@ -206,9 +204,9 @@
 	return all;
 }
 
-times_by_model read(const std::vector<wire::RelayTimeEvidence>& times)
+rollout::times_by_model read(const std::vector<wire::RelayTimeEvidence>& times)
 {
-	times_by_model all;
+	rollout::times_by_model all;
 	for (const auto& one : times)
 	{
 		all[one.model] = {read(one.usual), read(one.before), read(one.old_version), read(one.new_version)};
--- a/src/rollout/time_comparison.cpp
+++ b/src/rollout/time_comparison.cpp
@@ -58,8 +58,8 @@
 }
 
 /// Cells of a version's replicas that are fast, over all models.
-cell_set fast_half(const std::map<std::string, time_evidence>& seen,
-	const std::map<std::string, double>& limits, by_cell<answer_times> time_evidence::*version)
+cell_set fast_half(const times_by_model& seen, const std::map<std::string, double>& limits,
+	by_cell<answer_times> time_evidence::*version)
 {
 	by_cell<answer_counts> slow;
 	for (const auto& [model, limit] : limits)
@@ -134,8 +134,7 @@
 }
 } // namespace
 
-std::vector<compared_times> compare_times(
-	const std::map<std::string, time_evidence>& seen, const time_tuning& tuning)
+std::vector<compared_times> compare_times(const times_by_model& seen, const time_tuning& tuning)
 {
 	std::map<std::string, double> limits;
 	for (const auto& [model, one] : seen)
--- a/src/rollout/version_evidence.cpp
+++ b/src/rollout/version_evidence.cpp
@@ -7,8 +7,6 @@
 {
 namespace
 {
-using times_by_model = std::map<std::string, time_evidence>;
-
 void add(times_by_model& to, const times_by_model& other)
 {
 	for (const auto& [model, seen] : other)
--- a/src/rollout/version_shift.cpp
+++ b/src/rollout/version_shift.cpp
@@ -33,16 +33,10 @@
 	return most == counts.end() ? std::string{} : most->first;
 }
 
-std::size_t count_version(const std::vector<routing::replica_ptr>& replicas, const std::string& version)
-{
-	const auto count = std::count_if(
-		replicas.begin(), replicas.end(), [&](const auto& one) { return one->version == version; });
-	return static_cast<std::size_t>(count);
-}
-
 bool has_version(const std::vector<routing::replica_ptr>& replicas, const std::string& version)
 {
-	return count_version(replicas, version) > 0;
+	return std::any_of(
+		replicas.begin(), replicas.end(), [&](const auto& one) { return one->version == version; });
 }
 } // namespace
 
--- a/src/rollout/version_shift_evidence.cpp
+++ b/src/rollout/version_shift_evidence.cpp
@@ -271,12 +271,14 @@
 /// Makes of the known answers what is asked for later.
 void version_shift::weigh(service_state& state) const
 {
-	state.verdict = rollout::judge(state.known, tuning_.verdict);
 	if (!reads_registry_)
 	{
+		state.verdict = rollout::judge(state.known, tuning_.verdict);
 		return;
 	}
-	state.proof = prove(state.known, tuning_.verdict);
+	auto assessed = assess(state.known, tuning_.verdict);
+	state.verdict = std::move(assessed.verdict);
+	state.proof = assessed.proof;
 	auto reported = tuning_.verdict;
 	reported.fewest_failed = tuning_.fewest_reported;
 	reported.fewest_slow = tuning_.fewest_reported;
--- a/src/rollout/version_verdict.cpp
+++ b/src/rollout/version_verdict.cpp
@@ -171,11 +171,17 @@
 	double risk{1};
 };
 
+/// The share of failures that a version which is as good as the old one stays below.
+double most_of_good(const route_evidence& seen, const sound_cells& sound, const verdict_tuning& tuning)
+{
+	return std::min(tuning.most_failures, sound_old_share(seen, sound, tuning) + tuning.margin);
+}
+
 failure_proof prove_failures(
 	const route_evidence& seen, const sound_cells& sound, const verdict_tuning& tuning)
 {
 	failure_proof proof;
-	proof.tolerated = std::min(tuning.most_failures, sound_old_share(seen, sound, tuning) + tuning.margin);
+	proof.tolerated = most_of_good(seen, sound, tuning);
 	for (const auto& judged : {seen.new_version.sum(), seen.new_version.sum(sound.of_new)})
 	{
 		const auto risk = risk_of(judged, proof.tolerated);
@@ -193,8 +199,7 @@
 bool is_doubtful(const route_evidence& seen, const sound_cells& sound, const verdict_tuning& tuning)
 {
 	const auto judged = seen.new_version.sum(sound.of_new);
-	const auto tolerated =
-		std::min(tuning.most_failures, sound_old_share(seen, sound, tuning) + tuning.margin);
+	const auto tolerated = most_of_good(seen, sound, tuning);
 	return judged.failed >= tuning.fewest_doubtful && judged.share() >= tuning.doubtful_part * tolerated;
 }
 
@@ -224,26 +229,26 @@
 	}
 	return static_cast<std::uint64_t>(std::lround(slow));
 }
-} // namespace
 
-const char* name_of(verdict_ground ground) noexcept
+/// What both decisions rest on.
+struct compared_evidence
 {
-	switch (ground)
+	compared_evidence(const version_evidence& of, const verdict_tuning& tuning)
+		: seen(of), all_routes(of.all_routes()), sound(all_routes),
+		  times(compare_times(of.by_model, tuning.times)), paces(compare_times(of.by_pace, tuning.times))
 	{
-	case verdict_ground::none:
-		return "none";
-	case verdict_ground::failures:
-		return "failures";
-	case verdict_ground::times:
-		return "times";
-	case verdict_ground::unproven:
-		return "unproven";
 	}
-	return "unknown";
-}
 
-version_verdict judge(const version_evidence& seen, const verdict_tuning& tuning)
+	const version_evidence& seen;
+	route_evidence all_routes;
+	sound_cells sound;
+	std::vector<compared_times> times;
+	std::vector<compared_times> paces;
+};
+
+version_verdict judge_compared(const compared_evidence& compared, const verdict_tuning& tuning)
 {
+	const auto& [seen, all_routes, sound, times, paces] = compared;
 	version_verdict worst;
 	worst.evidence = -std::numeric_limits<double>::infinity();
 	const auto consider = [&worst](const version_verdict& one)
@@ -253,17 +258,15 @@
 			worst = one;
 		}
 	};
-	const auto all_routes = seen.all_routes();
-	const sound_cells sound{all_routes};
 	for (const auto& [route, one] : seen.by_route)
 	{
 		consider(judge_route(route, one, sound, tuning));
 	}
 	consider(judge_late(seen, all_routes, sound, tuning));
 	consider(judge_overall(all_routes, tuning));
-	for (const auto* times : {&seen.by_model, &seen.by_pace})
+	for (const auto* of_kind : {&times, &paces})
 	{
-		for (const auto& one : judge_times(compare_times(*times, tuning.times), tuning))
+		for (const auto& one : judge_times(*of_kind, tuning))
 		{
 			consider(one);
 		}
@@ -271,28 +274,58 @@
 	return worst;
 }
 
-version_proof prove(const version_evidence& seen, const verdict_tuning& tuning)
+version_proof prove_compared(const compared_evidence& compared, const verdict_tuning& tuning)
 {
+	const auto& [seen, all_routes, sound, times, paces] = compared;
 	version_proof proof;
-	const auto all = seen.all_routes();
-	const sound_cells sound{all};
-	const auto failures = prove_failures(all, sound, tuning);
+	const auto failures = prove_failures(all_routes, sound, tuning);
 	proof.judged = failures.judged;
 	proof.tolerated = failures.tolerated;
 	proof.failure_risk = failures.risk;
 	proof.has_doubtful_part = has_doubtful_part(seen, sound, tuning);
-	const auto times = compare_times(seen.by_model, tuning.times);
-	const auto paces = compare_times(seen.by_pace, tuning.times);
 	proof.fast_evidence = evidence_as_fast(times);
 	if (!paces.empty())
 	{
 		proof.fast_evidence = std::min(proof.fast_evidence, evidence_as_fast(paces));
 		proof.slow_risk = risk_of_slow_at_best(paces, tuning.times);
 	}
-	proof.bad = std::max({all.new_version.sum().failed, count_slow(times, false, tuning.times),
+	proof.bad = std::max({all_routes.new_version.sum().failed, count_slow(times, false, tuning.times),
 		count_slow(paces, true, tuning.times)});
 	const bool is_fast = proof.fast_evidence >= -std::log(tuning.risk) && proof.slow_risk <= tuning.risk;
 	proof.is_shown = proof.failure_risk <= tuning.risk && !proof.has_doubtful_part && is_fast;
 	return proof;
 }
+} // namespace
+
+const char* name_of(verdict_ground ground) noexcept
+{
+	switch (ground)
+	{
+	case verdict_ground::none:
+		return "none";
+	case verdict_ground::failures:
+		return "failures";
+	case verdict_ground::times:
+		return "times";
+	case verdict_ground::unproven:
+		return "unproven";
+	}
+	return "unknown";
+}
+
+version_verdict judge(const version_evidence& seen, const verdict_tuning& tuning)
+{
+	return judge_compared(compared_evidence{seen, tuning}, tuning);
+}
+
+version_proof prove(const version_evidence& seen, const verdict_tuning& tuning)
+{
+	return prove_compared(compared_evidence{seen, tuning}, tuning);
+}
+
+version_assessment assess(const version_evidence& seen, const verdict_tuning& tuning)
+{
+	const compared_evidence compared{seen, tuning};
+	return {judge_compared(compared, tuning), prove_compared(compared, tuning)};
+}
 } // namespace gingerdyke::rollout
--- a/tests/rollout/version_shift.cpp
+++ b/tests/rollout/version_shift.cpp
@@ -1,118 +1,15 @@
 // SPDX-License-Identifier: MIT
 // Moving a service from one version to another: shares, evidence, and who writes what.
+#include "../support/shift_vm.hpp"
+
 #include <algorithm>
-#include <catch2/catch.hpp>
-#include <gingerdyke/rollout/version_shift.hpp>
 
 using namespace gingerdyke;
 using namespace gingerdyke::rollout;
+using namespace gingerdyke::test;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-namespace
-{
-const service_id service{"s"};
-
-/// One VM whose registry clock runs with its own, 7 s ahead.
-struct vm
-{
-	explicit vm(std::uint64_t seed) : shift(seeded_random{seed}, [](const shift_news&) {})
-	{
-		const auto old = std::make_shared<routing::replica>();
-		old->service = service;
-		old->version = "v1";
-		shift.note_replicas(service, {old});
-		hear();
-	}
-
-	void hear() { shift.note_registry_time(now.time_since_epoch() + seconds{7}, now); }
-
-	/// A VM in touch hears from the registry at least this often.
-	void pass(duration span)
-	{
-		constexpr duration news_pause = milliseconds{500};
-		for (const auto until = now + span; now < until;)
-		{
-			now = std::min(now + news_pause, until);
-			hear();
-		}
-	}
-
-	/// Answers of a version: failures in a fixed pattern.
-	void see(const std::string& version, unsigned count, unsigned failures, double relative_time = 1)
-	{
-		for (unsigned i = 0; i < count; ++i)
-		{
-			shift.note_answer(service, version, {"route", "model", i < failures, relative_time}, now);
-		}
-	}
-
-	instant now{seconds{1000}};
-	version_shift shift;
-};
-
-/// Failures on the only route, at replicas of one group.
-shift_evidence failures(
-	const shift_plan& plan, std::uint64_t answers, std::uint64_t failed, std::size_t group = 0)
-{
-	shift_evidence evidence{service, plan.order, {}};
-	evidence.seen.by_route["route"].new_version[cell_of(group, 0)] = {answers, failed};
-	return evidence;
-}
-
-/// The plan that a VM wants to write, made a row.
-shift_plan written(vm& one, std::int64_t row)
-{
-	for (int i = 0; i < 100; ++i)
-	{
-		for (const auto& write : one.shift.due(one.now))
-		{
-			if (write.plan)
-			{
-				auto plan = *write.plan;
-				plan.row = row_version{row};
-				return plan;
-			}
-		}
-		one.pass(milliseconds{20});
-	}
-	FAIL("nothing was to be written");
-	return {};
-}
-
-shift_plan begin(vm& one, duration length = seconds{20})
-{
-	one.shift.on_order({service, "v2", length, row_version{10}}, one.now);
-	const auto plan = written(one, 11);
-	one.shift.on_plan(plan, one.now);
-	return plan;
-}
-
-/// Answers that show that the new version is as good as the old one; then the plan that promotes it.
-shift_plan promote(vm& one)
-{
-	one.see("v1", 100, 0);
-	one.see("v2", 20, 0);
-	const auto plan = written(one, 12);
-	REQUIRE(plan.promoted);
-	CHECK(plan.state == shift_state::running);
-	one.shift.on_plan(plan, one.now);
-	return plan;
-}
-
-/// Share of sessions that go to the new version.
-double measured_share(vm& one)
-{
-	unsigned to_new = 0;
-	constexpr unsigned sessions = 2000;
-	for (unsigned i = 0; i < sessions; ++i)
-	{
-		to_new += one.shift.version_for(service, i * (~std::uint64_t{0} / sessions), one.now) == "v2" ? 1 : 0;
-	}
-	return to_new / static_cast<double>(sessions);
-}
-} // namespace
-
 TEST_CASE("without an order everything goes to the version that is there", "[shift]")
 {
 	vm one{1};
@@ -377,53 +274,6 @@
 	CHECK(next.to_version == "v3");
 }
 
-TEST_CASE("a version of which nothing is known is given back in time, not completed", "[shift]")
-{
-	vm one{1};
-	begin(one);
-	one.see("v1", 200, 0);
-	one.pass(seconds{18});
-	CHECK(measured_share(one) == Approx(0.056).margin(0.002));
-	one.pass(milliseconds{1000});
-	const auto last = written(one, 12);
-	CHECK(last.state == shift_state::rolled_back);
-	CHECK(one.now < instant{seconds{1020}});
-}
-
-TEST_CASE("a version that gives bad answers is to be shown good soon after", "[shift]")
-{
-	vm one{1};
-	begin(one);
-	// The old version fails at half of its replicas: nothing conclusive can be said of the new one at first.
-	one.see("v1", 100, 40);
-	one.pass(milliseconds{10500});
-	one.see("v1", 100, 40);
-	one.see("v2", 30, 12);
-	CHECK(measured_share(one) > 0);
-	one.pass(milliseconds{2800});
-	CHECK(one.shift.due(one.now).empty());
-	one.pass(milliseconds{500});
-	CHECK(written(one, 12).state == shift_state::rolled_back);
-	CHECK(measured_share(one) == 0);
-}
-
-TEST_CASE("a VM that does not read the registry neither promotes nor gives back", "[shift]")
-{
-	vm one{1};
-	begin(one);
-	one.shift.note_reads_registry(false);
-	one.pass(milliseconds{10500});
-	one.see("v1", 100, 0);
-	one.see("v2", 40, 0);
-	one.pass(seconds{12});
-	CHECK(one.shift.due(one.now).empty());
-	CHECK(measured_share(one) == Approx(0.056).margin(0.002));
-	// Once it does, it looks at what was left to others.
-	one.shift.note_reads_registry(true);
-	one.see("v2", 1, 0);
-	CHECK(written(one, 12).promoted);
-}
-
 TEST_CASE("a shift's time runs from the order, not from the writing of its plan", "[shift]")
 {
 	vm one{1};
@@ -432,36 +282,6 @@
 	CHECK(written(one, 11).started == ordered);
 }
 
-TEST_CASE("at a trial's end a VM that can't tell writes what it knows, in writes that the registry takes",
-	"[shift]")
-{
-	vm one{1};
-	const auto plan = begin(one);
-	one.pass(milliseconds{10500});
-	constexpr std::size_t reporters = 130;
-	for (std::size_t i = 0; i < reporters; ++i)
-	{
-		one.shift.on_relayed_evidence("vm" + std::to_string(i), failures(plan, 1, 0, i), one.now);
-	}
-	const auto written_now = [&one]
-	{
-		std::size_t rows = 0;
-		for (const auto& write : one.shift.due(one.now))
-		{
-			rows += write.evidence.size();
-		}
-		return rows;
-	};
-	CHECK(written_now() == 0);
-	one.pass(milliseconds{5600});
-	const auto first = written_now();
-	CHECK(first > 0);
-	CHECK(first < 100);
-	CHECK(written_now() == 0);
-	one.pass(milliseconds{1100});
-	CHECK(written_now() == reporters - first);
-}
-
 TEST_CASE(
 	"a VM that knows the replicas before it learns of a shift uses as few of the new ones as the others",
 	"[shift]")
