Sight: a line tells when a replica has ended and which requests ran there; request lines carry a key of their content

Cause of the change: the lines could not tell which requests are the same one asked again, nor what ran on a replica when it ended, so that a request that ends replicas could not be told from one that stands beside those that end by themselves. Change: a request's key is a hash of method, host, target, workspace and body; a VM keeps which keys run on each replica, those given up within the last second too; where an answer breaks off one more connection tells whether the process is gone. No decision rests on it yet.

--- a/include/gingerdyke/proxy/exchange.hpp
+++ b/include/gingerdyke/proxy/exchange.hpp
@@ -32,6 +32,11 @@
 	duration first_byte{};
 	routing::size_step size;
 
+	quarantine::run_number run;
+
+	/// What its end tells about the request, unless it ends otherwise.
+	quarantine::run_end run_ends{quarantine::run_end::given_up};
+
 	/// Work that the replica is counted to have with it now, in tokens read by the largest model.
 	double work{};
 
@@ -67,6 +72,7 @@
 	void begin();
 	[[nodiscard]] bool admit();
 	[[nodiscard]] bool admit_key();
+	[[nodiscard]] quarantine::request_key read_key() const;
 	void refuse_unknown(int status, std::string reason);
 	void read_deadline();
 
@@ -96,7 +102,7 @@
 	void note_pace(std::optional<duration> between_events);
 	void on_end();
 	void on_fault(upstream_fault fault);
-	void on_not_connected();
+	void on_not_connected(upstream_fault fault);
 	void take_back_attempt();
 	[[nodiscard]] rollout::answer_sample sample_of(duration took) const;
 	[[nodiscard]] bool is_foreign(const answer_head& head) const;
@@ -133,6 +139,7 @@
 	const routing::workspace* workspace_ = nullptr;
 	service_id service_id_;
 	std::string id_;
+	quarantine::request_key key_;
 	prompt prompt_;
 	std::uint64_t session_point_ = 0;
 	std::vector<replica_id> tried_;
--- a/include/gingerdyke/proxy/gateway.hpp
+++ b/include/gingerdyke/proxy/gateway.hpp
@@ -6,6 +6,7 @@
 #include <gingerdyke/limits/attempt_budget.hpp>
 #include <gingerdyke/proxy/answer_sink.hpp>
 #include <gingerdyke/proxy/header_names.hpp>
+#include <gingerdyke/proxy/replica_end_watch.hpp>
 #include <gingerdyke/proxy/request_log.hpp>
 #include <gingerdyke/proxy/upstream_pool.hpp>
 #include <gingerdyke/rollout/version_shift.hpp>
@@ -157,6 +158,9 @@
 	/// \brief Notes a replica's answer for the shift of its service's version.
 	void note_answer(const routing::replica& from, const rollout::answer_sample& answer);
 
+	/// \brief Replicas' ends, and the requests under which they came.
+	[[nodiscard]] replica_end_watch& ends() noexcept { return ends_; }
+
 	/// \brief What is believed now, as gauges in the Prometheus text format.
 	void write_metrics(std::ostream& out, instant now);
 
@@ -182,6 +186,7 @@
 
   private:
 	void on_replica_change(const routing::replica& one, routing::replica_change change);
+	void on_replica_end(const replica_end& end, bool has_ended);
 	void tell_ready();
 
 	asio::io_context& context_;
@@ -193,6 +198,7 @@
 	routing::replica_set replicas_;
 	routing::replica_selector selector_;
 	upstream_pool pool_;
+	replica_end_watch ends_;
 	rollout::version_shift versions_;
 	routing::size_policy sizes_;
 	std::map<service_id, routing::first_token_time> first_tokens_;
--- a/include/gingerdyke/proxy/request_log.hpp
+++ b/include/gingerdyke/proxy/request_log.hpp
@@ -45,6 +45,9 @@
 struct request_line
 {
 	std::string id;
+
+	/// Key of its content, the same for each repeat.
+	std::string content;
 	std::string route;
 	std::string workspace;
 	std::string replica;
--- a/include/gingerdyke/proxy/upstream_link.hpp
+++ b/include/gingerdyke/proxy/upstream_link.hpp
@@ -17,6 +17,8 @@
 {
 	/// No connection came up: the request has not left.
 	not_connected,
+	/// The same, by the replica's own refusal: nobody listens at its address.
+	refused_connection,
 	/// The connection ended before the answer's head was whole.
 	no_answer,
 	/// The connection ended in the middle of the answer.
--- a/include/gingerdyke/routing/replica_set.hpp
+++ b/include/gingerdyke/routing/replica_set.hpp
@@ -46,6 +46,9 @@
 
 using replica_ptr = std::shared_ptr<const replica>;
 
+/// \brief A hash of a replica's process, the same on all VMs.
+[[nodiscard]] std::uint64_t process_hash(const replica& one) noexcept;
+
 /// \brief What `replica_set` believes, and what changed it.
 enum class replica_change
 {
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -224,6 +224,7 @@
 	attempt_->sent_at = now;
 	attempt_->trace_before = trace_;
 	attempt_->size = size_;
+	attempt_->run = shared_.ends().runs().begin(*to, key_, now);
 	// From here on a replica may run it at any moment, whatever is heard of it.
 	trace_ = trace::may_have_run;
 	attempt_->link = shared_.pool().take(to, route_->may_run_again(), now);
@@ -277,6 +278,7 @@
 	}
 	attempt_timer_.cancel();
 	shared_.selector().note_over(*attempt_->to, attempt_->work);
+	shared_.ends().runs().end(*attempt_->to, attempt_->run, attempt_->run_ends, steady_now());
 	if (!answered_whole)
 	{
 		attempt_->link->close();
@@ -364,6 +366,7 @@
 	const auto now = steady_now();
 	request_line line;
 	line.id = id_;
+	line.content = key_.str();
 	line.route = route_ == nullptr ? "" : route_->id.str();
 	line.workspace = workspace_ == nullptr ? "" : workspace_->id.str();
 	line.replica = last_replica_ ? last_replica_->id.str() : "";
--- a/src/proxy/exchange_admission.cpp
+++ b/src/proxy/exchange_admission.cpp
@@ -109,6 +109,7 @@
 	{
 		return false;
 	}
+	key_ = read_key();
 	const auto* session = request_.find(names.session);
 	session_point_ =
 		mix_hash(stable_hash(session != nullptr ? *session : id_), stable_hash(route_->id.str()));
@@ -155,6 +156,20 @@
 	return true;
 }
 
+quarantine::request_key exchange::read_key() const
+{
+	quarantine::request_content content;
+	content.method = request_.method;
+	content.host = *request_.find("Host");
+	content.target = request_.target;
+	content.body = request_.body;
+	if (workspace_ != nullptr)
+	{
+		content.workspace = workspace_->id.str();
+	}
+	return quarantine::key_of(content);
+}
+
 void exchange::read_deadline()
 {
 	auto span = route_->time_limit;
--- a/src/proxy/exchange_answers.cpp
+++ b/src/proxy/exchange_answers.cpp
@@ -2,7 +2,6 @@
 // One request: what its replica does, and what is made of it.
 #include <algorithm>
 #include <charconv>
-#include <gingerdyke/base/crypto.hpp>
 #include <gingerdyke/proxy/exchange.hpp>
 
 namespace gingerdyke::proxy
@@ -51,6 +50,7 @@
 		on_fault(upstream_fault::bad_answer);
 		return;
 	}
+	shared_.ends().runs().note_alive(*attempt_->to);
 	const bool failed = came.status >= first_failure;
 	auto sample = sample_of(attempt_->first_byte);
 	sample.failed = failed;
@@ -62,6 +62,7 @@
 	note_result(failed ? routing::replica_result::failed : routing::replica_result::answered);
 	if (failed && may_try_again())
 	{
+		attempt_->run_ends = quarantine::run_end::over;
 		tried_.push_back(attempt_->to->id);
 		end_attempt(false);
 		try_again_or([this] { give_up(bad_gateway, "replica failed"); });
@@ -90,7 +91,7 @@
 	sample.route = route_->id.str();
 	sample.model = route_->models.empty() ? std::string{} : route_->models[attempt_->size.index].str();
 	sample.relative_time = rollout::relative_answer_time(took, prompt_.tokens_in);
-	sample.replica = mix_hash(stable_hash(to.id.str()), static_cast<std::uint64_t>(to.incarnation.value()));
+	sample.replica = routing::process_hash(to);
 	return sample;
 }
 
@@ -100,6 +101,7 @@
 	const auto to = attempt_->to;
 	const bool is_other = attempt_->head.status == misdirected;
 	trace_ = attempt_->trace_before;
+	attempt_->run_ends = quarantine::run_end::over;
 	note_result(routing::replica_result::refused);
 	tried_.push_back(to->id);
 	end_attempt(false);
@@ -240,6 +242,7 @@
 		on_fault(upstream_fault::cut_answer);
 		return;
 	}
+	attempt_->run_ends = quarantine::run_end::survived;
 	end_attempt(true);
 	to_->end();
 	finish(request_outcome::served, 200, {});
@@ -251,9 +254,10 @@
 	const auto status = head.status;
 	whole_answer answer{status, head.reason, end_to_end(head.fields), std::move(attempt_->body)};
 	first_byte_ = steady_now() - arrived_;
+	const bool failed = status >= first_failure;
+	attempt_->run_ends = failed ? quarantine::run_end::over : quarantine::run_end::survived;
 	end_attempt(true);
 	const auto sink = to_;
-	const bool failed = status >= first_failure;
 	finish(failed ? request_outcome::failed_by_replica : request_outcome::served, status,
 		failed ? "replica failed" : "");
 	sink->send(std::move(answer));
@@ -265,11 +269,15 @@
 	{
 		return;
 	}
-	if (fault == upstream_fault::not_connected)
+	if (fault == upstream_fault::not_connected || fault == upstream_fault::refused_connection)
 	{
-		on_not_connected();
+		on_not_connected(fault);
 		return;
 	}
+	if (fault != upstream_fault::bad_answer)
+	{
+		shared_.ends().note_broken(attempt_->to, steady_now());
+	}
 	// A connection kept too long tells nothing about its replica.
 	const bool is_stale_link = fault == upstream_fault::no_answer && attempt_->link->was_used();
 	if (!is_stale_link)
@@ -285,6 +293,7 @@
 void exchange::take_back_attempt()
 {
 	trace_ = attempt_->trace_before;
+	attempt_->run_ends = quarantine::run_end::over;
 	tried_.push_back(attempt_->to->id);
 	end_attempt(false);
 	--attempts_;
@@ -294,10 +303,15 @@
 	}
 }
 
-void exchange::on_not_connected()
+void exchange::on_not_connected(upstream_fault fault)
 {
 	note_result(routing::replica_result::not_connected);
+	const auto to = attempt_->to;
 	take_back_attempt();
+	if (fault == upstream_fault::refused_connection)
+	{
+		shared_.ends().note_refused(to, steady_now());
+	}
 	if (++failed_connections_ >= shared_.tuning().failed_connections)
 	{
 		give_up(bad_gateway, name_of(upstream_fault::not_connected));
@@ -332,7 +346,7 @@
 {
 	if (!attempt_->connected)
 	{
-		on_not_connected();
+		on_not_connected(upstream_fault::not_connected);
 		return;
 	}
 	// Where nothing else can be tried, what is under way may still come.
--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -28,6 +28,25 @@
 	return tuning;
 }
 
+/// Keys that one line names, at most.
+constexpr std::size_t most_keys_in_line = 8;
+
+void log_replica_end(const replica_end& end)
+{
+	json keys = json::array();
+	for (const auto& key : end.requests)
+	{
+		if (keys.size() < most_keys_in_line)
+		{
+			keys.push_back(key.str());
+		}
+	}
+	log::write(log::level::warn, "replica ended",
+		{{"replica", end.replica->id.str()}, {"service", end.replica->service.str()},
+			{"version", end.replica->version}, {"requests", end.requests.size()},
+			{"contents", std::move(keys)}});
+}
+
 void log_shift(const rollout::shift_news& news)
 {
 	const auto& plan = news.plan;
@@ -72,6 +91,8 @@
 	  replicas_([this](const routing::replica& one, routing::replica_change change)
 		  { on_replica_change(one, change); }),
 	  selector_(replicas_, std::move(own_domain), random, log_ejection), pool_(context, names_.request_id),
+	  ends_(context, {[](const replica_end&) {},
+						 [this](const replica_end& end, bool has_ended) { on_replica_end(end, has_ended); }}),
 	  versions_(std::move(random), log_shift, shift_tuning_for(bounds_))
 {
 }
@@ -206,6 +227,14 @@
 	}
 }
 
+void gateway::on_replica_end(const replica_end& end, bool has_ended)
+{
+	if (has_ended)
+	{
+		log_replica_end(end);
+	}
+}
+
 void gateway::on_replica_change(const routing::replica& one, routing::replica_change change)
 {
 	// The first reading of the registry is told as a whole.
@@ -217,6 +246,7 @@
 	{
 		pool_.drop(one.id);
 		selector_.forget(one.id);
+		ends_.runs().forget(one.id);
 	}
 	versions_.note_replicas(one.service, replicas_.of(one.service));
 }
--- /dev/null
+++ b/src/proxy/replica_end_watch.cpp
@@ -0,0 +1,80 @@
+// SPDX-License-Identifier: MIT
+// Finds out that a replica's process has ended.
+#include <gingerdyke/proxy/replica_end_watch.hpp>
+
+namespace gingerdyke::proxy
+{
+/// One connection that carries nothing.
+struct replica_end_watch::probe
+{
+	explicit probe(asio::io_context& context) : socket(context), timer(context) {}
+
+	tcp::socket socket;
+	asio::steady_timer timer;
+	bool is_over{};
+};
+
+replica_end_watch::replica_end_watch(asio::io_context& context, hooks told, replica_end_tuning tuning)
+	: context_(context), told_(std::move(told)), tuning_(tuning)
+{
+}
+
+void replica_end_watch::note_broken(const routing::replica_ptr& at, instant now)
+{
+	const auto life = runs_.life_of(*at);
+	if (runs_.has_ended(*at) || probed_.contains(life))
+	{
+		return;
+	}
+	const replica_end end{at, life, runs_.running_at(*at, now)};
+	told_.presumed(end);
+	begin_probe(end);
+}
+
+void replica_end_watch::note_refused(const routing::replica_ptr& at, instant now)
+{
+	const auto life = runs_.life_of(*at);
+	if (runs_.has_ended(*at) || probed_.contains(life))
+	{
+		return;
+	}
+	const replica_end end{at, life, runs_.running_at(*at, now)};
+	told_.presumed(end);
+	settle(end, true);
+}
+
+void replica_end_watch::begin_probe(const replica_end& end)
+{
+	error_code error;
+	const auto ip = asio::ip::make_address_v4(end.replica->at.ip, error);
+	if (error)
+	{
+		settle(end, false);
+		return;
+	}
+	probed_.insert(end.life);
+	const auto made = std::make_shared<probe>(context_);
+	const auto finish = [this, made, end, alive = std::weak_ptr<bool>{lives_}](bool has_ended)
+	{
+		if (alive.expired() || std::exchange(made->is_over, true))
+		{
+			return;
+		}
+		error_code ignored;
+		made->timer.cancel();
+		made->socket.close(ignored);
+		probed_.erase(end.life);
+		settle(end, has_ended);
+	};
+	made->timer.expires_after(tuning_.connect_limit);
+	made->timer.async_wait([finish](const error_code&) { finish(false); });
+	made->socket.async_connect({ip, end.replica->at.port},
+		[finish](const error_code& failed) { finish(failed == asio::error::connection_refused); });
+}
+
+void replica_end_watch::settle(const replica_end& end, bool has_ended)
+{
+	const bool is_news = has_ended && runs_.note_ended(*end.replica);
+	told_.settled(end, is_news);
+}
+} // namespace gingerdyke::proxy
--- a/src/proxy/request_log.cpp
+++ b/src/proxy/request_log.cpp
@@ -46,10 +46,10 @@
 	}
 	const auto choice = line.choice.value_or(size_choice{});
 	log::write(log::level::info, "request",
-		{{"request", line.id}, {"route", line.route}, {"workspace", line.workspace},
-			{"replica", line.replica}, {"version", line.version}, {"model", line.model},
-			{"outcome", name_of(line.outcome)}, {"status", line.status}, {"reason", line.reason},
-			{"attempts", line.attempts}, {"took_ms", to_milliseconds(line.took)},
+		{{"request", line.id}, {"content", line.content}, {"route", line.route},
+			{"workspace", line.workspace}, {"replica", line.replica}, {"version", line.version},
+			{"model", line.model}, {"outcome", name_of(line.outcome)}, {"status", line.status},
+			{"reason", line.reason}, {"attempts", line.attempts}, {"took_ms", to_milliseconds(line.took)},
 			{"first_byte_ms", to_milliseconds(line.first_byte)}, {"confidence", choice.confidence},
 			{"escalate_below", choice.threshold}, {"larger_expected_ms", to_milliseconds(choice.expected)},
 			{"config", line.config}, {"config_age_ms", to_milliseconds(line.config_age)},
--- a/src/proxy/upstream_link.cpp
+++ b/src/proxy/upstream_link.cpp
@@ -42,6 +42,8 @@
 	{
 	case upstream_fault::not_connected:
 		return "not connected";
+	case upstream_fault::refused_connection:
+		return "connection refused";
 	case upstream_fault::no_answer:
 		return "no answer";
 	case upstream_fault::cut_answer:
@@ -106,7 +108,8 @@
 			}
 			if (failed)
 			{
-				self->fail(upstream_fault::not_connected);
+				const bool is_refused = failed == asio::error::connection_refused;
+				self->fail(is_refused ? upstream_fault::refused_connection : upstream_fault::not_connected);
 				return;
 			}
 			self->connected_ = true;
--- /dev/null
+++ b/src/quarantine/replica_runs.cpp
@@ -0,0 +1,121 @@
+// SPDX-License-Identifier: MIT
+// Which requests run on each replica.
+#include <algorithm>
+#include <gingerdyke/base/crypto.hpp>
+#include <gingerdyke/quarantine/replica_runs.hpp>
+#include <utility>
+
+namespace gingerdyke::quarantine
+{
+replica_runs::process& replica_runs::process_of(const routing::replica& one)
+{
+	auto& known = processes_[one.id];
+	if (known.incarnation != one.incarnation)
+	{
+		known = process{};
+		known.incarnation = one.incarnation;
+	}
+	return known;
+}
+
+const replica_runs::process* replica_runs::find(const routing::replica& one) const
+{
+	const auto found = processes_.find(one.id);
+	const bool is_current = found != processes_.end() && found->second.incarnation == one.incarnation;
+	return is_current ? &found->second : nullptr;
+}
+
+replica_runs::process* replica_runs::find(const routing::replica& one)
+{
+	return const_cast<process*>(std::as_const(*this).find(one));
+}
+
+bool replica_runs::counts(const run& one, instant now) const
+{
+	return !one.given_up_at || now - *one.given_up_at <= tuning_.aftermath;
+}
+
+run_number replica_runs::begin(const routing::replica& at, request_key key, instant now)
+{
+	auto& runs = process_of(at).runs;
+	std::erase_if(runs, [&](const run& one) { return !counts(one, now); });
+	const run_number number{++last_run_};
+	runs.push_back({number, std::move(key), {}});
+	return number;
+}
+
+void replica_runs::end(const routing::replica& at, run_number number, run_end how, instant now)
+{
+	auto* known = find(at);
+	if (known == nullptr)
+	{
+		return;
+	}
+	auto& runs = known->runs;
+	const auto found =
+		std::find_if(runs.begin(), runs.end(), [&](const run& one) { return one.number == number; });
+	if (found == runs.end())
+	{
+		return;
+	}
+	if (how == run_end::given_up)
+	{
+		found->given_up_at = now;
+		return;
+	}
+	runs.erase(found);
+}
+
+void replica_runs::note_alive(const routing::replica& one)
+{
+	if (auto* known = find(one))
+	{
+		known->has_ended = false;
+	}
+}
+
+bool replica_runs::note_ended(const routing::replica& one)
+{
+	auto* known = find(one);
+	if (known == nullptr || known->has_ended)
+	{
+		return false;
+	}
+	known->has_ended = true;
+	++known->ends;
+	return true;
+}
+
+bool replica_runs::has_ended(const routing::replica& one) const
+{
+	const auto* known = find(one);
+	return known != nullptr && known->has_ended;
+}
+
+process_life replica_runs::life_of(const routing::replica& one) const
+{
+	const auto* known = find(one);
+	const auto ends_before = known == nullptr ? 0 : known->ends - (known->has_ended ? 1 : 0);
+	return process_life{static_cast<std::int64_t>(mix_hash(routing::process_hash(one), ends_before))};
+}
+
+std::vector<request_key> replica_runs::running_at(const routing::replica& one, instant now) const
+{
+	std::vector<request_key> keys;
+	const auto* known = find(one);
+	if (known == nullptr)
+	{
+		return keys;
+	}
+	for (const auto& run : known->runs)
+	{
+		if (counts(run, now))
+		{
+			keys.push_back(run.key);
+		}
+	}
+	std::sort(keys.begin(), keys.end());
+	keys.erase(std::unique(keys.begin(), keys.end()), keys.end());
+	return keys;
+}
+} // namespace gingerdyke::quarantine
--- a/src/routing/replica_set.cpp
+++ b/src/routing/replica_set.cpp
@@ -1,11 +1,17 @@
 // SPDX-License-Identifier: MIT
 // The replicas that discovery names.
 #include <algorithm>
+#include <gingerdyke/base/crypto.hpp>
 #include <gingerdyke/routing/replica_set.hpp>
 #include <set>
 
 namespace gingerdyke::routing
 {
+std::uint64_t process_hash(const replica& one) noexcept
+{
+	return mix_hash(stable_hash(one.id.str()), static_cast<std::uint64_t>(one.incarnation.value()));
+}
+
 const char* name_of(replica_change change) noexcept
 {
 	switch (change)
