--- a/tests/support/scripted_peer.cpp
+++ b/tests/support/scripted_peer.cpp
@@ -88,6 +88,10 @@
 	requests_.push_back(from->received.substr(0, length));
 	from->received.erase(0, length);
 	const auto answer = answer_(requests_.back());
+	if (has_crashed())
+	{
+		return;
+	}
 	send_more(answer.bytes);
 	proxy::error_code ignored;
 	if (answer.resets)
@@ -115,6 +119,17 @@
 	last_->socket.close(ignored);
 }
 
+void scripted_replica::crash()
+{
+	proxy::error_code ignored;
+	acceptor_.close(ignored);
+	for (const auto& one : connections_)
+	{
+		one->socket.set_option(proxy::asio::socket_base::linger{true, 0}, ignored);
+		one->socket.close(ignored);
+	}
+}
+
 scripted_caller::scripted_caller(proxy::asio::io_context& context, std::uint16_t port)
 	: state_(std::make_shared<state>(context))
 {
--- a/tests/support/scripted_peer.hpp
+++ b/tests/support/scripted_peer.hpp
@@ -52,6 +52,12 @@
 	/// \brief Closes the connection used last.
 	void close_last();
 
+	/// \brief Ends like a process that crashes: all connections are reset, and nobody listens any more.
+	void crash();
+
+	/// \brief Whether it has crashed.
+	[[nodiscard]] bool has_crashed() const { return !acceptor_.is_open(); }
+
   private:
 	struct connection
 	{
