A request under which three replicas ended is sent to no other, at any VM

Cause: no module remembered a request beyond its own attempts. A caller's repeat began anew with as many attempts as its route has, at any VM, each within the retry budget, and each ended a replica. Its class: a bound that must hold for a thing over the whole system was kept for each attempt, VM and lifetime. Change: a list of suspects by the key of the content holds lives of replicas that ended under each; sets that are united, from reports between VMs and from one row a request in the registry. Held back at each sending once three ended, unless replicas answered it too; ends that came together with others count half for what did not stand beside all of them. Two suspects are not sent to one replica. The answer is 502 at once. Ruled out: a narrower retry budget (the sends are few beside the traffic); evidence by VM (seven VMs would end 21); counting reports.

--- a/include/gingerdyke/control/coordinator.hpp
+++ b/include/gingerdyke/control/coordinator.hpp
@@ -6,6 +6,7 @@
 #include <gingerdyke/control/relay_server.hpp>
 #include <gingerdyke/control/report_board.hpp>
 #include <gingerdyke/control/shared_store.hpp>
+#include <gingerdyke/control/suspect_rows.hpp>
 #include <gingerdyke/control/table_follower.hpp>
 #include <gingerdyke/proxy/gateway.hpp>
 #include <variant>
@@ -94,6 +95,9 @@
 	/// \brief To be called after requests have brought evidence: sets the next moment to write.
 	void arm();
 
+	/// \brief To be called after a replica ended under requests.
+	void on_suspicion() { suspects_.arm(); }
+
   private:
 	void on_operator_rows(const std::vector<row>& rows);
 	void on_replica_rows(const std::vector<row>& rows);
@@ -130,6 +134,7 @@
 	void on_report(const peer_report& report);
 	[[nodiscard]] peer_summary summary_for(const std::string& reporter);
 	void on_summary(const peer_summary& summary);
+	void take_suspects(const std::vector<quarantine::suspicion>& suspects);
 	void take_suspensions(const std::vector<rollout::shift_suspension>& suspended);
 	void note_work_of_others(std::vector<routing::replica_work> work);
 
@@ -142,6 +147,7 @@
 	shared_store store_;
 	relay_server relay_;
 	report_board board_;
+	suspect_rows suspects_;
 	std::map<vm_id, peer> vms_;
 	proxy::asio::steady_timer register_timer_;
 	proxy::asio::steady_timer write_timer_;
--- a/include/gingerdyke/control/peer_report.hpp
+++ b/include/gingerdyke/control/peer_report.hpp
@@ -2,6 +2,7 @@
 // What a VM tells the VM that it reads the registry through, and what it is told in return.
 #pragma once
 
+#include <gingerdyke/quarantine/suspect_list.hpp>
 #include <gingerdyke/rollout/version_shift.hpp>
 #include <gingerdyke/routing/replica_selector.hpp>
 #include <string>
@@ -24,6 +25,10 @@
 	/// New versions that it found bad. The VM that it reads from may have started after the verdict, and
 	/// would declare such a version completed.
 	std::vector<rollout::shift_suspension> suspended;
+
+	/// Requests under which replicas ended lately. Each VM may have seen one end only, and all of them too
+	/// many.
+	std::vector<quarantine::suspicion> suspects;
 };
 
 /// \brief What a VM knows of all the others that report to it.
@@ -34,5 +39,8 @@
 
 	/// New versions that it found bad.
 	std::vector<rollout::shift_suspension> suspended;
+
+	/// Requests under which several replicas ended lately.
+	std::vector<quarantine::suspicion> suspects;
 };
 } // namespace gingerdyke::control
--- a/include/gingerdyke/control/row_store.hpp
+++ b/include/gingerdyke/control/row_store.hpp
@@ -83,8 +83,15 @@
 		std::string value;
 	};
 
+	struct removal
+	{
+		std::string table;
+		std::string key;
+	};
+
 	std::vector<condition> conditions;
 	std::vector<put> puts;
+	std::vector<removal> removes;
 };
 
 /// \brief Outcome of a change.
--- /dev/null
+++ b/include/gingerdyke/control/suspect_rows.hpp
@@ -0,0 +1,93 @@
+// SPDX-License-Identifier: MIT
+// Requests under which replicas ended, in the registry: one row for each, read by all VMs. So they are known
+// to VMs of other failure domains, and after all VMs were lost.
+#pragma once
+
+#include <gingerdyke/base/finding.hpp>
+#include <gingerdyke/control/row_store.hpp>
+#include <gingerdyke/proxy/asio.hpp>
+#include <gingerdyke/quarantine/suspect_list.hpp>
+#include <map>
+#include <string_view>
+
+namespace gingerdyke::control
+{
+/// Beginning of the keys of these rows.
+inline constexpr std::string_view suspect_prefix = "suspect/";
+
+/// \brief A suspicion as its row tells it.
+struct stored_suspicion
+{
+	quarantine::suspicion known;
+
+	/// When a replica last ended under the request.
+	registry_time last_end{};
+};
+
+/// \brief Writes a suspicion as the value of its row.
+[[nodiscard]] std::string write_suspicion(const stored_suspicion& what);
+
+/// \brief Reads a suspicion; findings where the value is none.
+[[nodiscard]] checked<stored_suspicion> read_suspicion(const row& from);
+
+/// \brief Tuning of `suspect_rows`.
+struct suspect_rows_tuning
+{
+	/// News is gathered for this long: one end brings one write for all requests that stood beside it.
+	/// Knowledge must be everywhere within the users' 3 s; a report takes 0.2 s and a feed as long.
+	duration gather = std::chrono::milliseconds{200};
+
+	/// A write that failed is made again after this time.
+	duration again = std::chrono::milliseconds{700};
+
+	/// Rows are removed once nothing is forgotten any more by them; the same time as in `suspect_tuning`.
+	duration lifetime = std::chrono::minutes{10};
+
+	/// Rows removed at once: a change has 100 entries at most.
+	std::size_t most_removed = 50;
+};
+
+/// \brief Keeps the rows and the list of suspects in step.
+class suspect_rows
+{
+  public:
+	suspect_rows(proxy::asio::io_context& context, row_store& registry, quarantine::suspect_list& suspects,
+		std::string table, suspect_rows_tuning tuning = {});
+
+	/// \brief Takes a row that changed or went.
+	void on_row(const row& one, instant now);
+
+	/// \brief Notes the registry's clock.
+	void note_registry_time(registry_time at, instant now) { offset_ = at - now.time_since_epoch(); }
+
+	/// \brief Notes whether this VM reads the registry for others.
+	void note_reads_registry(bool reads_registry) { reads_registry_ = reads_registry; }
+
+	/// \brief To be called when the list has news: sets the moment to write them.
+	void arm();
+	void stop();
+
+  private:
+	void arm_after(duration pause);
+	void write();
+	void on_written(
+		const std::vector<quarantine::suspicion>& written, const store_result<change_answer>& answer);
+	void remove_old(instant now);
+	[[nodiscard]] instant moment_of(registry_time at, instant now) const;
+
+	row_store& registry_;
+	quarantine::suspect_list& suspects_;
+	std::string table_;
+	suspect_rows_tuning tuning_;
+	proxy::asio::steady_timer timer_;
+
+	/// The registry's clock less this VM's; none: not known yet.
+	std::optional<duration> offset_;
+
+	/// The last end that each row tells of.
+	std::map<std::string, instant> rows_;
+	bool reads_registry_ = false;
+	bool is_armed_ = false;
+	bool is_writing_ = false;
+};
+} // namespace gingerdyke::control
--- a/include/gingerdyke/proxy/exchange.hpp
+++ b/include/gingerdyke/proxy/exchange.hpp
@@ -79,6 +79,8 @@
 	// Attempts.
 	void dispatch();
 	[[nodiscard]] routing::replica_ptr choose_replica() const;
+	using replica_filter = std::function<bool(const routing::replica&)>;
+	[[nodiscard]] routing::replica_ptr choose_among(const replica_filter& allowed) const;
 	[[nodiscard]] std::optional<duration> time_until_servable(const routing::replica& at) const;
 	[[nodiscard]] bool has_room(const routing::replica& one) const;
 	[[nodiscard]] bool is_for_engines() const;
@@ -91,6 +93,7 @@
 	void try_again_or(const std::function<void()>& otherwise);
 	void note_prompt_read();
 	void end_attempt(bool answered_whole);
+	void note_run_end();
 	void note_result(routing::replica_result result);
 
 	// What the replica does.
@@ -121,6 +124,7 @@
 
 	// Endings; each answers the caller once.
 	void refuse(int status, std::string reason);
+	void refuse_held();
 	void refuse_until(duration wait, std::string reason);
 	void give_up(int status, std::string reason);
 	void answer_here(int status, std::string reason, header_fields fields);
--- a/include/gingerdyke/proxy/gateway.hpp
+++ b/include/gingerdyke/proxy/gateway.hpp
@@ -9,6 +9,7 @@
 #include <gingerdyke/proxy/replica_end_watch.hpp>
 #include <gingerdyke/proxy/request_log.hpp>
 #include <gingerdyke/proxy/upstream_pool.hpp>
+#include <gingerdyke/quarantine/suspect_list.hpp>
 #include <gingerdyke/rollout/version_shift.hpp>
 #include <gingerdyke/routing/catalog.hpp>
 #include <gingerdyke/routing/first_token_time.hpp>
@@ -161,6 +162,16 @@
 	/// \brief Replicas' ends, and the requests under which they came.
 	[[nodiscard]] replica_end_watch& ends() noexcept { return ends_; }
 
+	/// \brief Requests under which replicas ended.
+	[[nodiscard]] quarantine::suspect_list& suspects() noexcept { return suspects_; }
+
+	/// \brief Whether another request under which replicas ended runs on a replica, as far as this VM knows.
+	[[nodiscard]] bool runs_other_suspect(
+		const routing::replica& at, const quarantine::request_key& than, instant now) const;
+
+	/// \brief Sets who is told that there is something to report about requests under which replicas ended.
+	void on_suspicion(std::function<void()> hook) { suspicion_hook_ = std::move(hook); }
+
 	/// \brief What is believed now, as gauges in the Prometheus text format.
 	void write_metrics(std::ostream& out, instant now);
 
@@ -186,6 +197,7 @@
 
   private:
 	void on_replica_change(const routing::replica& one, routing::replica_change change);
+	[[nodiscard]] replica_end_watch::hooks end_hooks();
 	void on_replica_end(const replica_end& end, bool has_ended);
 	void tell_ready();
 
@@ -198,7 +210,9 @@
 	routing::replica_set replicas_;
 	routing::replica_selector selector_;
 	upstream_pool pool_;
+	quarantine::suspect_list suspects_;
 	replica_end_watch ends_;
+	std::uint64_t replica_ends_ = 0;
 	rollout::version_shift versions_;
 	routing::size_policy sizes_;
 	std::map<service_id, routing::first_token_time> first_tokens_;
@@ -206,6 +220,7 @@
 	std::optional<instant> confirmed_at_;
 	std::optional<instant> replicas_confirmed_at_;
 	std::function<void()> evidence_hook_;
+	std::function<void()> suspicion_hook_;
 	std::vector<std::function<void()>> ready_hooks_;
 	std::optional<instant> stop_began_;
 
--- a/include/gingerdyke/proxy/replica_end_watch.hpp
+++ b/include/gingerdyke/proxy/replica_end_watch.hpp
@@ -20,6 +20,12 @@
 /// \brief Tuning of `replica_end_watch`.
 struct replica_end_tuning
 {
+	/// Ends within this time of each other have a cause in common where there are so many: a request that
+	/// ends replicas is sent to one after the other. The replicas of a rack that lost power were all missed
+	/// within 15 ms on a quiet network.
+	duration together = std::chrono::milliseconds{200};
+	std::size_t least_together = 3;
+
 	/// A replica that has not taken a connection after this time is not known to have ended: a network that
 	/// is cut does the same. One whose process is gone refuses within a round trip.
 	duration connect_limit = std::chrono::milliseconds{400};
@@ -35,6 +41,9 @@
 	{
 		std::function<void(const replica_end&)> presumed;
 		std::function<void(const replica_end&, bool has_ended)> settled;
+
+		/// Told which lives ended together, each time another one joins them.
+		std::function<void(const std::vector<quarantine::process_life>&)> together;
 	};
 
 	replica_end_watch(asio::io_context& context, hooks told, replica_end_tuning tuning = {});
@@ -47,18 +56,28 @@
 
 	/// \brief The runs that are watched.
 	[[nodiscard]] quarantine::replica_runs& runs() noexcept { return runs_; }
+	[[nodiscard]] const quarantine::replica_runs& runs() const noexcept { return runs_; }
 
   private:
 	struct probe;
 
 	void begin_probe(const replica_end& end);
 	void settle(const replica_end& end, bool has_ended);
+	void note_together(quarantine::process_life life, instant now);
 
 	asio::io_context& context_;
 	hooks told_;
 	replica_end_tuning tuning_;
 	quarantine::replica_runs runs_;
 
+	struct recent_end
+	{
+		quarantine::process_life life;
+		instant at;
+	};
+
+	std::vector<recent_end> recent_;
+
 	/// Lives for which a probe is under way.
 	std::set<quarantine::process_life> probed_;
 
--- a/src/control/coordinator.cpp
+++ b/src/control/coordinator.cpp
@@ -43,8 +43,10 @@
 	: gateway_(gateway), layout_(std::move(layout)), self_(std::move(self)), reporter_(std::move(reporter)),
 	  tuning_(std::move(tuning)), sources_(self_),
 	  store_(gateway.context(), registry, sources_, store_hooks(), sharing_tuning()),
-	  relay_(gateway.context(), server_hooks()), register_timer_(gateway.context()),
-	  write_timer_(gateway.context()), expire_timer_(gateway.context()), evidence_timer_(gateway.context()),
+	  relay_(gateway.context(), server_hooks()),
+	  suspects_(gateway.context(), store_, gateway.suspects(), layout_.own_table),
+	  register_timer_(gateway.context()), write_timer_(gateway.context()), expire_timer_(gateway.context()),
+	  evidence_timer_(gateway.context()),
 	  operators_(gateway.context(), store_, layout_.operator_table, random,
 		  {[this](const auto& rows) { on_operator_rows(rows); },
 			  [this](const auto& rows) { on_operator_rows(rows); },
@@ -52,6 +54,7 @@
 			  {
 				  gateway_.confirm(newest_at);
 				  gateway_.versions().note_registry_time(at, proxy::steady_now());
+				  suspects_.note_registry_time(at, proxy::steady_now());
 			  },
 			  // What the other calls wait for may be lost as well: they are made again.
 			  [this](store_error) { store_.abandon(); }},
@@ -107,6 +110,7 @@
 	own_.stop();
 	evidence_.stop();
 	relay_.stop();
+	suspects_.stop();
 	write_timer_.cancel();
 	expire_timer_.cancel();
 	evidence_timer_.cancel();
@@ -257,6 +261,10 @@
 		{
 			on_vm_row(one);
 		}
+		else if (one.key.starts_with(suspect_prefix))
+		{
+			suspects_.on_row(one, proxy::steady_now());
+		}
 		else if (one.key.starts_with(plan_prefix) && !one.removed)
 		{
 			on_plan_row(one);
--- a/src/control/coordinator_peers.cpp
+++ b/src/control/coordinator_peers.cpp
@@ -22,6 +22,8 @@
 	{
 		gateway_.versions().note_reads_registry(reads_registry);
 		reads_registry_ = reads_registry;
+		suspects_.note_reads_registry(reads_registry);
+		suspects_.arm();
 		follow_evidence();
 		arm();
 	};
@@ -63,8 +65,8 @@
 		return std::nullopt;
 	}
 	const auto& versions = gateway_.versions();
-	return peer_report{
-		reporter_, gateway_.selector().open_work(), versions.own_evidence(), versions.suspensions()};
+	return peer_report{reporter_, gateway_.selector().open_work(), versions.own_evidence(),
+		versions.suspensions(), gateway_.suspects().news(1, proxy::steady_now())};
 }
 
 void coordinator::on_report(const peer_report& report)
@@ -77,6 +79,7 @@
 		gateway_.versions().on_relayed_evidence(report.reporter, one, now);
 	}
 	take_suspensions(report.suspended);
+	take_suspects(report.suspects);
 	if (!report.evidence.empty())
 	{
 		arm();
@@ -87,13 +90,30 @@
 {
 	const auto now = proxy::steady_now();
 	board_.take(reporter_, gateway_.selector().open_work(), now);
-	return {board_.work_of_others(reporter, now), gateway_.versions().suspensions()};
+	// What stood beside one end only is for the VMs that sum up.
+	constexpr std::size_t least_ended = 2;
+	return {board_.work_of_others(reporter, now), gateway_.versions().suspensions(),
+		gateway_.suspects().news(least_ended, now)};
 }
 
 void coordinator::on_summary(const peer_summary& summary)
 {
 	note_work_of_others(summary.work);
 	take_suspensions(summary.suspended);
+	take_suspects(summary.suspects);
+}
+
+void coordinator::take_suspects(const std::vector<quarantine::suspicion>& suspects)
+{
+	const auto now = proxy::steady_now();
+	for (const auto& one : suspects)
+	{
+		gateway_.suspects().merge(one, now, now);
+	}
+	if (!suspects.empty())
+	{
+		suspects_.arm();
+	}
 }
 
 void coordinator::take_suspensions(const std::vector<rollout::shift_suspension>& suspended)
--- a/src/control/relay_codec.cpp
+++ b/src/control/relay_codec.cpp
@@ -266,6 +266,54 @@
 	return all;
 }
 
+std::vector<std::int64_t> written(const std::set<quarantine::process_life>& lives)
+{
+	std::vector<std::int64_t> all;
+	all.reserve(lives.size());
+	for (const auto life : lives)
+	{
+		all.push_back(life.value());
+	}
+	return all;
+}
+
+std::set<quarantine::process_life> read_lives(const std::vector<std::int64_t>& lives)
+{
+	std::set<quarantine::process_life> all;
+	for (const auto life : lives)
+	{
+		all.insert(quarantine::process_life{life});
+	}
+	return all;
+}
+
+std::vector<wire::RelaySuspicion> written(const std::vector<quarantine::suspicion>& suspects)
+{
+	std::vector<wire::RelaySuspicion> all;
+	all.reserve(suspects.size());
+	for (const auto& one : suspects)
+	{
+		auto& added = all.emplace_back();
+		added.key = one.key.str();
+		added.ended = written(one.ended);
+		added.ended_together = written(one.ended_together);
+		added.survived = written(one.survived);
+	}
+	return all;
+}
+
+std::vector<quarantine::suspicion> read(const std::vector<wire::RelaySuspicion>& suspects)
+{
+	std::vector<quarantine::suspicion> all;
+	all.reserve(suspects.size());
+	for (const auto& one : suspects)
+	{
+		all.push_back({quarantine::request_key{one.key}, read_lives(one.ended),
+			read_lives(one.ended_together), read_lives(one.survived)});
+	}
+	return all;
+}
+
 wire::RelayReport written(const peer_report& report)
 {
 	wire::RelayReport message;
@@ -279,12 +327,17 @@
 	{
 		message.__set_suspended(written(report.suspended));
 	}
+	if (!report.suspects.empty())
+	{
+		message.__set_suspects(written(report.suspects));
+	}
 	return message;
 }
 
 peer_report read(const wire::RelayReport& message)
 {
-	peer_report report{message.reporter, read(message.work), {}, read(message.suspended)};
+	peer_report report{
+		message.reporter, read(message.work), {}, read(message.suspended), read(message.suspects)};
 	for (const auto& one : message.evidence)
 	{
 		report.evidence.push_back(read(one));
@@ -297,12 +350,16 @@
 	wire::RelaySummary message;
 	message.work = written(summary.work);
 	message.suspended = written(summary.suspended);
+	if (!summary.suspects.empty())
+	{
+		message.__set_suspects(written(summary.suspects));
+	}
 	return message;
 }
 
 peer_summary read(const wire::RelaySummary& message)
 {
-	return {read(message.work), read(message.suspended)};
+	return {read(message.work), read(message.suspended), read(message.suspects)};
 }
 } // namespace
 
--- /dev/null
+++ b/src/control/suspect_rows.cpp
@@ -0,0 +1,195 @@
+// SPDX-License-Identifier: MIT
+// Requests under which replicas ended, in the registry.
+#include <gingerdyke/control/row_json.hpp>
+#include <gingerdyke/control/suspect_rows.hpp>
+#include <gingerdyke/log/log.hpp>
+
+namespace gingerdyke::control
+{
+namespace
+{
+json lives_json(const std::set<quarantine::process_life>& lives)
+{
+	json all = json::array();
+	for (const auto life : lives)
+	{
+		all.push_back(life.value());
+	}
+	return all;
+}
+
+std::set<quarantine::process_life> lives_of(const json& value)
+{
+	std::set<quarantine::process_life> all;
+	for (const auto& one : value)
+	{
+		all.insert(quarantine::process_life{one.get<std::int64_t>()});
+	}
+	return all;
+}
+
+std::string row_key_of(const quarantine::request_key& key)
+{
+	return std::string{suspect_prefix} + key.str();
+}
+} // namespace
+
+std::string write_suspicion(const stored_suspicion& what)
+{
+	return json{{"ended", lives_json(what.known.ended)},
+		{"ended_together", lives_json(what.known.ended_together)},
+		{"survived", lives_json(what.known.survived)}, {"last_end_us", what.last_end.count()}}
+		.dump();
+}
+
+checked<stored_suspicion> read_suspicion(const row& from)
+{
+	return read_json<stored_suspicion>(from,
+		[&](const json& value) -> checked<stored_suspicion>
+		{
+			stored_suspicion read;
+			read.known.key = quarantine::request_key{from.key.substr(suspect_prefix.size())};
+			read.known.ended = lives_of(value.at("ended"));
+			read.known.ended_together = lives_of(value.at("ended_together"));
+			read.known.survived = lives_of(value.at("survived"));
+			read.last_end = registry_time{value.at("last_end_us").get<std::int64_t>()};
+			return read;
+		});
+}
+
+suspect_rows::suspect_rows(proxy::asio::io_context& context, row_store& registry,
+	quarantine::suspect_list& suspects, std::string table, suspect_rows_tuning tuning)
+	: registry_(registry), suspects_(suspects), table_(std::move(table)), tuning_(tuning), timer_(context)
+{
+}
+
+/// A VM that has just started knows the rows before the registry's clock: they count as new until the next
+/// reading, so that nothing is forgotten too early.
+instant suspect_rows::moment_of(registry_time at, instant now) const
+{
+	return offset_ ? std::min(now, instant{at - *offset_}) : now;
+}
+
+void suspect_rows::on_row(const row& one, instant now)
+{
+	if (one.removed)
+	{
+		rows_.erase(one.key);
+		suspects_.forget(quarantine::request_key{one.key.substr(suspect_prefix.size())});
+		return;
+	}
+	const auto read = read_suspicion(one);
+	if (!read)
+	{
+		log::write(log::level::error, "suspicion not understood", {{"findings", to_text(read.error())}});
+		return;
+	}
+	const auto last_end = moment_of(read->last_end, now);
+	rows_[one.key] = last_end;
+	suspects_.note_stored(read->known, last_end, now);
+	arm();
+}
+
+void suspect_rows::arm()
+{
+	arm_after(tuning_.gather);
+}
+
+void suspect_rows::arm_after(duration pause)
+{
+	if (is_armed_ || is_writing_ || suspects_.unstored(reads_registry_, proxy::steady_now()).empty())
+	{
+		return;
+	}
+	is_armed_ = true;
+	timer_.expires_after(pause);
+	timer_.async_wait(
+		[this](const proxy::error_code& error)
+		{
+			is_armed_ = false;
+			if (!error)
+			{
+				write();
+			}
+		});
+}
+
+void suspect_rows::stop()
+{
+	timer_.cancel();
+}
+
+void suspect_rows::write()
+{
+	const auto now = proxy::steady_now();
+	const auto news = suspects_.unstored(reads_registry_, now);
+	if (news.empty())
+	{
+		return;
+	}
+	if (!offset_)
+	{
+		arm_after(tuning_.again);
+		return;
+	}
+	row_change change;
+	for (const auto& one : news)
+	{
+		const auto last_end = suspects_.last_end(one.key).value_or(now);
+		const stored_suspicion stored{one, last_end.time_since_epoch() + *offset_};
+		change.puts.push_back({table_, row_key_of(one.key), write_suspicion(stored)});
+	}
+	is_writing_ = true;
+	registry_.change(change,
+		[this, news](const store_result<change_answer>& answer)
+		{
+			is_writing_ = false;
+			on_written(news, answer);
+		});
+	remove_old(now);
+}
+
+void suspect_rows::on_written(
+	const std::vector<quarantine::suspicion>& written, const store_result<change_answer>& answer)
+{
+	const auto now = proxy::steady_now();
+	if (!answer)
+	{
+		log::write(log::level::warn, "suspicions not stored",
+			{{"why", name_of(answer.error())}, {"count", written.size()}});
+		arm_after(tuning_.again);
+		return;
+	}
+	for (const auto& one : written)
+	{
+		suspects_.note_stored(one, suspects_.last_end(one.key).value_or(now), now);
+	}
+	arm();
+}
+
+/// Whoever writes also clears away: rows are only read where they are few.
+void suspect_rows::remove_old(instant now)
+{
+	row_change change;
+	for (const auto& [key, last_end] : rows_)
+	{
+		if (now - last_end > tuning_.lifetime && change.removes.size() < tuning_.most_removed)
+		{
+			change.removes.push_back({table_, key});
+		}
+	}
+	if (change.removes.empty())
+	{
+		return;
+	}
+	registry_.change(change,
+		[](const store_result<change_answer>& answer)
+		{
+			if (!answer)
+			{
+				log::write(
+					log::level::warn, "old suspicions not removed", {{"why", name_of(answer.error())}});
+			}
+		});
+}
+} // namespace gingerdyke::control
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -46,6 +46,11 @@
 		give_up(unavailable, "configuration too old to trust keys");
 		return;
 	}
+	if (shared_.suspects().is_held(key_, now))
+	{
+		refuse_held();
+		return;
+	}
 	if (time_left() < shared_.tuning().least_time)
 	{
 		give_up(gateway_timeout, "no time left");
@@ -96,6 +101,23 @@
 }
 
 routing::replica_ptr exchange::choose_replica() const
+{
+	const auto now = steady_now();
+	if (shared_.suspects().is_suspect(key_, now))
+	{
+		// Two suspects on one replica would both be blamed for its end: a request that only stood beside the
+		// cause twice would be held back with it.
+		const auto alone = choose_among(
+			[&](const routing::replica& one) { return !shared_.runs_other_suspect(one, key_, now); });
+		if (alone)
+		{
+			return alone;
+		}
+	}
+	return choose_among([](const routing::replica&) { return true; });
+}
+
+routing::replica_ptr exchange::choose_among(const replica_filter& allowed) const
 {
 	const auto now = steady_now();
 	auto& versions = shared_.versions();
@@ -110,7 +132,7 @@
 	{
 		const bool was_tried = std::find(tried_.begin(), tried_.end(), one.id) != tried_.end();
 		return !was_tried && (version.empty() || one.version == version) && versions.is_in_use(one, now) &&
-			   has_room(one);
+			   has_room(one) && allowed(one);
 	};
 	auto chosen = shared_.selector().choose(what, now);
 	if (!chosen)
@@ -278,7 +300,7 @@
 	}
 	attempt_timer_.cancel();
 	shared_.selector().note_over(*attempt_->to, attempt_->work);
-	shared_.ends().runs().end(*attempt_->to, attempt_->run, attempt_->run_ends, steady_now());
+	note_run_end();
 	if (!answered_whole)
 	{
 		attempt_->link->close();
@@ -287,6 +309,17 @@
 	attempt_.reset();
 }
 
+void exchange::note_run_end()
+{
+	const auto now = steady_now();
+	auto& runs = shared_.ends().runs();
+	if (attempt_->run_ends == quarantine::run_end::survived)
+	{
+		shared_.suspects().note_survived(key_, runs.life_of(*attempt_->to), now);
+	}
+	runs.end(*attempt_->to, attempt_->run, attempt_->run_ends, now);
+}
+
 void exchange::note_result(routing::replica_result result)
 {
 	shared_.selector().note_result(*attempt_->to, result, attempt_->first_byte, steady_now());
@@ -322,6 +355,19 @@
 	answer_here(status, std::move(reason), {});
 }
 
+/// 502: a 503 would ask the caller to come back and end the next replica, and a 4xx would say that the
+/// request is wrong, which is likely and not known.
+void exchange::refuse_held()
+{
+	const std::string reason = "replicas end under this request";
+	if (answer_begun_)
+	{
+		give_up(bad_gateway, reason);
+		return;
+	}
+	answer_here(bad_gateway, reason, {});
+}
+
 void exchange::refuse_until(duration wait, std::string reason)
 {
 	answer_here(unavailable, std::move(reason), {{"Retry-After", seconds_text(wait)}});
--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -47,6 +47,13 @@
 			{"contents", std::move(keys)}});
 }
 
+void log_hold(const quarantine::suspicion& what)
+{
+	log::write(log::level::warn, "request held back",
+		{{"content", what.key.str()}, {"ended", what.ended.size()},
+			{"ended_together", what.ended_together.size()}, {"survived", what.survived.size()}});
+}
+
 void log_shift(const rollout::shift_news& news)
 {
 	const auto& plan = news.plan;
@@ -91,8 +98,7 @@
 	  replicas_([this](const routing::replica& one, routing::replica_change change)
 		  { on_replica_change(one, change); }),
 	  selector_(replicas_, std::move(own_domain), random, log_ejection), pool_(context, names_.request_id),
-	  ends_(context, {[](const replica_end&) {},
-						 [this](const replica_end& end, bool has_ended) { on_replica_end(end, has_ended); }}),
+	  suspects_(log_hold), ends_(context, end_hooks()),
 	  versions_(std::move(random), log_shift, shift_tuning_for(bounds_))
 {
 }
@@ -209,6 +215,15 @@
 	out << "gingerdyke_replicas_suspected " << replicas_.suspected_count() << "\n";
 	metrics::write_head(out, "gingerdyke_replicas", "gauge", "Replicas known.");
 	out << "gingerdyke_replicas " << replicas_.size() << "\n";
+	metrics::write_head(out, "gingerdyke_replica_ends_total", "counter",
+		"Replicas whose process ended while this VM had requests there, or before one was sent.");
+	out << "gingerdyke_replica_ends_total " << replica_ends_ << "\n";
+	metrics::write_head(
+		out, "gingerdyke_requests_suspected", "gauge", "Requests under which replicas ended.");
+	out << "gingerdyke_requests_suspected " << suspects_.size() << "\n";
+	metrics::write_head(
+		out, "gingerdyke_requests_held", "gauge", "Of these, requests that are sent to no replica any more.");
+	out << "gingerdyke_requests_held " << suspects_.held_count(now) << "\n";
 	metrics::write_head(out, "gingerdyke_further_attempts_left", "gauge",
 		"Attempts beyond the first that a service's budget allows now.");
 	for (auto& [service, budget] : budgets_)
@@ -227,14 +242,44 @@
 	}
 }
 
+replica_end_watch::hooks gateway::end_hooks()
+{
+	replica_end_watch::hooks hooks;
+	hooks.presumed = [this](const replica_end& end)
+	{ suspects_.presume(end.life, end.requests, steady_now()); };
+	hooks.settled = [this](const replica_end& end, bool has_ended) { on_replica_end(end, has_ended); };
+	hooks.together = [this](const std::vector<quarantine::process_life>& lives)
+	{ suspects_.note_together(lives, steady_now()); };
+	return hooks;
+}
+
 void gateway::on_replica_end(const replica_end& end, bool has_ended)
 {
-	if (has_ended)
+	if (!has_ended)
+	{
+		suspects_.retract(end.life);
+		return;
+	}
+	const auto now = steady_now();
+	++replica_ends_;
+	log_replica_end(end);
+	suspects_.confirm(end.life, now);
+	// Nobody else has to find out by a connection that is refused.
+	selector_.note_result(*end.replica, routing::replica_result::not_connected, duration{0}, now);
+	if (suspicion_hook_ && !end.requests.empty())
 	{
-		log_replica_end(end);
+		suspicion_hook_();
 	}
 }
 
+bool gateway::runs_other_suspect(
+	const routing::replica& at, const quarantine::request_key& than, instant now) const
+{
+	const auto running = ends_.runs().running_at(at, now);
+	return std::any_of(running.begin(), running.end(),
+		[&](const auto& key) { return key != than && suspects_.is_suspect(key, now); });
+}
+
 void gateway::on_replica_change(const routing::replica& one, routing::replica_change change)
 {
 	// The first reading of the registry is told as a whole.
--- a/src/proxy/replica_end_watch.cpp
+++ b/src/proxy/replica_end_watch.cpp
@@ -76,5 +76,25 @@
 {
 	const bool is_news = has_ended && runs_.note_ended(*end.replica);
 	told_.settled(end, is_news);
+	if (is_news)
+	{
+		note_together(end.life, steady_now());
+	}
+}
+
+void replica_end_watch::note_together(quarantine::process_life life, instant now)
+{
+	std::erase_if(recent_, [&](const recent_end& one) { return now - one.at > tuning_.together; });
+	recent_.push_back({life, now});
+	if (recent_.size() < tuning_.least_together)
+	{
+		return;
+	}
+	std::vector<quarantine::process_life> lives;
+	for (const auto& one : recent_)
+	{
+		lives.push_back(one.life);
+	}
+	told_.together(lives);
 }
 } // namespace gingerdyke::proxy
--- /dev/null
+++ b/src/quarantine/suspect_list.cpp
@@ -0,0 +1,259 @@
+// SPDX-License-Identifier: MIT
+// Requests under which replicas ended.
+#include <algorithm>
+#include <gingerdyke/quarantine/suspect_list.hpp>
+
+namespace gingerdyke::quarantine
+{
+suspect_list::suspect_list(hold_hook held, suspect_tuning tuning) : held_(std::move(held)), tuning_(tuning) {}
+
+const suspect_list::entry* suspect_list::find(const request_key& key, instant now) const
+{
+	const auto found = suspects_.find(key);
+	const bool is_known = found != suspects_.end() && now - found->second.last_end <= tuning_.lifetime;
+	return is_known ? &found->second : nullptr;
+}
+
+bool suspect_list::is_held(const entry& one) const
+{
+	const auto& known = one.known;
+	const auto together = static_cast<double>(known.ended_together.size());
+	const auto alone = static_cast<double>(known.ended.size() + one.presumed.size()) - together;
+	const auto ends = alone + tuning_.together_weight * together;
+	return ends >= tuning_.ends_to_hold &&
+		   ends > tuning_.ends_for_survival * static_cast<double>(known.survived.size());
+}
+
+bool suspect_list::is_held(const request_key& key, instant now) const
+{
+	const auto* one = find(key, now);
+	return one != nullptr && is_held(*one);
+}
+
+bool suspect_list::is_suspect(const request_key& key, instant now) const
+{
+	return find(key, now) != nullptr;
+}
+
+suspect_list::entry& suspect_list::entry_of(const request_key& key, instant now)
+{
+	auto& one = suspects_[key];
+	one.known.key = key;
+	one.stored.key = key;
+	one.last_end = std::max(one.last_end, now);
+	return one;
+}
+
+void suspect_list::presume(process_life life, const std::vector<request_key>& requests, instant now)
+{
+	drop_old(now);
+	for (const auto& key : requests)
+	{
+		auto& one = entry_of(key, now);
+		if (!one.known.ended.contains(life))
+		{
+			one.presumed.insert(life);
+		}
+	}
+	make_room();
+}
+
+void suspect_list::confirm(process_life life, instant now)
+{
+	for (auto& [key, one] : suspects_)
+	{
+		if (one.presumed.erase(life) > 0)
+		{
+			unite(one.known.ended, {life});
+			one.is_own = true;
+			note_change(one, now);
+		}
+	}
+}
+
+void suspect_list::retract(process_life life)
+{
+	for (auto one = suspects_.begin(); one != suspects_.end();)
+	{
+		const bool was_presumed = one->second.presumed.erase(life) > 0;
+		const bool is_clear = one->second.presumed.empty() && one->second.known.ended.empty();
+		one = was_presumed && is_clear ? suspects_.erase(one) : std::next(one);
+	}
+}
+
+void suspect_list::note_together(const std::vector<process_life>& lives, instant now)
+{
+	for (auto& [key, one] : suspects_)
+	{
+		const auto& ended = one.known.ended;
+		const auto under_it = std::count_if(
+			lives.begin(), lives.end(), [&](process_life life) { return ended.contains(life); });
+		const auto others = lives.size() - static_cast<std::size_t>(under_it);
+		if (others < tuning_.others_together)
+		{
+			continue;
+		}
+		for (const auto life : lives)
+		{
+			if (ended.contains(life) && one.known.ended_together.insert(life).second)
+			{
+				note_change(one, now);
+			}
+		}
+	}
+}
+
+void suspect_list::note_survived(const request_key& key, process_life life, instant now)
+{
+	const auto found = suspects_.find(key);
+	if (found == suspects_.end() || found->second.known.survived.size() >= tuning_.most_lives)
+	{
+		return;
+	}
+	if (found->second.known.survived.insert(life).second)
+	{
+		note_change(found->second, now);
+	}
+}
+
+void suspect_list::merge(const suspicion& told, instant last_end, instant now)
+{
+	if (told.ended.empty() || now - last_end > tuning_.lifetime)
+	{
+		return;
+	}
+	auto& one = entry_of(told.key, last_end);
+	if (take(one.known, told))
+	{
+		note_change(one, now);
+	}
+	make_room();
+}
+
+void suspect_list::note_stored(const suspicion& stored, instant last_end, instant now)
+{
+	merge(stored, last_end, now);
+	const auto found = suspects_.find(stored.key);
+	if (found != suspects_.end())
+	{
+		static_cast<void>(take(found->second.stored, stored));
+	}
+}
+
+void suspect_list::unite(std::set<process_life>& into, const std::set<process_life>& from) const
+{
+	for (const auto life : from)
+	{
+		if (into.size() >= tuning_.most_lives)
+		{
+			return;
+		}
+		into.insert(life);
+	}
+}
+
+/// \returns Whether anything was new.
+bool suspect_list::take(suspicion& into, const suspicion& from) const
+{
+	const auto before = into;
+	unite(into.ended, from.ended);
+	unite(into.survived, from.survived);
+	for (const auto life : from.ended_together)
+	{
+		if (into.ended.contains(life))
+		{
+			into.ended_together.insert(life);
+		}
+	}
+	return into != before;
+}
+
+void suspect_list::note_change(entry& one, instant now)
+{
+	one.changed_at = now;
+	const bool holds = is_held(one);
+	if (holds && !one.is_told_held)
+	{
+		held_(one.known);
+	}
+	one.is_told_held = holds;
+}
+
+std::vector<suspicion> suspect_list::news(std::size_t least_ended, instant now) const
+{
+	std::vector<const entry*> found;
+	for (const auto& [key, one] : suspects_)
+	{
+		if (one.known.ended.size() >= std::max<std::size_t>(1, least_ended) &&
+			now - one.changed_at <= tuning_.news_time)
+		{
+			found.push_back(&one);
+		}
+	}
+	std::stable_sort(found.begin(), found.end(),
+		[](const entry* a, const entry* b) { return a->known.ended.size() > b->known.ended.size(); });
+	found.resize(std::min(found.size(), tuning_.most_told));
+	std::vector<suspicion> told;
+	told.reserve(found.size());
+	for (const auto* one : found)
+	{
+		told.push_back(one->known);
+	}
+	return told;
+}
+
+std::vector<suspicion> suspect_list::unstored(bool for_others, instant now) const
+{
+	std::vector<suspicion> several;
+	std::vector<suspicion> singles;
+	for (const auto& [key, one] : suspects_)
+	{
+		const bool is_single = one.known.ended.size() < 2;
+		const bool is_mine = for_others || (one.is_own && !is_single);
+		auto all = one.stored;
+		if (!is_mine || find(key, now) == nullptr || !take(all, one.known))
+		{
+			continue;
+		}
+		(is_single ? singles : several).push_back(std::move(all));
+	}
+	if (singles.size() <= tuning_.most_singles_stored)
+	{
+		several.insert(several.end(), singles.begin(), singles.end());
+	}
+	several.resize(std::min(several.size(), tuning_.most_told));
+	return several;
+}
+
+std::optional<instant> suspect_list::last_end(const request_key& key) const
+{
+	const auto found = suspects_.find(key);
+	return found == suspects_.end() ? std::nullopt : std::optional{found->second.last_end};
+}
+
+std::size_t suspect_list::held_count(instant now) const
+{
+	return static_cast<std::size_t>(std::count_if(
+		suspects_.begin(), suspects_.end(), [&](const auto& entry) { return is_held(entry.first, now); }));
+}
+
+void suspect_list::drop_old(instant now)
+{
+	std::erase_if(
+		suspects_, [&](const auto& entry) { return now - entry.second.last_end > tuning_.lifetime; });
+}
+
+void suspect_list::make_room()
+{
+	while (suspects_.size() > tuning_.most_suspects)
+	{
+		const auto least = std::min_element(suspects_.begin(), suspects_.end(),
+			[](const auto& a, const auto& b)
+			{
+				return std::pair{a.second.known.ended.size(), a.second.last_end} <
+					   std::pair{b.second.known.ended.size(), b.second.last_end};
+			});
+		suspects_.erase(least);
+	}
+}
+} // namespace gingerdyke::quarantine
--- a/tests/control/peer_report.cpp
+++ b/tests/control/peer_report.cpp
@@ -6,6 +6,16 @@
 using namespace gingerdyke;
 using namespace gingerdyke::test;
 
+namespace
+{
+quarantine::suspicion suspect(const char* key)
+{
+	using quarantine::process_life;
+	return {quarantine::request_key{key}, {process_life{-1}, process_life{5}}, {process_life{5}},
+		{process_life{9}}};
+}
+} // namespace
+
 TEST_CASE(
 	"work that others have open is summed up without the asker's, and only while it is fresh", "[reports]")
 {
@@ -28,8 +38,10 @@
 	std::optional<peer_report> reported;
 	auto hooks = serving(cache);
 	hooks.reported = [&](const peer_report& report) { reported = report; };
-	hooks.summarise = [](const std::string& reporter) {
-		return peer_summary{{{replica_id{"for " + reporter}, 7}}, {{service_id{"s"}, row_version{12}}}};
+	hooks.summarise = [](const std::string& reporter)
+	{
+		return peer_summary{
+			{{replica_id{"for " + reporter}, 7}}, {{service_id{"s"}, row_version{12}}}, {suspect("held")}};
 	};
 	relay_server server{context, hooks};
 	const auto port = free_port(context);
@@ -48,18 +60,20 @@
 	seen.seen.by_pace["m"].new_version[5].note(3);
 	seen.seen.late.new_version[1] = {4, 1};
 	const rollout::shift_suspension verdict{service_id{"s"}, row_version{12}};
-	const peer_report report{"me", {{replica_id{"r1"}, 40}}, {seen}, {verdict}};
+	const peer_report report{"me", {{replica_id{"r1"}, 40}}, {seen}, {verdict}, {suspect("seen")}};
 	client->call({0, "t", row_version{3}, milliseconds{1}, {}, report}, seconds{20},
 		[](const store_result<row_batch>&) {});
 	test::run_until(context, [&] { return summary.has_value(); });
 	CHECK(summary->work.front().replica.str() == "for me");
 	CHECK(summary->suspended.front().order.value() == 12);
+	CHECK(summary->suspects == std::vector{suspect("held")});
 	REQUIRE(reported);
 	CHECK(reported->work.front().tokens == 40);
 	REQUIRE(reported->evidence.size() == 1);
 	CHECK(reported->evidence.front().seen == seen.seen);
 	REQUIRE(reported->suspended.size() == 1);
 	CHECK(reported->suspended.front().order.value() == 12);
+	CHECK(reported->suspects == std::vector{suspect("seen")});
 	server.stop();
 	client->abandon();
 }
--- a/tests/platform/platform.cpp
+++ b/tests/platform/platform.cpp
@@ -115,14 +115,14 @@
 	CHECK((*batch)->rows.front().removed);
 
 	std::optional<control::store_result<control::change_answer>> changed;
-	client.change({{{"own", "k", control::row_version{0}}}, {{"own", "k", "\"value\""}}},
+	client.change({{{"own", "k", control::row_version{0}}}, {{"own", "k", "\"value\""}}, {}},
 		[&](control::store_result<control::change_answer> result) { changed = std::move(result); });
 	run_until(context, [&] { return changed.has_value(); });
 	CHECK((*changed)->done);
 	CHECK(registry.value("own", "k") == "value");
 
 	changed.reset();
-	client.change({{{"own", "k", control::row_version{0}}}, {{"own", "k", "\"other\""}}},
+	client.change({{{"own", "k", control::row_version{0}}}, {{"own", "k", "\"other\""}}, {}},
 		[&](control::store_result<control::change_answer> result) { changed = std::move(result); });
 	run_until(context, [&] { return changed.has_value(); });
 	CHECK_FALSE((*changed)->done);
--- /dev/null
+++ b/tests/quarantine/suspect_list.cpp
@@ -0,0 +1,222 @@
+// SPDX-License-Identifier: MIT
+// When a request is held back for the replicas that ended under it, and when it is not.
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <gingerdyke/base/random.hpp>
+#include <gingerdyke/quarantine/suspect_list.hpp>
+
+using namespace gingerdyke;
+using namespace gingerdyke::quarantine;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+namespace
+{
+const request_key cause{"cause"};
+const request_key bystander{"bystander"};
+const instant start{seconds{1000}};
+
+process_life life(int number)
+{
+	return process_life{number};
+}
+
+/// A list with the requests that it was told to hold back.
+struct listed
+{
+	void end(int number, const std::vector<request_key>& requests, instant now = start)
+	{
+		list.presume(life(number), requests, now);
+		list.confirm(life(number), now);
+	}
+
+	std::vector<suspicion> held;
+	suspect_list list{[this](const suspicion& one) { held.push_back(one); }};
+};
+
+suspicion seen(const request_key& key, std::set<process_life> ended)
+{
+	return {key, std::move(ended), {}, {}};
+}
+} // namespace
+
+TEST_CASE("a request is held back after the third end and not before, and let in again after a time",
+	"[quarantine]")
+{
+	listed of;
+	of.end(1, {cause, bystander});
+	of.end(2, {cause});
+	CHECK(of.list.is_suspect(cause, start));
+	CHECK_FALSE(of.list.is_held(cause, start));
+	of.end(3, {cause});
+	CHECK(of.list.is_held(cause, start));
+	CHECK_FALSE(of.list.is_held(bystander, start));
+	REQUIRE(of.held.size() == 1);
+	CHECK(of.held.front().key == cause);
+	CHECK(of.list.is_held(cause, start + minutes{9}));
+	CHECK_FALSE(of.list.is_held(cause, start + minutes{11}));
+}
+
+TEST_CASE("one replica's end counts once, however often it is told", "[quarantine]")
+{
+	listed of;
+	for (int i = 0; i < 5; ++i)
+	{
+		of.end(1, {cause});
+		of.list.merge(seen(cause, {life(1), life(2)}), start, start);
+	}
+	CHECK_FALSE(of.list.is_held(cause, start));
+}
+
+TEST_CASE("an end that is only likely holds a request back until it turns out to be none", "[quarantine]")
+{
+	listed of;
+	of.end(1, {cause});
+	of.end(2, {cause});
+	of.list.presume(life(3), {cause}, start);
+	CHECK(of.list.is_held(cause, start));
+	of.list.retract(life(3));
+	CHECK_FALSE(of.list.is_held(cause, start));
+	CHECK(of.held.empty());
+	of.list.presume(life(4), {bystander}, start);
+	of.list.retract(life(4));
+	CHECK(of.list.size() == 1);
+}
+
+TEST_CASE("replicas that end together have a cause in common: a request beside them is still served",
+	"[quarantine]")
+{
+	listed of;
+	for (int number = 1; number <= 2; ++number)
+	{
+		of.end(number, {bystander});
+	}
+	of.list.note_together({life(1), life(2), life(21), life(22)}, start);
+	// Beside the next losses as well, and still.
+	for (int number = 3; number <= 5; ++number)
+	{
+		of.end(number, {bystander});
+		of.list.note_together({life(number), life(20 + number), life(30 + number)}, start);
+		CHECK_FALSE(of.list.is_held(bystander, start));
+	}
+	// Under an end of its own too it is not.
+	of.end(6, {bystander});
+	CHECK(of.list.is_held(bystander, start));
+}
+
+TEST_CASE("a request that stands beside all of the replicas that end together is their cause", "[quarantine]")
+{
+	listed of;
+	for (int number = 1; number <= 3; ++number)
+	{
+		of.end(number, {cause});
+	}
+	of.list.note_together({life(1), life(2), life(3), life(4)}, start);
+	CHECK(of.list.is_held(cause, start));
+}
+
+TEST_CASE("a popular request that is answered between ends is not held back", "[quarantine]")
+{
+	listed of;
+	for (int number = 1; number <= 8; ++number)
+	{
+		of.end(number, {bystander, cause});
+		of.list.note_survived(bystander, life(100 + number), start);
+	}
+	CHECK(of.list.is_held(cause, start));
+	CHECK_FALSE(of.list.is_held(bystander, start));
+}
+
+TEST_CASE("reports add up to the same in any order, repeated or not", "[quarantine]")
+{
+	std::vector<suspicion> reports{seen(cause, {life(1)}), seen(cause, {life(2)}),
+		seen(cause, {life(1), life(3)}), seen(bystander, {life(1)}), seen(bystander, {life(4)})};
+	reports.push_back({cause, {life(1), life(2)}, {life(1)}, {life(9)}});
+	reports.push_back({cause, {life(5)}, {}, {}});
+	for (std::uint64_t seed = 1; seed <= 200; ++seed)
+	{
+		seeded_random random{seed};
+		listed one;
+		for (int i = 0; i < 40; ++i)
+		{
+			one.list.merge(reports[random_below(random, reports.size())], start, start);
+		}
+		for (const auto& report : reports)
+		{
+			one.list.merge(report, start, start);
+		}
+		const auto told = one.list.news(1, start);
+		REQUIRE(told.size() == 2);
+		const auto& first = told.front();
+		CHECK(first.key == cause);
+		CHECK(first.ended == std::set{life(1), life(2), life(3), life(5)});
+		CHECK(first.ended_together == std::set{life(1)});
+		CHECK(first.survived == std::set{life(9)});
+		CHECK(told.back().ended == std::set{life(1), life(4)});
+	}
+}
+
+TEST_CASE(
+	"VMs that sum up store what is new, others only what they saw themselves of several ends", "[quarantine]")
+{
+	listed of;
+	of.end(1, {cause});
+	CHECK(of.list.unstored(false, start).empty());
+	CHECK(of.list.unstored(true, start).size() == 1);
+	of.list.merge(seen(bystander, {life(2), life(3)}), start, start);
+	CHECK(of.list.unstored(false, start).empty());
+	of.end(4, {cause});
+	REQUIRE(of.list.unstored(false, start).size() == 1);
+	const auto stored = of.list.unstored(false, start).front();
+	CHECK(stored.ended == std::set{life(1), life(4)});
+	of.list.note_stored(stored, start, start);
+	CHECK(of.list.unstored(false, start).empty());
+	of.list.note_stored(seen(cause, {life(7)}), start, start);
+	CHECK(of.list.is_held(cause, start));
+	CHECK(of.list.unstored(false, start).empty());
+}
+
+TEST_CASE("two VMs that know more ends than are kept do not store them in turn for ever", "[quarantine]")
+{
+	listed a;
+	listed b;
+	for (int number = 1; number <= 10; ++number)
+	{
+		a.end(number, {cause});
+		b.end(100 + number, {cause});
+	}
+	int writes = 0;
+	for (int round = 0; round < 20; ++round)
+	{
+		for (auto* writer : {&a, &b})
+		{
+			for (const auto& one : writer->list.unstored(true, start))
+			{
+				++writes;
+				a.list.note_stored(one, start, start);
+				b.list.note_stored(one, start, start);
+			}
+		}
+	}
+	CHECK(writes <= 2);
+}
+
+TEST_CASE(
+	"after a mass loss requests beside one end are neither told nor kept without a bound", "[quarantine]")
+{
+	listed of;
+	std::vector<request_key> many;
+	for (int i = 0; i < 3000; ++i)
+	{
+		many.emplace_back("r" + std::to_string(i));
+	}
+	of.end(1, {cause});
+	of.end(2, {cause});
+	of.end(3, many);
+	CHECK(of.list.size() == suspect_tuning{}.most_suspects);
+	CHECK(of.list.is_suspect(cause, start));
+	CHECK(of.list.news(1, start).size() == suspect_tuning{}.most_told);
+	CHECK(of.list.news(1, start).front().key == cause);
+	CHECK(of.list.unstored(true, start).size() == 1);
+	CHECK(of.list.news(1, start + seconds{5}).empty());
+}
--- a/tests/support/controlled_vm.hpp
+++ b/tests/support/controlled_vm.hpp
@@ -31,6 +31,7 @@
 		  coordinator(world.gateway(), client, platform::layout(),
 			  {vm_id{name}, failure_domain_id{"a"}, at, 0}, name + "-1", seeded_random{4})
 	{
+		world.gateway().on_suspicion([this] { coordinator.on_suspicion(); });
 		REQUIRE_FALSE(coordinator.start());
 	}
 
--- a/thrift/relay.thrift
+++ b/thrift/relay.thrift
@@ -58,18 +58,28 @@
 	2: required i64 order
 }
 
+// A request under which replicas ended: lives of replicas, as whole numbers.
+struct RelaySuspicion {
+	1: required string key
+	2: required list<i64> ended
+	3: required list<i64> ended_together
+	4: required list<i64> survived
+}
+
 // What a VM tells the one that it reads from.
 struct RelayReport {
 	1: required string reporter
 	2: required list<RelayWork> work
 	3: required list<RelayEvidence> evidence
 	4: optional list<RelaySuspension> suspended
+	5: optional list<RelaySuspicion> suspects
 }
 
 // What a VM is told in return.
 struct RelaySummary {
 	1: required list<RelayWork> work
 	2: required list<RelaySuspension> suspended
+	3: optional list<RelaySuspicion> suspects
 }
 
 struct RelayPoll {
