Times are measured with a clock that goes on while the machine is suspended

Cause: all ages, limits and timers rested on the steady clock, which leaves suspensions out: a VM that had slept took its copies of keys and configuration for as young as before, and gave replicas more time than their callers had left. Change: one clock (CLOCK_BOOTTIME) in one place, for the state machines and the timers of the event loop; timers look at it every 0.5 s at least, since the system's own wait stands still with the steady clock. A line tells a suspension by its length. Tests, with a clock that the test moves on: keys are not trusted, overdue requests are given up, timers are due. With the steady clock put back in its place two of three fail (the third, with its present limit, was not run so).

--- a/include/gingerdyke/control/coordinator.hpp
+++ b/include/gingerdyke/control/coordinator.hpp
@@ -3,6 +3,7 @@
 // out.
 #pragma once
 
+#include <gingerdyke/base/suspension_watch.hpp>
 #include <gingerdyke/control/relay_server.hpp>
 #include <gingerdyke/control/report_board.hpp>
 #include <gingerdyke/control/shared_store.hpp>
@@ -134,6 +135,7 @@
 	void on_report(const peer_report& report);
 	[[nodiscard]] peer_summary summary_for(const std::string& reporter);
 	void on_summary(const peer_summary& summary);
+	void note_suspension();
 	void take_suspects(const std::vector<quarantine::suspicion>& suspects);
 	void take_suspensions(const std::vector<rollout::shift_suspension>& suspended);
 	void note_work_of_others(std::vector<routing::replica_work> work);
@@ -148,11 +150,12 @@
 	relay_server relay_;
 	report_board board_;
 	suspect_rows suspects_;
+	suspension_watch suspensions_;
 	std::map<vm_id, peer> vms_;
-	proxy::asio::steady_timer register_timer_;
-	proxy::asio::steady_timer write_timer_;
-	proxy::asio::steady_timer expire_timer_;
-	proxy::asio::steady_timer evidence_timer_;
+	proxy::boot_timer register_timer_;
+	proxy::boot_timer write_timer_;
+	proxy::boot_timer expire_timer_;
+	proxy::boot_timer evidence_timer_;
 	table_follower operators_;
 	table_follower replicas_;
 	table_follower own_;
--- a/include/gingerdyke/control/relay_client.hpp
+++ b/include/gingerdyke/control/relay_client.hpp
@@ -32,7 +32,7 @@
 	{
 		std::string table;
 		done_hook done;
-		std::shared_ptr<proxy::asio::steady_timer> timer;
+		std::shared_ptr<proxy::boot_timer> timer;
 	};
 
 	void connect();
@@ -44,7 +44,7 @@
 	peer to_;
 	summary_hook summarised_;
 	std::shared_ptr<frame_link> link_;
-	proxy::asio::steady_timer connect_timer_;
+	proxy::boot_timer connect_timer_;
 	std::map<std::int64_t, open_call> calls_;
 	std::int64_t next_call_ = 1;
 };
--- a/include/gingerdyke/control/relay_server.hpp
+++ b/include/gingerdyke/control/relay_server.hpp
@@ -68,7 +68,7 @@
 	proxy::asio::io_context& context_;
 	relay_server_hooks hooks_;
 	proxy::tcp::acceptor acceptor_;
-	proxy::asio::steady_timer timer_;
+	proxy::boot_timer timer_;
 	std::list<waiting_poll> waiting_;
 	std::map<std::string, packed_table> packed_;
 	std::list<std::shared_ptr<frame_link>> links_;
--- a/include/gingerdyke/control/suspect_rows.hpp
+++ b/include/gingerdyke/control/suspect_rows.hpp
@@ -79,7 +79,7 @@
 	quarantine::suspect_list& suspects_;
 	std::string table_;
 	suspect_rows_tuning tuning_;
-	proxy::asio::steady_timer timer_;
+	proxy::boot_timer timer_;
 
 	/// The registry's clock less this VM's; none: not known yet.
 	std::optional<duration> offset_;
--- a/include/gingerdyke/control/table_follower.hpp
+++ b/include/gingerdyke/control/table_follower.hpp
@@ -77,7 +77,7 @@
 	random_source random_;
 	follower_hooks hooks_;
 	follower_tuning tuning_;
-	proxy::asio::steady_timer timer_;
+	proxy::boot_timer timer_;
 
 	/// Version that the next call continues from; none: the table has to be read whole.
 	std::optional<row_version> next_;
--- a/include/gingerdyke/http/request_runner.hpp
+++ b/include/gingerdyke/http/request_runner.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <chrono>
+#include <gingerdyke/base/boot_clock.hpp>
 #include <gingerdyke/http/upstream.hpp>
 #include <gingerdyke/metrics/registry.hpp>
 #include <gingerdyke/node/host.hpp>
@@ -79,8 +80,8 @@
 	void finish(const running_request& request, const request_end& end);
 
 	const runner_parts& parts_;
-	std::chrono::steady_clock::time_point started_;
-	std::optional<std::chrono::steady_clock::time_point> last_chunk_;
+	boot_clock::time_point started_;
+	std::optional<boot_clock::time_point> last_chunk_;
 	metrics::request_sample sample_;
 };
 } // namespace gingerdyke::http
--- a/include/gingerdyke/proxy/asio.hpp
+++ b/include/gingerdyke/proxy/asio.hpp
@@ -7,12 +7,11 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
-#include <gingerdyke/base/units.hpp>
+#include <gingerdyke/proxy/timer.hpp>
 #include <string>
 
 namespace gingerdyke::proxy
@@ -22,12 +21,7 @@
 using tcp = asio::ip::tcp;
 using error_code = boost::system::error_code;
 
-/// \brief The steady clock's time as the state machines count it.
-[[nodiscard]] inline instant steady_now()
-{
-	const auto since = std::chrono::steady_clock::now().time_since_epoch();
-	return instant{std::chrono::duration_cast<duration>(since)};
-}
+using gingerdyke::steady_now;
 
 /// \brief Sets the options that every connection has: no delay of small writes, and a peer that is silently
 /// gone is noticed within seconds.
--- a/include/gingerdyke/proxy/caller_link.hpp
+++ b/include/gingerdyke/proxy/caller_link.hpp
@@ -77,7 +77,7 @@
 	tcp::socket socket_;
 	std::shared_ptr<const caller_link_host> host_;
 	routing::caller_limits limits_;
-	asio::steady_timer timer_;
+	boot_timer timer_;
 	beast::flat_buffer buffer_;
 	std::optional<parser> parser_;
 	request request_;
--- a/include/gingerdyke/proxy/exchange.hpp
+++ b/include/gingerdyke/proxy/exchange.hpp
@@ -135,8 +135,8 @@
 	std::shared_ptr<answer_sink> to_;
 	instant arrived_;
 	instant ends_at_;
-	asio::steady_timer deadline_timer_;
-	asio::steady_timer attempt_timer_;
+	boot_timer deadline_timer_;
+	boot_timer attempt_timer_;
 	routing::catalog_ptr catalog_;
 	const routing::route* route_ = nullptr;
 	const routing::service* service_ = nullptr;
--- a/include/gingerdyke/proxy/listener.hpp
+++ b/include/gingerdyke/proxy/listener.hpp
@@ -38,7 +38,7 @@
 
 	std::shared_ptr<const caller_link_host> host_;
 	tcp::acceptor acceptor_;
-	asio::steady_timer pause_;
+	boot_timer pause_;
 	std::vector<std::weak_ptr<caller_link>> links_;
 	std::size_t sweep_at_;
 };
--- a/soak/caller.hpp
+++ b/soak/caller.hpp
@@ -46,8 +46,8 @@
 	routing::address at_;
 	caller_hooks hooks_;
 	proxy::tcp::socket socket_;
-	proxy::asio::steady_timer limit_;
-	proxy::asio::steady_timer pause_;
+	proxy::boot_timer limit_;
+	proxy::boot_timer pause_;
 	proxy::beast::flat_buffer buffer_;
 	std::optional<parser> parser_;
 	std::string bytes_;
--- a/soak/link_proxy.cpp
+++ b/soak/link_proxy.cpp
@@ -43,8 +43,10 @@
 {
   public:
 	pair(tcp::socket near, proxy::asio::io_context& context, std::shared_ptr<const link_fault> fault)
-		: near_{std::move(near), proxy::asio::steady_timer{context}, {}, false},
-		  far_{tcp::socket{context}, proxy::asio::steady_timer{context}, {}, false}, fault_(std::move(fault))
+		: near_{std::move(near), proxy::boot_timer{context}, {}, false}, far_{tcp::socket{context},
+																			 proxy::boot_timer{context}, {},
+																			 false},
+		  fault_(std::move(fault))
 	{
 	}
 
@@ -91,7 +93,7 @@
 	struct side
 	{
 		tcp::socket socket;
-		proxy::asio::steady_timer timer;
+		proxy::boot_timer timer;
 		std::string piece;
 		bool is_held;
 	};
--- a/soak/world.cpp
+++ b/soak/world.cpp
@@ -322,7 +322,7 @@
 
 void world::after(duration span, std::function<void()> then)
 {
-	const auto timer = std::make_shared<proxy::asio::steady_timer>(context_, span);
+	const auto timer = std::make_shared<proxy::boot_timer>(context_, span);
 	timer->async_wait(
 		[timer, then = std::move(then)](const proxy::error_code& error)
 		{
--- a/soak/world.hpp
+++ b/soak/world.hpp
@@ -100,7 +100,7 @@
 	platform::standin::registry registry_;
 	std::vector<std::unique_ptr<vm>> vms_;
 	std::vector<std::unique_ptr<backend>> backends_;
-	proxy::asio::steady_timer watch_timer_;
+	proxy::boot_timer watch_timer_;
 	int version_ = 1;
 
 	/// Keys that callers use, and those of them that the configuration has.
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -2,6 +2,7 @@
 // `gingerdyke serve`: one entry VM, from its settings to its planned stop.
 #include <chrono>
 #include <csignal>
+#include <gingerdyke/base/boot_clock.hpp>
 #include <gingerdyke/cli/commands.hpp>
 #include <gingerdyke/cli/options.hpp>
 #include <gingerdyke/http/front.hpp>
@@ -36,9 +37,9 @@
 	node.post(node::stop_wanted{});
 	std::this_thread::sleep_for(settings.balancer_lag);
 	front.refuse_new();
-	const auto deadline = std::chrono::steady_clock::now() + settings.stop_limit;
+	const auto deadline = boot_clock::now() + settings.stop_limit;
 	bool drained = node.ask(node::query_kind::drained).get<bool>();
-	while (!drained && std::chrono::steady_clock::now() < deadline)
+	while (!drained && boot_clock::now() < deadline)
 	{
 		std::this_thread::sleep_for(drain_poll);
 		drained = node.ask(node::query_kind::drained).get<bool>();
--- a/src/control/coordinator.cpp
+++ b/src/control/coordinator.cpp
@@ -52,12 +52,17 @@
 			  [this](const auto& rows) { on_operator_rows(rows); },
 			  [this](instant newest_at, registry_time at)
 			  {
+				  note_suspension();
 				  gateway_.confirm(newest_at);
 				  gateway_.versions().note_registry_time(at, proxy::steady_now());
 				  suspects_.note_registry_time(at, proxy::steady_now());
 			  },
 			  // What the other calls wait for may be lost as well: they are made again.
-			  [this](store_error) { store_.abandon(); }},
+			  [this](store_error)
+			  {
+				  note_suspension();
+				  store_.abandon();
+			  }},
 		  {.wait = tuning_.operator_wait}),
 	  replicas_(gateway.context(), store_, layout_.replica_table, random,
 		  {[this](const auto& rows) { on_replicas(rows); },
@@ -117,6 +122,16 @@
 	register_timer_.cancel();
 }
 
+/// Looked at with each answer of the table that is asked for most often: calls under way fail at the latest.
+void coordinator::note_suspension()
+{
+	const auto without = std::chrono::steady_clock::now().time_since_epoch();
+	if (const auto span = suspensions_.note(boot_clock::now().time_since_epoch(), without))
+	{
+		log::write(log::level::warn, "machine was suspended", {{"for_ms", to_milliseconds(*span)}});
+	}
+}
+
 /// A VM that starts again where it was is still registered.
 void coordinator::register_self()
 {
--- a/src/control/relay_client.cpp
+++ b/src/control/relay_client.cpp
@@ -21,7 +21,7 @@
 {
 	poll.call = next_call_++;
 	const auto number = poll.call;
-	auto timer = std::make_shared<proxy::asio::steady_timer>(context_);
+	auto timer = std::make_shared<proxy::boot_timer>(context_);
 	timer->expires_after(limit);
 	timer->async_wait(
 		[self = shared_from_this(), number](const proxy::error_code& error)
--- a/src/control/shared_store.cpp
+++ b/src/control/shared_store.cpp
@@ -137,7 +137,7 @@
 void shared_store::read_after(duration pause, read_call call)
 {
 	call.failures = 0;
-	const auto timer = std::make_shared<proxy::asio::steady_timer>(context_, pause);
+	const auto timer = std::make_shared<proxy::boot_timer>(context_, pause);
 	timer->async_wait(
 		[this, timer, call = std::move(call)](const proxy::error_code& error) mutable
 		{
--- a/src/http/request_runner.cpp
+++ b/src/http/request_runner.cpp
@@ -8,7 +8,7 @@
 {
 namespace
 {
-using clock = std::chrono::steady_clock;
+using clock = boot_clock;
 
 /// Longest wait for the node's next word: far beyond all its own limits, so reached only where it is gone.
 constexpr std::chrono::milliseconds node_limit = std::chrono::minutes{15};
--- a/src/http/upstream.cpp
+++ b/src/http/upstream.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: MIT
 // Calls to upstreams. What an engine's answers mean is in docs/API.md, "Towards engines".
 #include <chrono>
+#include <gingerdyke/base/boot_clock.hpp>
 #include <gingerdyke/base/http_status.hpp>
 #include <gingerdyke/http/sse_reader.hpp>
 #include <gingerdyke/http/upstream.hpp>
@@ -176,7 +177,7 @@
 		{
 			return stop(attempt_end::caller_left);
 		}
-		const auto now = std::chrono::steady_clock::now();
+		const auto now = boot_clock::now();
 		if (now - told_ >= progress_interval)
 		{
 			told_ = now;
@@ -194,7 +195,7 @@
 	bool finished_;
 	bool done_ = false;
 	std::optional<attempt_end> stopped_;
-	std::chrono::steady_clock::time_point told_ = std::chrono::steady_clock::now();
+	boot_clock::time_point told_ = boot_clock::now();
 };
 } // namespace
 
--- a/src/node/host.cpp
+++ b/src/node/host.cpp
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <caf/all.hpp>
 #include <chrono>
+#include <gingerdyke/base/boot_clock.hpp>
 #include <gingerdyke/base/crypto.hpp>
 #include <gingerdyke/limits/call_gate.hpp>
 #include <gingerdyke/node/host.hpp>
@@ -54,12 +55,6 @@
 	std::shared_ptr<store_answered> answer;
 };
 
-instant now_of_host()
-{
-	const auto now = std::chrono::steady_clock::now().time_since_epoch();
-	return instant{std::chrono::duration_cast<duration>(now)};
-}
-
 random_source system_random()
 {
 	std::random_device device;
@@ -142,7 +137,7 @@
 void start_calls(node_actor* self)
 {
 	auto& state = self->state;
-	auto taken = state.gate->take(now_of_host());
+	auto taken = state.gate->take(steady_now());
 	std::move(taken.begin(), taken.end(), std::back_inserter(state.ready_calls));
 	std::vector<call_store> left;
 	for (auto& call : state.ready_calls)
@@ -211,7 +206,7 @@
 void take(node_actor* self, const event& what)
 {
 	auto& state = self->state;
-	auto actions = state.machine->step(what, now_of_host());
+	auto actions = state.machine->step(what, steady_now());
 	for (auto& action : actions)
 	{
 		std::visit(action_runner{self}, action);
@@ -230,7 +225,7 @@
 	switch (query.kind)
 	{
 	case query_kind::status:
-		return status_of(machine, now_of_host());
+		return status_of(machine, steady_now());
 	case query_kind::rows:
 		return rows_of(machine);
 	case query_kind::explain:
@@ -253,7 +248,7 @@
 	state.outside = outside;
 	const auto rate = settings.platform_calls_per_second;
 	state.gate =
-		std::make_unique<limits::call_gate>(rate, std::max(1.0, rate * call_burst_seconds), now_of_host());
+		std::make_unique<limits::call_gate>(rate, std::max(1.0, rate * call_burst_seconds), steady_now());
 	for (std::size_t i = 0; i < claim_workers + other_workers; ++i)
 	{
 		state.workers.push_back(
--- a/src/peer/link_hub.cpp
+++ b/src/peer/link_hub.cpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <boost/asio.hpp>
 #include <deque>
+#include <gingerdyke/base/boot_clock.hpp>
 #include <gingerdyke/peer/codec.hpp>
 #include <gingerdyke/peer/link_hub.hpp>
 #include <map>
@@ -43,8 +44,7 @@
 	void send(std::string frame)
 	{
 		const std::lock_guard lock{mutex_};
-		if (waiting_bytes_ + frame.size() > most_waiting_bytes ||
-			std::chrono::steady_clock::now() < not_before_)
+		if (waiting_bytes_ + frame.size() > most_waiting_bytes || boot_clock::now() < not_before_)
 		{
 			++counts_.undelivered;
 			return;
@@ -165,7 +165,7 @@
 		waiting_bytes_ = 0;
 		writing_ = false;
 		state_ = state::closed;
-		not_before_ = std::chrono::steady_clock::now() + reconnect_pause;
+		not_before_ = boot_clock::now() + reconnect_pause;
 		error_code ignored;
 		socket_.close(ignored);
 	}
@@ -180,7 +180,7 @@
 	state state_ = state::closed;
 	bool writing_ = false;
 	std::array<char, 16> unused_{};
-	std::chrono::steady_clock::time_point not_before_;
+	boot_clock::time_point not_before_;
 };
 
 /// A link in: reads frames until it breaks or says something that is no frame.
--- a/src/proxy/exchange_answers.cpp
+++ b/src/proxy/exchange_answers.cpp
@@ -334,7 +334,7 @@
 		[self = shared_from_this()](const error_code& error)
 		{
 			// A timer that was set anew may have been due already.
-			const bool is_due = self->attempt_timer_.expiry() <= std::chrono::steady_clock::now();
+			const bool is_due = self->attempt_timer_.expiry() <= boot_clock::now();
 			if (!error && !self->over_ && self->attempt_ && is_due)
 			{
 				self->on_attempt_timer();
--- a/src/proxy/replica_end_watch.cpp
+++ b/src/proxy/replica_end_watch.cpp
@@ -10,7 +10,7 @@
 	explicit probe(asio::io_context& context) : socket(context), timer(context) {}
 
 	tcp::socket socket;
-	asio::steady_timer timer;
+	boot_timer timer;
 	bool is_over{};
 };
 
--- /dev/null
+++ b/tests/control/suspect_rows.cpp
@@ -0,0 +1,138 @@
+// SPDX-License-Identifier: MIT
+// Requests under which replicas ended, as rows of the registry.
+#include "../support/control_world.hpp"
+#include <gingerdyke/control/suspect_rows.hpp>
+
+using namespace gingerdyke;
+using namespace gingerdyke::test;
+using quarantine::process_life;
+using quarantine::request_key;
+using quarantine::suspicion;
+
+namespace
+{
+/// A registry that keeps what is written; answers wait until the test gives them.
+struct recording_store : scripted_store
+{
+	void change(const row_change& what, std::function<void(store_result<change_answer>)> done) override
+	{
+		changes.push_back(what);
+		waiting.push_back(std::move(done));
+	}
+
+	void answer(store_result<change_answer> result)
+	{
+		const auto done = std::move(waiting.front());
+		waiting.erase(waiting.begin());
+		done(std::move(result));
+	}
+
+	std::vector<row_change> changes;
+	std::vector<std::function<void(store_result<change_answer>)>> waiting;
+};
+
+/// One VM's list with its rows.
+struct stored_list
+{
+	stored_list() { rows.note_registry_time(registry_time{seconds{500}}, proxy::steady_now()); }
+
+	void end(int life, const char* key)
+	{
+		const auto now = proxy::steady_now();
+		list.presume(process_life{life}, {request_key{key}}, now);
+		list.confirm(process_life{life}, now);
+		rows.arm();
+	}
+
+	[[nodiscard]] row stored_row() const
+	{
+		const auto& put = store.changes.back().puts.front();
+		return {put.table, put.key, put.value, row_version{9}, false};
+	}
+
+	proxy::asio::io_context context{1};
+	recording_store store;
+	quarantine::suspect_list list{[](const suspicion&) {}};
+	suspect_rows rows{context, store, list, "own", {.gather = milliseconds{1}, .again = milliseconds{1}}};
+};
+} // namespace
+
+TEST_CASE("a suspicion comes back from its row as it was written", "[quarantine]")
+{
+	stored_suspicion what{
+		{request_key{"k"}, {process_life{-3}, process_life{4}}, {process_life{4}}, {process_life{1}}},
+		registry_time{77}};
+	const row written{"own", "suspect/k", write_suspicion(what), row_version{1}, false};
+	const auto read = read_suspicion(written);
+	REQUIRE(read);
+	CHECK(read->known == what.known);
+	CHECK(read->last_end == what.last_end);
+	for (const auto* broken :
+		{"", "[]", "{}", R"({"ended":["x"],"ended_together":[],"survived":[],"last_end_us":1})"})
+	{
+		CHECK_FALSE(read_suspicion({"own", "suspect/k", broken, row_version{1}, false}));
+	}
+}
+
+TEST_CASE("two ends of its own are stored, once; a write that failed is made again", "[quarantine]")
+{
+	stored_list vm;
+	vm.end(1, "k");
+	CHECK(vm.list.unstored(false, proxy::steady_now()).empty());
+	vm.end(2, "k");
+	run_until(vm.context, [&] { return vm.store.changes.size() == 1; });
+	CHECK(vm.store.changes.front().puts.front().key == "suspect/k");
+	vm.store.answer(tl::make_unexpected(store_error::unavailable));
+	run_until(vm.context, [&] { return vm.store.changes.size() == 2; });
+	vm.store.answer(change_answer{true, {}});
+	CHECK(vm.list.unstored(false, proxy::steady_now()).empty());
+	vm.rows.arm();
+	vm.context.restart();
+	vm.context.run_for(milliseconds{20});
+	CHECK(vm.store.changes.size() == 2);
+}
+
+TEST_CASE("what was written while a write was under way follows it", "[quarantine]")
+{
+	stored_list vm;
+	vm.end(1, "k");
+	vm.end(2, "k");
+	run_until(vm.context, [&] { return vm.store.changes.size() == 1; });
+	vm.end(3, "k");
+	vm.store.answer(change_answer{true, {}});
+	run_until(vm.context, [&] { return vm.store.changes.size() == 2; });
+	CHECK(read_suspicion(vm.stored_row())->known.ended.size() == 3);
+}
+
+TEST_CASE("a VM that starts holds back what the rows tell, until an operator removes the row", "[quarantine]")
+{
+	stored_list vm;
+	for (const int life : {1, 2, 3})
+	{
+		vm.end(life, "k");
+	}
+	run_until(vm.context, [&] { return !vm.store.changes.empty(); });
+	stored_list other;
+	auto one = vm.stored_row();
+	other.rows.on_row(one, proxy::steady_now());
+	CHECK(other.list.is_held(request_key{"k"}, proxy::steady_now()));
+	CHECK(other.list.unstored(true, proxy::steady_now()).empty());
+	one.removed = true;
+	other.rows.on_row(one, proxy::steady_now());
+	CHECK_FALSE(other.list.is_suspect(request_key{"k"}, proxy::steady_now()));
+}
+
+TEST_CASE("a row of long ago holds nothing back, and goes with the next write", "[quarantine]")
+{
+	stored_list vm;
+	const stored_suspicion old{
+		{request_key{"old"}, {process_life{1}, process_life{2}, process_life{3}}, {}, {}},
+		registry_time{seconds{500} - std::chrono::minutes{11}}};
+	vm.rows.on_row({"own", "suspect/old", write_suspicion(old), row_version{1}, false}, proxy::steady_now());
+	CHECK_FALSE(vm.list.is_suspect(request_key{"old"}, proxy::steady_now()));
+	vm.end(1, "k");
+	vm.end(2, "k");
+	run_until(vm.context, [&] { return vm.store.changes.size() == 2; });
+	REQUIRE(vm.store.changes.back().removes.size() == 1);
+	CHECK(vm.store.changes.back().removes.front().key == "suspect/old");
+}
--- /dev/null
+++ b/tests/proxy/suspended_vm.cpp
@@ -0,0 +1,73 @@
+// SPDX-License-Identifier: MIT
+// A VM that was suspended for seconds woke up with the ages and limits of before: its clock had stood still
+// with it. Keys taken away meanwhile were trusted, replicas got more time than their callers had left, and
+// what was to be asked again was asked as much too late.
+#include "../support/proxy_world.hpp"
+#include "../support/suspended_clock.hpp"
+#include <gingerdyke/base/suspension_watch.hpp>
+
+using namespace gingerdyke;
+using namespace gingerdyke::test;
+using std::chrono::seconds;
+
+TEST_CASE("a timer whose time passed while the machine was suspended is due soon after", "[suspended]")
+{
+	suspended_clock clock;
+	proxy::asio::io_context context{1};
+	proxy::boot_timer timer{context, std::chrono::hours{1}};
+	bool is_due = false;
+	timer.async_wait([&](const proxy::error_code& error) { is_due = !error; });
+	context.run_for(std::chrono::milliseconds{20});
+	CHECK_FALSE(is_due);
+	suspended_clock::sleep(std::chrono::hours{1});
+	run_until(context, [&] { return is_due; });
+}
+
+TEST_CASE("a VM that was suspended trusts no key until the configuration is confirmed again", "[suspended]")
+{
+	suspended_clock clock;
+	proxy_world world{seconds{5}};
+	scripted_replica replica{
+		world.context, [](const std::string&) { return scripted_answer{answer_with("200 OK", "x")}; }};
+	world.data.needs_keys = true;
+	world.data.workspaces.push_back({workspace_id{"w"}, 3});
+	world.data.keys["key"] = 0;
+	world.start({{"plain", &replica}});
+	const auto request = request_to("POST", "/unsafe/a", "body", "Authorization: Token key\r\n");
+	CHECK(world.ask(request).starts_with("HTTP/1.1 200 "));
+	suspended_clock::sleep(seconds{6});
+	CHECK(world.ask(request).starts_with("HTTP/1.1 503 "));
+	CHECK(replica.requests().size() == 1);
+	world.gateway().confirm(proxy::steady_now());
+	CHECK(world.ask(request).starts_with("HTTP/1.1 200 "));
+}
+
+TEST_CASE("a suspension is told once, by its length", "[suspended]")
+{
+	using std::chrono::milliseconds;
+	suspension_watch watch;
+	CHECK_FALSE(watch.note(seconds{10}, seconds{10}));
+	CHECK_FALSE(watch.note(seconds{11}, seconds{11}));
+	CHECK(watch.note(seconds{18}, seconds{12}) == seconds{6});
+	CHECK_FALSE(watch.note(seconds{19}, seconds{13}));
+	// What lies between the two readings is no suspension.
+	CHECK_FALSE(watch.note(seconds{20} + milliseconds{1}, seconds{14}));
+}
+
+TEST_CASE(
+	"a request whose time passed while the VM was suspended is given up and not sent again", "[suspended]")
+{
+	suspended_clock clock;
+	proxy_world world;
+	scripted_replica replica{world.context, [](const std::string&) { return scripted_answer{}; }};
+	scripted_replica other{world.context, [](const std::string&) { return scripted_answer{}; }};
+	world.start({{"plain", &replica}, {"plain", &other}});
+	scripted_caller caller{world.context, world.port()};
+	caller.send(request_to("POST", "/safe/a", "body", "Deadline-Ms: 25000\r\n"));
+	const auto sent = [&] { return replica.requests().size() + other.requests().size(); };
+	world.run_until([&] { return sent() == 1; });
+	suspended_clock::sleep(seconds{26});
+	world.run_until([&] { return caller.has_answer(); });
+	CHECK(caller.received().starts_with("HTTP/1.1 504 "));
+	CHECK(sent() == 1);
+}
