Soak: a request crashes the replicas that run it, repeated at all VMs, which are killed meanwhile

Replicas of the soak can crash (connections reset, nobody listens) and start again under their id; the judge counts ends later than 3 s after the third. Its sockets are no longer handed down to the VM processes, which would have gone on listening for a replica that is down.

--- a/soak/history.cpp
+++ b/soak/history.cpp
@@ -29,6 +29,11 @@
 /// The same for a VM that loses the registry again and again: other VMs tell it, as soon as it has noticed.
 constexpr std::chrono::seconds disturbed_leave_limit{4};
 
+/// Replicas that a request may end, and those that it may end later than this after them.
+constexpr std::size_t ends_allowed = 3;
+constexpr std::chrono::seconds contact_limit{3};
+constexpr std::size_t late_ends_allowed = 3;
+
 bool is_refusal(int status)
 {
 	return status == unavailable || status == too_many;
@@ -79,6 +84,7 @@
 	judge_versions(found);
 	judge_stops(found);
 	judge_departures(found);
+	judge_crashes(found);
 	return found;
 }
 
@@ -214,4 +220,29 @@
 		}
 	}
 }
+void history::judge_crashes(findings& into) const
+{
+	for (const auto& crashing : crashing_)
+	{
+		std::vector<instant> ends;
+		for (const auto& [id, one] : requests_)
+		{
+			for (const auto& seen : one.runs)
+			{
+				if (one.sent.path == crashing.path)
+				{
+					ends.push_back(seen.at);
+				}
+			}
+		}
+		std::sort(ends.begin(), ends.end());
+		const auto late = std::count_if(ends.begin(), ends.end(),
+			[&](instant at) { return at > ends.at(ends_allowed - 1) + contact_limit; });
+		if (ends.size() > ends_allowed && static_cast<std::size_t>(late) > late_ends_allowed)
+		{
+			into.push_back("a request that ends replicas is held back: " + crashing.path + " ended " +
+						   std::to_string(ends.size()) + ", " + std::to_string(late) + " of them late");
+		}
+	}
+}
 } // namespace gingerdyke::soak
--- a/soak/history.hpp
+++ b/soak/history.hpp
@@ -75,6 +75,12 @@
 	std::set<std::string> disturbed_vms;
 };
 
+/// \brief The path of a request that crashes each replica that runs it.
+struct crashing_request
+{
+	std::string path;
+};
+
 /// \brief Collects, and judges at the end.
 class history
 {
@@ -85,6 +91,7 @@
 	void key_removed(const std::string& key, instant at) { removed_keys_[key] = at; }
 	void stopped(const quiet_stop& stop) { stops_.push_back(stop); }
 	void left(const departure& what) { departures_.push_back(what); }
+	void crashes(const crashing_request& what) { crashing_.push_back(what); }
 
 	/// \brief Something that must not happen and needs no judging.
 	void broken(const std::string& promise, const std::string& what);
@@ -117,11 +124,13 @@
 	void judge_versions(findings& into) const;
 	void judge_stops(findings& into) const;
 	void judge_departures(findings& into) const;
+	void judge_crashes(findings& into) const;
 
 	std::map<std::string, record> requests_;
 	std::map<std::string, instant> removed_keys_;
 	std::vector<quiet_stop> stops_;
 	std::vector<departure> departures_;
+	std::vector<crashing_request> crashing_;
 	findings broken_;
 };
 } // namespace gingerdyke::soak
--- a/soak/link_proxy.cpp
+++ b/soak/link_proxy.cpp
@@ -3,6 +3,8 @@
 #include "link_proxy.hpp"
 
 #include <array>
+#include <fcntl.h>
+#include <stdexcept>
 
 namespace gingerdyke::soak
 {
@@ -14,6 +16,15 @@
 constexpr std::size_t piece_size = 16384;
 constexpr std::chrono::milliseconds delay{120};
 
+/// VM processes are started while it listens: one that kept it would go on taking connections for it.
+void keep_from_children(tcp::acceptor& acceptor)
+{
+	if (::fcntl(acceptor.native_handle(), F_SETFD, FD_CLOEXEC) != 0)
+	{
+		throw std::runtime_error{"link proxy: can't mark its socket"};
+	}
+}
+
 tcp::endpoint endpoint_of(const routing::address& at)
 {
 	return {proxy::asio::ip::make_address_v4(at.ip), at.port};
@@ -34,6 +45,8 @@
 		return "one way";
 	case link_fault::reset:
 		return "reset";
+	case link_fault::refused:
+		return "refused";
 	}
 	return "unknown";
 }
@@ -175,8 +188,9 @@
 link_proxy::link_proxy(proxy::asio::io_context& context, routing::address target)
 	: context_(context), target_(std::move(target)),
 	  acceptor_(context, {proxy::asio::ip::address_v4::loopback(), 0}),
-	  fault_(std::make_shared<link_fault>(link_fault::none))
+	  port_(acceptor_.local_endpoint().port()), fault_(std::make_shared<link_fault>(link_fault::none))
 {
+	keep_from_children(acceptor_);
 	accept();
 }
 
@@ -187,22 +201,49 @@
 
 routing::address link_proxy::at() const
 {
-	return {"127.0.0.1", acceptor_.local_endpoint().port()};
+	return {"127.0.0.1", port_};
 }
 
 void link_proxy::set(link_fault fault)
 {
 	*fault_ = fault;
+	if (fault == link_fault::refused && listens_)
+	{
+		stop_listening();
+	}
+	else if (fault != link_fault::refused && !listens_)
+	{
+		listen_again();
+	}
 	std::erase_if(pairs_, [](const auto& one) { return one.expired(); });
 	for (const auto& one : pairs_)
 	{
 		if (const auto pair = one.lock())
 		{
-			fault == link_fault::reset ? pair->reset() : pair->resume();
+			const bool ends = fault == link_fault::reset || fault == link_fault::refused;
+			ends ? pair->reset() : pair->resume();
 		}
 	}
 }
 
+/// The port stays bound: else some connection could have it as its source when it is wanted again.
+void link_proxy::stop_listening()
+{
+	listens_ = false;
+	acceptor_.close();
+	acceptor_.open(tcp::v4());
+	acceptor_.set_option(proxy::asio::socket_base::reuse_address{true});
+	acceptor_.bind(endpoint_of(at()));
+	keep_from_children(acceptor_);
+}
+
+void link_proxy::listen_again()
+{
+	listens_ = true;
+	acceptor_.listen();
+	accept();
+}
+
 void link_proxy::accept()
 {
 	acceptor_.async_accept(
--- a/soak/link_proxy.hpp
+++ b/soak/link_proxy.hpp
@@ -21,6 +21,8 @@
 	one_way,
 	/// Connections are reset, new ones too.
 	reset,
+	/// Connections are reset, and nobody listens: what is behind has ended.
+	refused,
 };
 
 /// \brief The word for a fault.
@@ -43,10 +45,14 @@
 	class pair;
 
 	void accept();
+	void stop_listening();
+	void listen_again();
 
 	proxy::asio::io_context& context_;
 	routing::address target_;
 	proxy::tcp::acceptor acceptor_;
+	std::uint16_t port_;
+	bool listens_ = true;
 	std::shared_ptr<link_fault> fault_;
 	std::list<std::weak_ptr<pair>> pairs_;
 };
--- a/soak/world.hpp
+++ b/soak/world.hpp
@@ -68,6 +68,9 @@
 		std::unique_ptr<platform::standin::replica> replica;
 		std::unique_ptr<link_proxy> link;
 		bool leaves{};
+
+		/// How often its process started again.
+		int starts{};
 	};
 
 	void add_vm(std::size_t index);
@@ -85,6 +88,8 @@
 	void change_configuration(int by);
 	void remove_key();
 
+	void crash(backend& one);
+	void let_a_request_crash_replicas();
 	void let_replicas_leave();
 
 	void watch_processes();
--- a/tests/soak/history.cpp
+++ b/tests/soak/history.cpp
@@ -202,3 +202,29 @@
 	}
 	CHECK(draw_faults(8, seconds{8}).front().str() != first.front().str());
 }
+
+TEST_CASE("soak: a request that goes on ending replicas is found, its first ends are not", "[soak]")
+{
+	history seen;
+	seen.crashes({"/p/c"});
+	const auto end_at = [&](const char* id, duration at)
+	{
+		auto what = make_request(id, request_kind::once, at);
+		what.path = "/p/c";
+		seen.sent(what);
+		auto run = run_of(id);
+		run.path = "/p/c";
+		seen.ran(run, start + at);
+	};
+	for (const auto* id : {"a", "b", "c", "d", "e", "f"})
+	{
+		end_at(id, milliseconds{500});
+	}
+	for (const auto* id : {"g", "h", "i"})
+	{
+		end_at(id, seconds{4});
+	}
+	CHECK(verdict_of(seen).empty());
+	end_at("j", seconds{5});
+	CHECK(finds(seen, "a request that ends replicas is held back"));
+}
