Only requests that the next end would hold back keep apart; rows of long ago hold nothing back at a start

Each loss of replicas left many requests beside one end, and all of them kept away from each other's replicas; now only those whose next end decides. A VM that had just started took rows of any age for new, since it knew the rows before the registry's clock: they wait for it. The body is hashed without a copy. Two new tests; without the rule both requests reach one replica (seen).

--- a/include/gingerdyke/control/suspect_rows.hpp
+++ b/include/gingerdyke/control/suspect_rows.hpp
@@ -57,8 +57,8 @@
 	/// \brief Takes a row that changed or went.
 	void on_row(const row& one, instant now);
 
-	/// \brief Notes the registry's clock.
-	void note_registry_time(registry_time at, instant now) { offset_ = at - now.time_since_epoch(); }
+	/// \brief Notes the registry's clock. Rows that came before it was known are taken now.
+	void note_registry_time(registry_time at, instant now);
 
 	/// \brief Notes whether this VM reads the registry for others.
 	void note_reads_registry(bool reads_registry) { reads_registry_ = reads_registry; }
@@ -73,7 +73,7 @@
 	void on_written(
 		const std::vector<quarantine::suspicion>& written, const store_result<change_answer>& answer);
 	void remove_old(instant now);
-	[[nodiscard]] instant moment_of(registry_time at, instant now) const;
+	void take(const row& one, instant now);
 
 	row_store& registry_;
 	quarantine::suspect_list& suspects_;
@@ -84,6 +84,9 @@
 	/// The registry's clock less this VM's; none: not known yet.
 	std::optional<duration> offset_;
 
+	/// Rows that came before the registry's clock was known.
+	std::vector<row> early_;
+
 	/// The last end that each row tells of.
 	std::map<std::string, instant> rows_;
 	bool reads_registry_ = false;
--- a/include/gingerdyke/proxy/gateway.hpp
+++ b/include/gingerdyke/proxy/gateway.hpp
@@ -165,7 +165,8 @@
 	/// \brief Requests under which replicas ended.
 	[[nodiscard]] quarantine::suspect_list& suspects() noexcept { return suspects_; }
 
-	/// \brief Whether another request under which replicas ended runs on a replica, as far as this VM knows.
+	/// \brief Whether another request that the next end would hold back runs on a replica, as far as this VM
+	/// knows.
 	[[nodiscard]] bool runs_other_suspect(
 		const routing::replica& at, const quarantine::request_key& than, instant now) const;
 
--- a/include/gingerdyke/quarantine/suspect_list.hpp
+++ b/include/gingerdyke/quarantine/suspect_list.hpp
@@ -115,6 +115,9 @@
 	/// \brief Whether a replica ended under a request.
 	[[nodiscard]] bool is_suspect(const request_key& key, instant now) const;
 
+	/// \brief Whether the next end would hold a request back.
+	[[nodiscard]] bool is_nearly_held(const request_key& key, instant now) const;
+
 	/// \brief What other VMs should be told.
 	/// \param least_ended Only requests under which so many replicas ended.
 	[[nodiscard]] std::vector<suspicion> news(std::size_t least_ended, instant now) const;
--- a/src/control/suspect_rows.cpp
+++ b/src/control/suspect_rows.cpp
@@ -3,6 +3,7 @@
 #include <gingerdyke/control/row_json.hpp>
 #include <gingerdyke/control/suspect_rows.hpp>
 #include <gingerdyke/log/log.hpp>
+#include <utility>
 
 namespace gingerdyke::control
 {
@@ -63,28 +64,40 @@
 {
 }
 
-/// A VM that has just started knows the rows before the registry's clock: they count as new until the next
-/// reading, so that nothing is forgotten too early.
-instant suspect_rows::moment_of(registry_time at, instant now) const
+void suspect_rows::note_registry_time(registry_time at, instant now)
 {
-	return offset_ ? std::min(now, instant{at - *offset_}) : now;
+	offset_ = at - now.time_since_epoch();
+	for (const auto& one : std::exchange(early_, {}))
+	{
+		on_row(one, now);
+	}
 }
 
 void suspect_rows::on_row(const row& one, instant now)
 {
+	if (!offset_)
+	{
+		early_.push_back(one);
+		return;
+	}
 	if (one.removed)
 	{
 		rows_.erase(one.key);
 		suspects_.forget(quarantine::request_key{one.key.substr(suspect_prefix.size())});
 		return;
 	}
+	take(one, now);
+}
+
+void suspect_rows::take(const row& one, instant now)
+{
 	const auto read = read_suspicion(one);
 	if (!read)
 	{
 		log::write(log::level::error, "suspicion not understood", {{"findings", to_text(read.error())}});
 		return;
 	}
-	const auto last_end = moment_of(read->last_end, now);
+	const auto last_end = std::min(now, instant{read->last_end - *offset_});
 	rows_[one.key] = last_end;
 	suspects_.note_stored(read->known, last_end, now);
 	arm();
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -103,9 +103,9 @@
 routing::replica_ptr exchange::choose_replica() const
 {
 	const auto now = steady_now();
-	if (shared_.suspects().is_suspect(key_, now))
+	if (shared_.suspects().is_nearly_held(key_, now))
 	{
-		// Two suspects on one replica would both be blamed for its end: a request that only stood beside the
+		// Both would be blamed for the end of a replica that they share: a request that only stood beside the
 		// cause twice would be held back with it.
 		const auto alone = choose_among(
 			[&](const routing::replica& one) { return !shared_.runs_other_suspect(one, key_, now); });
--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -277,7 +277,7 @@
 {
 	const auto running = ends_.runs().running_at(at, now);
 	return std::any_of(running.begin(), running.end(),
-		[&](const auto& key) { return key != than && suspects_.is_suspect(key, now); });
+		[&](const auto& key) { return key != than && suspects_.is_nearly_held(key, now); });
 }
 
 void gateway::on_replica_change(const routing::replica& one, routing::replica_change change)
--- a/src/quarantine/request_key.cpp
+++ b/src/quarantine/request_key.cpp
@@ -14,9 +14,11 @@
 
 request_key key_of(const request_content& content)
 {
+	// The body by its own hash: it may be large, and is not copied.
+	const auto body = sha256_hex(content.body);
 	std::string text;
-	text.reserve(content.target.size() + content.body.size() + 128);
-	for (const auto part : {content.method, content.host, content.target, content.workspace, content.body})
+	for (const std::string_view part :
+		{content.method, content.host, content.target, content.workspace, std::string_view{body}})
 	{
 		// Lengths keep the end of one part from being read as the beginning of the next.
 		text += std::to_string(part.size());
--- a/src/quarantine/suspect_list.cpp
+++ b/src/quarantine/suspect_list.cpp
@@ -47,6 +47,12 @@
 	return find(key, now) != nullptr;
 }
 
+bool suspect_list::is_nearly_held(const request_key& key, instant now) const
+{
+	const auto* one = find(key, now);
+	return one != nullptr && weight_of(one->known) >= tuning_.ends_to_hold - 1;
+}
+
 suspect_list::entry& suspect_list::entry_of(const request_key& key, instant now)
 {
 	auto& one = suspects_[key];
--- a/tests/control/suspect_rows.cpp
+++ b/tests/control/suspect_rows.cpp
@@ -122,6 +122,28 @@
 	CHECK_FALSE(other.list.is_suspect(request_key{"k"}, proxy::steady_now()));
 }
 
+TEST_CASE("rows that come before the registry's clock are taken once it is known, old ones not as new",
+	"[quarantine]")
+{
+	proxy::asio::io_context context{1};
+	recording_store store;
+	quarantine::suspect_list list{[](const suspicion&) {}};
+	suspect_rows rows{context, store, list, "own"};
+	const auto row_of = [](const char* key, duration age)
+	{
+		const stored_suspicion what{
+			{request_key{key}, {process_life{1}, process_life{2}, process_life{3}}, {}, {}},
+			registry_time{seconds{5000}} - age};
+		return row{"own", std::string{suspect_prefix} + key, write_suspicion(what), row_version{1}, false};
+	};
+	rows.on_row(row_of("new", seconds{10}), proxy::steady_now());
+	rows.on_row(row_of("old", std::chrono::minutes{11}), proxy::steady_now());
+	const auto now = proxy::steady_now();
+	rows.note_registry_time(registry_time{seconds{5000}}, now);
+	CHECK(list.is_held(request_key{"new"}, now));
+	CHECK_FALSE(list.is_suspect(request_key{"old"}, now));
+}
+
 TEST_CASE("a row of long ago holds nothing back, and goes with the next write", "[quarantine]")
 {
 	stored_list vm;
--- a/tests/proxy/crashing_request.cpp
+++ b/tests/proxy/crashing_request.cpp
@@ -158,3 +158,35 @@
 	}
 	CHECK(vms.fleet.crashed() == ends_allowed);
 }
+
+TEST_CASE("two requests that the next end would hold back are not sent to one replica", "[quarantine]")
+{
+	proxy_world world;
+	scripted_replica first{world.context, [](const std::string&) { return scripted_answer{}; }};
+	scripted_replica second{world.context, [](const std::string&) { return scripted_answer{}; }};
+	world.start({{"plain", &first}, {"plain", &second}});
+	std::vector<quarantine::request_key> keys;
+	for (const auto* body : {"one", "two"})
+	{
+		keys.push_back(quarantine::key_of({"POST", "example", "/unsafe/a", "", body}));
+	}
+	for (const int life : {1, 2})
+	{
+		world.gateway().suspects().presume(quarantine::process_life{life}, keys, proxy::steady_now());
+		world.gateway().suspects().confirm(quarantine::process_life{life}, proxy::steady_now());
+	}
+	scripted_caller a{world.context, world.port()};
+	scripted_caller b{world.context, world.port()};
+	a.send(request_to("POST", "/unsafe/a", "one"));
+	world.run_until([&] { return first.requests().size() + second.requests().size() == 1; });
+	// The other replica has more to do: by load alone it would not be chosen.
+	const auto free = replica_id{first.requests().empty() ? "r0" : "r1"};
+	for (int i = 0; i < 3; ++i)
+	{
+		world.gateway().selector().note_sent(*world.gateway().replicas().find(free), 0);
+	}
+	b.send(request_to("POST", "/unsafe/a", "two"));
+	world.run_until([&] { return first.requests().size() + second.requests().size() == 2; });
+	CHECK(first.requests().size() == 1);
+	CHECK(second.requests().size() == 1);
+}
