The end of a replica that had said that it leaves speaks against no request

Cause: replicas that are replaced one after the other cut what runs too long; a long stream that moves from one to the next would have been held back after the third. Change: an end is counted only where the replica's entry was there and did not say that it leaves.

--- a/include/gingerdyke/proxy/replica_end_watch.hpp
+++ b/include/gingerdyke/proxy/replica_end_watch.hpp
@@ -5,6 +5,7 @@
 #include <gingerdyke/proxy/asio.hpp>
 #include <gingerdyke/quarantine/replica_runs.hpp>
 #include <memory>
+#include <optional>
 #include <set>
 
 namespace gingerdyke::proxy
@@ -61,6 +62,7 @@
   private:
 	struct probe;
 
+	[[nodiscard]] std::optional<replica_end> presume(const routing::replica_ptr& at, instant now);
 	void begin_probe(const replica_end& end);
 	void settle(const replica_end& end, bool has_ended);
 	void note_together(quarantine::process_life life, instant now);
--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -31,7 +31,7 @@
 /// Keys that one line names, at most.
 constexpr std::size_t most_keys_in_line = 8;
 
-void log_replica_end(const replica_end& end)
+void log_replica_end(const replica_end& end, bool was_expected)
 {
 	json keys = json::array();
 	for (const auto& key : end.requests)
@@ -43,7 +43,7 @@
 	}
 	log::write(log::level::warn, "replica ended",
 		{{"replica", end.replica->id.str()}, {"service", end.replica->service.str()},
-			{"version", end.replica->version}, {"requests", end.requests.size()},
+			{"version", end.replica->version}, {"expected", was_expected}, {"requests", end.requests.size()},
 			{"contents", std::move(keys)}});
 }
 
@@ -262,8 +262,10 @@
 	}
 	const auto now = steady_now();
 	++replica_ends_;
-	log_replica_end(end);
-	suspects_.confirm(end.life, now);
+	// One that said that it leaves, or whose entry went, ends whatever runs there.
+	const bool was_expected = !replicas_.takes_work(*end.replica);
+	log_replica_end(end, was_expected);
+	was_expected ? suspects_.retract(end.life) : suspects_.confirm(end.life, now);
 	// Nobody else has to find out by a connection that is refused.
 	selector_.note_result(*end.replica, routing::replica_result::not_connected, duration{0}, now);
 	if (suspicion_hook_ && !end.requests.empty())
--- a/src/proxy/replica_end_watch.cpp
+++ b/src/proxy/replica_end_watch.cpp
@@ -21,26 +21,31 @@
 
 void replica_end_watch::note_broken(const routing::replica_ptr& at, instant now)
 {
-	const auto life = runs_.life_of(*at);
-	if (runs_.has_ended(*at) || probed_.contains(life))
+	if (const auto end = presume(at, now))
 	{
-		return;
+		begin_probe(*end);
 	}
-	const replica_end end{at, life, runs_.running_at(*at, now)};
-	told_.presumed(end);
-	begin_probe(end);
 }
 
 void replica_end_watch::note_refused(const routing::replica_ptr& at, instant now)
+{
+	if (const auto end = presume(at, now))
+	{
+		settle(*end, true);
+	}
+}
+
+/// \returns The likely end; none where it is known or looked for already.
+std::optional<replica_end> replica_end_watch::presume(const routing::replica_ptr& at, instant now)
 {
 	const auto life = runs_.life_of(*at);
 	if (runs_.has_ended(*at) || probed_.contains(life))
 	{
-		return;
+		return std::nullopt;
 	}
-	const replica_end end{at, life, runs_.running_at(*at, now)};
+	replica_end end{at, life, runs_.running_at(*at, now)};
 	told_.presumed(end);
-	settle(end, true);
+	return end;
 }
 
 void replica_end_watch::begin_probe(const replica_end& end)
--- a/tests/proxy/crashing_request.cpp
+++ b/tests/proxy/crashing_request.cpp
@@ -159,6 +159,26 @@
 	CHECK(vms.fleet.crashed() == ends_allowed);
 }
 
+TEST_CASE(
+	"replicas that end after they said that they leave do not speak against what ran there", "[quarantine]")
+{
+	proxy_world world;
+	crashing_fleet fleet{world.context, 6, answer_well};
+	world.start(plain_replicas(fleet));
+	fleet.before_crash(
+		[&](std::size_t index)
+		{
+			auto leaving = *world.gateway().replicas().find(replica_id{"r" + std::to_string(index)});
+			leaving.leaving = true;
+			world.gateway().replicas().put(leaving, proxy::steady_now());
+		});
+	for (std::size_t asked = 1; asked <= 5; ++asked)
+	{
+		static_cast<void>(world.ask(request_to("POST", "/unsafe/a", crashing_body)));
+		CHECK(fleet.crashed() == asked);
+	}
+}
+
 TEST_CASE("two requests that the next end would hold back are not sent to one replica", "[quarantine]")
 {
 	proxy_world world;
--- a/tests/support/crashing_fleet.hpp
+++ b/tests/support/crashing_fleet.hpp
@@ -27,6 +27,9 @@
 		}
 	}
 
+	/// \brief Sets what happens just before a replica crashes.
+	void before_crash(std::function<void(std::size_t index)> hook) { before_crash_ = std::move(hook); }
+
 	/// \brief Adds a replica.
 	void add()
 	{
@@ -54,6 +57,10 @@
 	{
 		if (request.find(crashing_body) != std::string::npos)
 		{
+			if (before_crash_)
+			{
+				before_crash_(index);
+			}
 			replicas_[index]->crash();
 			return {};
 		}
@@ -62,6 +69,7 @@
 
 	proxy::asio::io_context& context_;
 	scripted_replica::script answer_;
+	std::function<void(std::size_t)> before_crash_;
 	std::vector<std::unique_ptr<scripted_replica>> replicas_;
 };
 } // namespace gingerdyke::test
