An end is weighed once it is known what ended with it

Change: where a likely end would decide, the request is neither sent nor refused for a round trip, until the end is settled together with what probably ended at the same time.

--- a/include/gingerdyke/proxy/gateway.hpp
+++ b/include/gingerdyke/proxy/gateway.hpp
@@ -199,7 +199,8 @@
   private:
 	void on_replica_change(const routing::replica& one, routing::replica_change change);
 	[[nodiscard]] replica_end_watch::hooks end_hooks();
-	void on_replica_end(const replica_end& end, bool has_ended);
+	void on_replica_end(
+		const replica_end& end, bool has_ended, const std::vector<quarantine::process_life>& together);
 	void tell_ready();
 
 	asio::io_context& context_;
--- a/include/gingerdyke/proxy/replica_end_watch.hpp
+++ b/include/gingerdyke/proxy/replica_end_watch.hpp
@@ -41,10 +41,11 @@
 	struct hooks
 	{
 		std::function<void(const replica_end&)> presumed;
-		std::function<void(const replica_end&, bool has_ended)> settled;
 
-		/// Told which lives ended together, each time another one joins them.
-		std::function<void(const std::vector<quarantine::process_life>&)> together;
+		/// \param together Lives that ended, or probably did, at the same time; empty: it came alone.
+		std::function<void(
+			const replica_end&, bool has_ended, const std::vector<quarantine::process_life>& together)>
+			settled;
 	};
 
 	replica_end_watch(asio::io_context& context, hooks told, replica_end_tuning tuning = {});
@@ -55,6 +56,9 @@
 	/// \brief Notes that a replica refused a connection.
 	void note_refused(const routing::replica_ptr& at, instant now);
 
+	/// \brief Calls a hook once, after the next end is settled.
+	void when_settled(std::function<void()> hook) { waiting_.push_back(std::move(hook)); }
+
 	/// \brief The runs that are watched.
 	[[nodiscard]] quarantine::replica_runs& runs() noexcept { return runs_; }
 	[[nodiscard]] const quarantine::replica_runs& runs() const noexcept { return runs_; }
@@ -65,7 +69,7 @@
 	[[nodiscard]] std::optional<replica_end> presume(const routing::replica_ptr& at, instant now);
 	void begin_probe(const replica_end& end);
 	void settle(const replica_end& end, bool has_ended);
-	void note_together(quarantine::process_life life, instant now);
+	[[nodiscard]] std::vector<quarantine::process_life> lives_together(instant now);
 
 	asio::io_context& context_;
 	hooks told_;
@@ -78,7 +82,9 @@
 		instant at;
 	};
 
+	/// Ends, likely ones too, of the last moments.
 	std::vector<recent_end> recent_;
+	std::vector<std::function<void()>> waiting_;
 
 	/// Lives for which a probe is under way.
 	std::set<quarantine::process_life> probed_;
--- a/include/gingerdyke/quarantine/suspect_list.hpp
+++ b/include/gingerdyke/quarantine/suspect_list.hpp
@@ -87,14 +87,12 @@
 	void presume(process_life life, const std::vector<request_key>& requests, instant now);
 
 	/// \brief Notes that it did end.
-	void confirm(process_life life, instant now);
+	/// \param together Lives that ended at the same time, whatever ran on them; empty: it came alone.
+	void confirm(process_life life, const std::vector<process_life>& together, instant now);
 
 	/// \brief Notes that it did not, or that this is not known.
 	void retract(process_life life);
 
-	/// \brief Notes that some lives ended together, whatever ran on them.
-	void note_together(const std::vector<process_life>& lives, instant now);
-
 	/// \brief Notes that a replica answered a request to the end; without effect where nothing speaks against
 	/// the request.
 	void note_survived(const request_key& key, process_life life, instant now);
@@ -112,6 +110,9 @@
 	/// \brief Whether a request is sent to no replica any more.
 	[[nodiscard]] bool is_held(const request_key& key, instant now) const;
 
+	/// \brief Whether it depends on an end that is only likely yet whether a request is held back.
+	[[nodiscard]] bool is_open(const request_key& key, instant now) const;
+
 	/// \brief Whether a replica ended under a request.
 	[[nodiscard]] bool is_suspect(const request_key& key, instant now) const;
 
@@ -153,7 +154,8 @@
 
 	[[nodiscard]] const entry* find(const request_key& key, instant now) const;
 	[[nodiscard]] double weight_of(const suspicion& known) const;
-	[[nodiscard]] bool is_held(const entry& one) const;
+	[[nodiscard]] bool is_enough(const suspicion& known, std::size_t further_ends) const;
+	[[nodiscard]] bool mark_together(entry& one, const std::vector<process_life>& lives) const;
 	[[nodiscard]] bool is_worth_storing(const entry& one, bool for_others) const;
 	entry& entry_of(const request_key& key, instant now);
 	void unite(std::set<process_life>& into, const std::set<process_life>& from) const;
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -51,6 +51,19 @@
 		refuse_held();
 		return;
 	}
+	if (shared_.suspects().is_open(key_, now))
+	{
+		// A round trip later it is known whether the replica ended, and whether others did with it.
+		shared_.ends().when_settled(
+			[self = shared_from_this()]
+			{
+				if (!self->over_)
+				{
+					self->dispatch();
+				}
+			});
+		return;
+	}
 	if (time_left() < shared_.tuning().least_time)
 	{
 		give_up(gateway_timeout, "no time left");
--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -247,13 +247,13 @@
 	replica_end_watch::hooks hooks;
 	hooks.presumed = [this](const replica_end& end)
 	{ suspects_.presume(end.life, end.requests, steady_now()); };
-	hooks.settled = [this](const replica_end& end, bool has_ended) { on_replica_end(end, has_ended); };
-	hooks.together = [this](const std::vector<quarantine::process_life>& lives)
-	{ suspects_.note_together(lives, steady_now()); };
+	hooks.settled = [this](const replica_end& end, bool has_ended, const auto& together)
+	{ on_replica_end(end, has_ended, together); };
 	return hooks;
 }
 
-void gateway::on_replica_end(const replica_end& end, bool has_ended)
+void gateway::on_replica_end(
+	const replica_end& end, bool has_ended, const std::vector<quarantine::process_life>& together)
 {
 	if (!has_ended)
 	{
@@ -265,7 +265,7 @@
 	// One that said that it leaves, or whose entry went, ends whatever runs there.
 	const bool was_expected = !replicas_.takes_work(*end.replica);
 	log_replica_end(end, was_expected);
-	was_expected ? suspects_.retract(end.life) : suspects_.confirm(end.life, now);
+	was_expected ? suspects_.retract(end.life) : suspects_.confirm(end.life, together, now);
 	// Nobody else has to find out by a connection that is refused.
 	selector_.note_result(*end.replica, routing::replica_result::not_connected, duration{0}, now);
 	if (suspicion_hook_ && !end.requests.empty())
--- a/src/proxy/replica_end_watch.cpp
+++ b/src/proxy/replica_end_watch.cpp
@@ -44,6 +44,7 @@
 		return std::nullopt;
 	}
 	replica_end end{at, life, runs_.running_at(*at, now)};
+	recent_.push_back({life, now});
 	told_.presumed(end);
 	return end;
 }
@@ -80,26 +81,28 @@
 void replica_end_watch::settle(const replica_end& end, bool has_ended)
 {
 	const bool is_news = has_ended && runs_.note_ended(*end.replica);
-	told_.settled(end, is_news);
-	if (is_news)
+	if (!is_news)
+	{
+		std::erase_if(recent_, [&](const recent_end& one) { return one.life == end.life; });
+	}
+	told_.settled(end, is_news, lives_together(steady_now()));
+	for (const auto& hook : std::exchange(waiting_, {}))
 	{
-		note_together(end.life, steady_now());
+		hook();
 	}
 }
 
-void replica_end_watch::note_together(quarantine::process_life life, instant now)
+std::vector<quarantine::process_life> replica_end_watch::lives_together(instant now)
 {
 	std::erase_if(recent_, [&](const recent_end& one) { return now - one.at > tuning_.together; });
-	recent_.push_back({life, now});
-	if (recent_.size() < tuning_.least_together)
-	{
-		return;
-	}
 	std::vector<quarantine::process_life> lives;
-	for (const auto& one : recent_)
+	if (recent_.size() >= tuning_.least_together)
 	{
-		lives.push_back(one.life);
+		for (const auto& one : recent_)
+		{
+			lives.push_back(one.life);
+		}
 	}
-	told_.together(lives);
+	return lives;
 }
 } // namespace gingerdyke::proxy
--- a/src/quarantine/suspect_list.cpp
+++ b/src/quarantine/suspect_list.cpp
@@ -20,10 +20,10 @@
 	return static_cast<double>(known.ended.size()) - together * (1 - tuning_.together_weight);
 }
 
-bool suspect_list::is_held(const entry& one) const
+bool suspect_list::is_enough(const suspicion& known, std::size_t further_ends) const
 {
-	const auto ends = weight_of(one.known) + static_cast<double>(one.presumed.size());
-	const auto survivals = static_cast<double>(one.known.survived.size());
+	const auto ends = weight_of(known) + static_cast<double>(further_ends);
+	const auto survivals = static_cast<double>(known.survived.size());
 	return ends >= tuning_.ends_to_hold && ends > tuning_.ends_for_survival * survivals;
 }
 
@@ -39,7 +39,13 @@
 bool suspect_list::is_held(const request_key& key, instant now) const
 {
 	const auto* one = find(key, now);
-	return one != nullptr && is_held(*one);
+	return one != nullptr && is_enough(one->known, 0);
+}
+
+bool suspect_list::is_open(const request_key& key, instant now) const
+{
+	const auto* one = find(key, now);
+	return one != nullptr && !is_enough(one->known, 0) && is_enough(one->known, one->presumed.size());
 }
 
 bool suspect_list::is_suspect(const request_key& key, instant now) const
@@ -76,48 +82,50 @@
 	make_room();
 }
 
-void suspect_list::confirm(process_life life, instant now)
+void suspect_list::confirm(process_life life, const std::vector<process_life>& together, instant now)
 {
 	for (auto& [key, one] : suspects_)
 	{
-		if (one.presumed.erase(life) > 0)
+		const bool is_under_it = one.presumed.erase(life) > 0;
+		if (is_under_it)
 		{
 			unite(one.known.ended, {life});
 			one.is_own = true;
+		}
+		const bool is_marked = mark_together(one, together);
+		if (is_under_it || is_marked)
+		{
 			note_change(one, now);
 		}
 	}
 }
 
-void suspect_list::retract(process_life life)
+/// \returns Whether anything was new.
+bool suspect_list::mark_together(entry& one, const std::vector<process_life>& lives) const
 {
-	for (auto one = suspects_.begin(); one != suspects_.end();)
+	const auto& ended = one.known.ended;
+	const auto under_it = std::count_if(lives.begin(), lives.end(),
+		[&](process_life life) { return ended.contains(life) || one.presumed.contains(life); });
+	const auto others = lives.size() - static_cast<std::size_t>(under_it);
+	if (others < tuning_.others_together)
 	{
-		const bool was_presumed = one->second.presumed.erase(life) > 0;
-		const bool is_clear = one->second.presumed.empty() && one->second.known.ended.empty();
-		one = was_presumed && is_clear ? suspects_.erase(one) : std::next(one);
+		return false;
+	}
+	bool is_new = false;
+	for (const auto life : lives)
+	{
+		is_new = (ended.contains(life) && one.known.ended_together.insert(life).second) || is_new;
 	}
+	return is_new;
 }
 
-void suspect_list::note_together(const std::vector<process_life>& lives, instant now)
+void suspect_list::retract(process_life life)
 {
-	for (auto& [key, one] : suspects_)
+	for (auto one = suspects_.begin(); one != suspects_.end();)
 	{
-		const auto& ended = one.known.ended;
-		const auto under_it = std::count_if(
-			lives.begin(), lives.end(), [&](process_life life) { return ended.contains(life); });
-		const auto others = lives.size() - static_cast<std::size_t>(under_it);
-		if (others < tuning_.others_together)
-		{
-			continue;
-		}
-		for (const auto life : lives)
-		{
-			if (ended.contains(life) && one.known.ended_together.insert(life).second)
-			{
-				note_change(one, now);
-			}
-		}
+		const bool was_presumed = one->second.presumed.erase(life) > 0;
+		const bool is_clear = one->second.presumed.empty() && one->second.known.ended.empty();
+		one = was_presumed && is_clear ? suspects_.erase(one) : std::next(one);
 	}
 }
 
@@ -189,7 +197,7 @@
 void suspect_list::note_change(entry& one, instant now)
 {
 	one.changed_at = now;
-	const bool holds = is_held(one);
+	const bool holds = is_enough(one.known, 0);
 	if (holds && !one.is_told_held)
 	{
 		held_(one.known);
