--- a/include/gingerdyke/quarantine/suspect_list.hpp
+++ b/include/gingerdyke/quarantine/suspect_list.hpp
@@ -38,7 +38,7 @@
 
 	/// Weight of an end that came together with others. A request that stood on three replicas of a rack, or
 	/// was taken up by others that were lost in the next failure, is still served: of 458 requests that stood
-	/// beside ends with causes of their own 24 would have been held with a weight of 1 (a day of five series
+	/// beside ends with causes of their own 24 would have been held with a weight of 1 (a day of six series
 	/// of ends in 41 s).
 	double together_weight = 0.5;
 
