--- a/tests/quarantine/suspect_list.cpp
+++ b/tests/quarantine/suspect_list.cpp
@@ -219,8 +219,10 @@
 	"after a mass loss requests beside one end are neither told nor kept without a bound", "[quarantine]")
 {
 	listed of;
+	constexpr int count = 3000;
 	std::vector<request_key> many;
-	for (int i = 0; i < 3000; ++i)
+	many.reserve(count);
+	for (int i = 0; i < count; ++i)
 	{
 		many.emplace_back("r" + std::to_string(i));
 	}
