--- a/tests/proxy/crashing_request.cpp
+++ b/tests/proxy/crashing_request.cpp
@@ -209,4 +209,7 @@
 	world.run_until([&] { return first.requests().size() + second.requests().size() == 2; });
 	CHECK(first.requests().size() == 1);
 	CHECK(second.requests().size() == 1);
+	a.leave();
+	b.leave();
+	world.run_until([&] { return world.log().count(proxy::request_outcome::abandoned) == 2; });
 }
