A replica that takes a connection begun after its end is another process, before its entry tells so

Cause: a VM knew a replica's process by its entry alone. One that crashed and was back took requests for the 0.15 s and more until its new entry was read; what ended it then was not counted, and the news of the restart forgot what was under way there. Change: a connection that was begun after the end was noted and is taken tells of another process; its runs are its own; runs sent by an entry that was replaced count until they are over; a restart under its id is no announced leave. Heads of answers no longer tell that a replica lives: they may come from before its end. The test of an end told once now uses a connection, and that of a restarted replica checks that the old process's end leaves the new one's runs alone, which is stricter.

--- a/include/gingerdyke/quarantine/replica_runs.hpp
+++ b/include/gingerdyke/quarantine/replica_runs.hpp
@@ -6,6 +6,7 @@
 #include <gingerdyke/quarantine/request_key.hpp>
 #include <gingerdyke/routing/replica_set.hpp>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace gingerdyke::quarantine
@@ -48,14 +49,16 @@
 	/// \brief Notes how a run ended.
 	void end(const routing::replica& at, run_number run, run_end how, instant now);
 
-	/// \brief Notes that a replica answers: it lives.
-	void note_alive(const routing::replica& one);
+	/// \brief Notes that a replica took a connection. Where the connection was begun after the replica's end
+	/// was noted, another process listens there, whether or not the replica's entry tells of it yet.
+	/// \param begun When the connection was begun.
+	void note_connected(const routing::replica& one, instant begun);
 
-	/// \brief Notes that a replica's process has ended.
+	/// \brief Notes that a replica's process has ended, and with it all that ran there.
 	/// \returns False where that is known already, or no request of this VM was sent to that process.
-	bool note_ended(const routing::replica& one);
+	bool note_ended(const routing::replica& one, instant now);
 
-	/// \brief Whether a replica has ended and not answered since.
+	/// \brief Whether a replica has ended and taken no connection since.
 	[[nodiscard]] bool has_ended(const routing::replica& one) const;
 
 	/// \brief The present life of a replica's process; the last one where it has ended.
@@ -64,8 +67,9 @@
 	/// \brief Requests that run on a replica, or were given up there a moment ago; each once.
 	[[nodiscard]] std::vector<request_key> running_at(const routing::replica& one, instant now) const;
 
-	/// \brief Forgets a replica that is gone.
-	void forget(const replica_id& id) { processes_.erase(id); }
+	/// \brief Notes that a replica's entry is gone, or is another process's. What was sent there under the
+	/// old entry runs on: the next process may have taken it before its entry was known here.
+	void release(const replica_id& id, instant now);
 
   private:
 	struct run
@@ -77,23 +81,36 @@
 		std::optional<instant> given_up_at;
 	};
 
+	/// The processes that this VM's requests reach by one entry.
 	struct process
 	{
-		routing::replica_incarnation incarnation;
-
-		/// Ends that this VM saw under this incarnation.
+		/// Ends that this VM saw under this entry.
 		unsigned ends{};
-		bool has_ended{};
+
+		/// When the end of the present process was noted; none: it lives.
+		std::optional<instant> ended_at;
+
+		/// No further request is sent by this entry.
+		bool is_released{};
 		std::vector<run> runs;
 	};
 
-	[[nodiscard]] process& process_of(const routing::replica& one);
+	struct entry_name
+	{
+		replica_id id;
+		routing::replica_incarnation incarnation;
+
+		auto operator<=>(const entry_name&) const = default;
+	};
+
+	[[nodiscard]] static entry_name name_of(const routing::replica& one);
 	[[nodiscard]] const process* find(const routing::replica& one) const;
 	[[nodiscard]] process* find(const routing::replica& one);
 	[[nodiscard]] bool counts(const run& one, instant now) const;
+	void drop_old_runs(process& of, instant now) const;
 
 	replica_runs_tuning tuning_;
-	std::map<replica_id, process> processes_;
+	std::map<entry_name, process> processes_;
 	std::int64_t last_run_ = 0;
 };
 } // namespace gingerdyke::quarantine
--- a/src/proxy/exchange_answers.cpp
+++ b/src/proxy/exchange_answers.cpp
@@ -24,6 +24,7 @@
 /// The connection may have taken hundreds of milliseconds to come up: the replica may have left meanwhile.
 void exchange::on_connected()
 {
+	shared_.ends().runs().note_connected(*attempt_->to, attempt_->sent_at);
 	if (!shared_.replicas().takes_work(*attempt_->to))
 	{
 		take_back_attempt();
@@ -50,7 +51,6 @@
 		on_fault(upstream_fault::bad_answer);
 		return;
 	}
-	shared_.ends().runs().note_alive(*attempt_->to);
 	const bool failed = came.status >= first_failure;
 	auto sample = sample_of(attempt_->first_byte);
 	sample.failed = failed;
--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -262,8 +262,10 @@
 	}
 	const auto now = steady_now();
 	++replica_ends_;
-	// One that said that it leaves, or whose entry went, ends whatever runs there.
-	const bool was_expected = !replicas_.takes_work(*end.replica);
+	// One that said that it leaves, or whose entry went, ends whatever runs there. The entry of the next
+	// process under its id tells of no leave.
+	const auto entry = replicas_.find(end.replica->id);
+	const bool was_expected = !entry || !replicas_.takes_work(*entry);
 	log_replica_end(end, was_expected);
 	was_expected ? suspects_.retract(end.life) : suspects_.confirm(end.life, together, now);
 	// Nobody else has to find out by a connection that is refused.
@@ -293,7 +295,7 @@
 	{
 		pool_.drop(one.id);
 		selector_.forget(one.id);
-		ends_.runs().forget(one.id);
+		ends_.runs().release(one.id, steady_now());
 	}
 	versions_.note_replicas(one.service, replicas_.of(one.service));
 }
--- a/src/proxy/replica_end_watch.cpp
+++ b/src/proxy/replica_end_watch.cpp
@@ -80,7 +80,7 @@
 
 void replica_end_watch::settle(const replica_end& end, bool has_ended)
 {
-	const bool is_news = has_ended && runs_.note_ended(*end.replica);
+	const bool is_news = has_ended && runs_.note_ended(*end.replica, steady_now());
 	if (!is_news)
 	{
 		std::erase_if(recent_, [&](const recent_end& one) { return one.life == end.life; });
--- a/src/quarantine/replica_runs.cpp
+++ b/src/quarantine/replica_runs.cpp
@@ -7,22 +7,15 @@
 
 namespace gingerdyke::quarantine
 {
-replica_runs::process& replica_runs::process_of(const routing::replica& one)
+replica_runs::entry_name replica_runs::name_of(const routing::replica& one)
 {
-	auto& known = processes_[one.id];
-	if (known.incarnation != one.incarnation)
-	{
-		known = process{};
-		known.incarnation = one.incarnation;
-	}
-	return known;
+	return {one.id, one.incarnation};
 }
 
 const replica_runs::process* replica_runs::find(const routing::replica& one) const
 {
-	const auto found = processes_.find(one.id);
-	const bool is_current = found != processes_.end() && found->second.incarnation == one.incarnation;
-	return is_current ? &found->second : nullptr;
+	const auto found = processes_.find(name_of(one));
+	return found == processes_.end() ? nullptr : &found->second;
 }
 
 replica_runs::process* replica_runs::find(const routing::replica& one)
@@ -37,13 +30,18 @@
 
 run_number replica_runs::begin(const routing::replica& at, request_key key, instant now)
 {
-	auto& runs = process_of(at).runs;
-	std::erase_if(runs, [&](const run& one) { return !counts(one, now); });
+	auto& process = processes_[name_of(at)];
+	drop_old_runs(process, now);
 	const run_number number{++last_run_};
-	runs.push_back({number, std::move(key), {}});
+	process.runs.push_back({number, std::move(key), {}});
 	return number;
 }
 
+void replica_runs::drop_old_runs(process& of, instant now) const
+{
+	std::erase_if(of.runs, [&](const run& one) { return !counts(one, now); });
+}
+
 void replica_runs::end(const routing::replica& at, run_number number, run_end how, instant now)
 {
 	auto* known = find(at);
@@ -66,36 +64,38 @@
 	runs.erase(found);
 }
 
-void replica_runs::note_alive(const routing::replica& one)
+void replica_runs::note_connected(const routing::replica& one, instant begun)
 {
-	if (auto* known = find(one))
+	auto* known = find(one);
+	if (known != nullptr && known->ended_at && begun > *known->ended_at)
 	{
-		known->has_ended = false;
+		known->ended_at.reset();
 	}
 }
 
-bool replica_runs::note_ended(const routing::replica& one)
+bool replica_runs::note_ended(const routing::replica& one, instant now)
 {
 	auto* known = find(one);
-	if (known == nullptr || known->has_ended)
+	if (known == nullptr || known->ended_at)
 	{
 		return false;
 	}
-	known->has_ended = true;
+	known->ended_at = now;
 	++known->ends;
+	known->runs.clear();
 	return true;
 }
 
 bool replica_runs::has_ended(const routing::replica& one) const
 {
 	const auto* known = find(one);
-	return known != nullptr && known->has_ended;
+	return known != nullptr && known->ended_at.has_value();
 }
 
 process_life replica_runs::life_of(const routing::replica& one) const
 {
 	const auto* known = find(one);
-	const auto ends_before = known == nullptr ? 0 : known->ends - (known->has_ended ? 1 : 0);
+	const auto ends_before = known == nullptr ? 0 : known->ends - (known->ended_at ? 1 : 0);
 	return process_life{static_cast<std::int64_t>(mix_hash(routing::process_hash(one), ends_before))};
 }
 
@@ -118,4 +118,15 @@
 	keys.erase(std::unique(keys.begin(), keys.end()), keys.end());
 	return keys;
 }
+
+void replica_runs::release(const replica_id& id, instant now)
+{
+	for (auto& [name, process] : processes_)
+	{
+		process.is_released = process.is_released || name.id == id;
+		drop_old_runs(process, now);
+	}
+	std::erase_if(
+		processes_, [](const auto& entry) { return entry.second.is_released && entry.second.runs.empty(); });
+}
 } // namespace gingerdyke::quarantine
--- a/tests/quarantine/replica_runs.cpp
+++ b/tests/quarantine/replica_runs.cpp
@@ -43,17 +43,46 @@
 	CHECK(runs.running_at(replica(), start) == std::vector{first});
 }
 
-TEST_CASE("an end is told once, and a replica that answers again has a new life", "[quarantine]")
+TEST_CASE(
+	"an end is told once, and a replica that takes a connection begun later has a new life", "[quarantine]")
 {
 	replica_runs runs;
 	static_cast<void>(runs.begin(replica(), first, start));
 	const auto life = runs.life_of(replica());
-	CHECK(runs.note_ended(replica()));
+	CHECK(runs.note_ended(replica(), start));
 	CHECK(runs.life_of(replica()) == life);
-	CHECK_FALSE(runs.note_ended(replica()));
-	runs.note_alive(replica());
+	CHECK_FALSE(runs.note_ended(replica(), start));
+	// The ended process may have taken it.
+	runs.note_connected(replica(), start - milliseconds{1});
+	CHECK(runs.has_ended(replica()));
+	runs.note_connected(replica(), start + milliseconds{1});
+	CHECK_FALSE(runs.has_ended(replica()));
 	CHECK(runs.life_of(replica()) != life);
-	CHECK(runs.note_ended(replica()));
+	CHECK(runs.note_ended(replica(), start + milliseconds{2}));
+}
+
+TEST_CASE("what ran when a process ended does not stand beside the end of the next one", "[quarantine]")
+{
+	replica_runs runs;
+	const auto before = runs.begin(replica(), first, start);
+	CHECK(runs.note_ended(replica(), start));
+	runs.end(replica(), before, run_end::given_up, start);
+	static_cast<void>(runs.begin(replica(), second, start + milliseconds{1}));
+	runs.note_connected(replica(), start + milliseconds{1});
+	CHECK(runs.running_at(replica(), start + milliseconds{2}) == std::vector{second});
+}
+
+TEST_CASE("a run that the next process took under the old entry counts until it is over", "[quarantine]")
+{
+	replica_runs runs;
+	const auto run = runs.begin(replica(1), first, start);
+	runs.release(replica_id{"r"}, start);
+	CHECK(runs.running_at(replica(1), start) == std::vector{first});
+	CHECK(runs.note_ended(replica(1), start));
+	runs.end(replica(1), run, run_end::given_up, start);
+	runs.release(replica_id{"other"}, start);
+	CHECK_FALSE(runs.has_ended(replica(1)));
+	CHECK_FALSE(runs.note_ended(replica(1), start));
 }
 
 TEST_CASE("runs of a process that started again under its id are another's", "[quarantine]")
@@ -64,8 +93,10 @@
 	CHECK(runs.life_of(replica(1)) != runs.life_of(replica(2)));
 	runs.end(replica(1), old_run, run_end::given_up, start);
 	CHECK(runs.running_at(replica(2), start) == std::vector{second});
-	CHECK(runs.running_at(replica(1), start).empty());
-	CHECK_FALSE(runs.note_ended(replica(1)));
+	CHECK(runs.running_at(replica(1), start) == std::vector{first});
+	CHECK(runs.note_ended(replica(1), start));
+	CHECK_FALSE(runs.has_ended(replica(2)));
+	CHECK(runs.running_at(replica(2), start) == std::vector{second});
 	runs.end(replica(2), new_run, run_end::over, start);
 	CHECK(runs.running_at(replica(2), start).empty());
 }
