Ends at one moment are weighed over the reports of all VMs

Cause: a VM that saw three replicas end at one moment marked the end under its own request as a loss in common, at half weight, though other VMs had sent the same request to the other two. The mark was told on and never taken back. Change: an end is kept with the lives that ended at the same moment, and whether the request stood beside them is looked up when the reports of all VMs are united. Of more lives than are kept the smallest stay, so that the sum does not depend on the order of reports. The line "request held back" tells the weight. A test of sums of more ends than are kept, in any order. Tests of rows and reports changed with the shape of what is told.

--- a/include/gingerdyke/quarantine/suspect_list.hpp
+++ b/include/gingerdyke/quarantine/suspect_list.hpp
@@ -10,18 +10,18 @@
 
 namespace gingerdyke::quarantine
 {
+/// \brief Lives of replicas that ended, each with other lives that ended at the same moment.
+using ended_lives = std::map<process_life, std::set<process_life>>;
+
 /// \brief What is known of one request: sets that only grow, so that reports may come in any order and more
 /// than once, from any VM.
 struct suspicion
 {
 	request_key key;
 
-	/// Lives of replicas that ended under it.
-	std::set<process_life> ended;
-
-	/// Those of them that ended together with others that it did not run on: these rather have a cause in
-	/// common.
-	std::set<process_life> ended_together;
+	/// Lives of replicas that ended under it. Whether those that ended at the same moment ended under it too
+	/// is only known once the reports of all VMs are united: each knows what it sent itself.
+	ended_lives ended;
 
 	/// Lives of replicas that answered it to the end.
 	std::set<process_life> survived;
@@ -43,7 +43,7 @@
 	double together_weight = 0.5;
 
 	/// Ends at the same time have another cause than a request that did not stand beside this many of them.
-	/// One that stood beside all of them may have caused all.
+	/// One that stood beside all of them, at whatever VMs, may have caused all.
 	std::size_t others_together = 2;
 
 	/// A request is held back only where more than this many replicas ended under it for each that answered
@@ -58,9 +58,13 @@
 	/// request back, and the way over the VM that reads for it takes 0.2 s more.
 	double weight_to_store = 2;
 
-	/// Lives that are kept of each kind: beyond these nothing changes.
+	/// Lives that are kept of each kind, the smallest on all VMs alike: beyond these nothing changes.
 	std::size_t most_lives = 8;
 
+	/// Lives that are kept as ended at the same moment as another one. Two that did not end under the request
+	/// are looked for, and two more may have; each costs 8 bytes in every report.
+	std::size_t most_together = 4;
+
 	/// Requests that are kept; those under which fewest replicas ended go first. A loss of 20 engines at once
 	/// leaves about 500 on the VMs of a failure domain.
 	std::size_t most_suspects = 1024;
@@ -78,8 +82,8 @@
 class suspect_list
 {
   public:
-	/// \brief Told when a request begins to be held back.
-	using hold_hook = std::function<void(const suspicion&)>;
+	/// \brief Told when a request begins to be held back, with the weight of the ends under it.
+	using hold_hook = std::function<void(const suspicion&, double weight)>;
 
 	explicit suspect_list(hold_hook held, suspect_tuning tuning = {});
 
@@ -153,12 +157,13 @@
 	using entries = std::map<request_key, entry>;
 
 	[[nodiscard]] const entry* find(const request_key& key, instant now) const;
+	[[nodiscard]] bool has_other_cause(const std::set<process_life>& together, const suspicion& known) const;
 	[[nodiscard]] double weight_of(const suspicion& known) const;
 	[[nodiscard]] bool is_enough(const suspicion& known, std::size_t further_ends) const;
-	[[nodiscard]] bool mark_together(entry& one, const std::vector<process_life>& lives) const;
+	[[nodiscard]] bool note_together(suspicion& known, const std::vector<process_life>& lives) const;
 	[[nodiscard]] bool is_worth_storing(const entry& one, bool for_others) const;
 	entry& entry_of(const request_key& key, instant now);
-	void unite(std::set<process_life>& into, const std::set<process_life>& from) const;
+	void add_end(suspicion& to, process_life life, const std::set<process_life>& together) const;
 	[[nodiscard]] bool take(suspicion& into, const suspicion& from) const;
 	void note_change(entry& one, instant now);
 	void drop_old(instant now);
--- a/src/control/relay_codec.cpp
+++ b/src/control/relay_codec.cpp
@@ -295,8 +295,12 @@
 	{
 		auto& added = all.emplace_back();
 		added.key = one.key.str();
-		added.ended = written(one.ended);
-		added.ended_together = written(one.ended_together);
+		for (const auto& [life, together] : one.ended)
+		{
+			auto& end = added.ended.emplace_back();
+			end.life = life.value();
+			end.together = written(together);
+		}
 		added.survived = written(one.survived);
 	}
 	return all;
@@ -308,8 +312,13 @@
 	all.reserve(suspects.size());
 	for (const auto& one : suspects)
 	{
-		all.push_back({quarantine::request_key{one.key}, read_lives(one.ended),
-			read_lives(one.ended_together), read_lives(one.survived)});
+		auto& added = all.emplace_back();
+		added.key = quarantine::request_key{one.key};
+		for (const auto& end : one.ended)
+		{
+			added.ended[quarantine::process_life{end.life}] = read_lives(end.together);
+		}
+		added.survived = read_lives(one.survived);
 	}
 	return all;
 }
--- a/src/control/suspect_rows.cpp
+++ b/src/control/suspect_rows.cpp
@@ -29,6 +29,26 @@
 	return all;
 }
 
+json ended_json(const quarantine::ended_lives& ended)
+{
+	json all = json::array();
+	for (const auto& [life, together] : ended)
+	{
+		all.push_back({{"life", life.value()}, {"together", lives_json(together)}});
+	}
+	return all;
+}
+
+quarantine::ended_lives ended_of(const json& value)
+{
+	quarantine::ended_lives all;
+	for (const auto& one : value)
+	{
+		all[quarantine::process_life{one.at("life").get<std::int64_t>()}] = lives_of(one.at("together"));
+	}
+	return all;
+}
+
 std::string row_key_of(const quarantine::request_key& key)
 {
 	return std::string{suspect_prefix} + key.str();
@@ -37,9 +57,8 @@
 
 std::string write_suspicion(const stored_suspicion& what)
 {
-	return json{{"ended", lives_json(what.known.ended)},
-		{"ended_together", lives_json(what.known.ended_together)},
-		{"survived", lives_json(what.known.survived)}, {"last_end_us", what.last_end.count()}}
+	return json{{"ended", ended_json(what.known.ended)}, {"survived", lives_json(what.known.survived)},
+		{"last_end_us", what.last_end.count()}}
 		.dump();
 }
 
@@ -50,8 +69,7 @@
 		{
 			stored_suspicion read;
 			read.known.key = quarantine::request_key{from.key.substr(suspect_prefix.size())};
-			read.known.ended = lives_of(value.at("ended"));
-			read.known.ended_together = lives_of(value.at("ended_together"));
+			read.known.ended = ended_of(value.at("ended"));
 			read.known.survived = lives_of(value.at("survived"));
 			read.last_end = registry_time{value.at("last_end_us").get<std::int64_t>()};
 			return read;
--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -47,11 +47,11 @@
 			{"contents", std::move(keys)}});
 }
 
-void log_hold(const quarantine::suspicion& what)
+void log_hold(const quarantine::suspicion& what, double weight)
 {
 	log::write(log::level::warn, "request held back",
-		{{"content", what.key.str()}, {"ended", what.ended.size()},
-			{"ended_together", what.ended_together.size()}, {"survived", what.survived.size()}});
+		{{"content", what.key.str()}, {"ended", what.ended.size()}, {"weight", weight},
+			{"survived", what.survived.size()}});
 }
 
 void log_shift(const rollout::shift_news& news)
--- a/src/quarantine/suspect_list.cpp
+++ b/src/quarantine/suspect_list.cpp
@@ -5,6 +5,19 @@
 
 namespace gingerdyke::quarantine
 {
+namespace
+{
+/// Keeps the smallest: so the sum of reports does not depend on their order.
+template <typename Set>
+void keep_smallest(Set& of, std::size_t most)
+{
+	while (of.size() > most)
+	{
+		of.erase(std::prev(of.end()));
+	}
+}
+} // namespace
+
 suspect_list::suspect_list(hold_hook held, suspect_tuning tuning) : held_(std::move(held)), tuning_(tuning) {}
 
 const suspect_list::entry* suspect_list::find(const request_key& key, instant now) const
@@ -14,10 +27,21 @@
 	return is_known ? &found->second : nullptr;
 }
 
+bool suspect_list::has_other_cause(const std::set<process_life>& together, const suspicion& known) const
+{
+	const auto others = std::count_if(
+		together.begin(), together.end(), [&](process_life life) { return !known.ended.contains(life); });
+	return static_cast<std::size_t>(others) >= tuning_.others_together;
+}
+
 double suspect_list::weight_of(const suspicion& known) const
 {
-	const auto together = static_cast<double>(known.ended_together.size());
-	return static_cast<double>(known.ended.size()) - together * (1 - tuning_.together_weight);
+	double weight = 0;
+	for (const auto& [life, together] : known.ended)
+	{
+		weight += has_other_cause(together, known) ? tuning_.together_weight : 1;
+	}
+	return weight;
 }
 
 bool suspect_list::is_enough(const suspicion& known, std::size_t further_ends) const
@@ -32,7 +56,8 @@
 bool suspect_list::is_worth_storing(const entry& one, bool for_others) const
 {
 	const auto weight = weight_of(one.known);
-	const bool has_end_alone = one.known.ended.size() > one.known.ended_together.size();
+	const bool has_end_alone = std::any_of(one.known.ended.begin(), one.known.ended.end(),
+		[&](const auto& end) { return !has_other_cause(end.second, one.known); });
 	return weight >= tuning_.weight_to_store ? for_others || one.is_own : for_others && has_end_alone;
 }
 
@@ -89,11 +114,11 @@
 		const bool is_under_it = one.presumed.erase(life) > 0;
 		if (is_under_it)
 		{
-			unite(one.known.ended, {life});
+			add_end(one.known, life, {});
 			one.is_own = true;
 		}
-		const bool is_marked = mark_together(one, together);
-		if (is_under_it || is_marked)
+		const bool is_new = note_together(one.known, together);
+		if (is_under_it || is_new)
 		{
 			note_change(one, now);
 		}
@@ -101,24 +126,33 @@
 }
 
 /// \returns Whether anything was new.
-bool suspect_list::mark_together(entry& one, const std::vector<process_life>& lives) const
+bool suspect_list::note_together(suspicion& known, const std::vector<process_life>& lives) const
 {
-	const auto& ended = one.known.ended;
-	const auto under_it = std::count_if(lives.begin(), lives.end(),
-		[&](process_life life) { return ended.contains(life) || one.presumed.contains(life); });
-	const auto others = lives.size() - static_cast<std::size_t>(under_it);
-	if (others < tuning_.others_together)
-	{
-		return false;
-	}
 	bool is_new = false;
 	for (const auto life : lives)
 	{
-		is_new = (ended.contains(life) && one.known.ended_together.insert(life).second) || is_new;
+		const auto end = known.ended.find(life);
+		if (end == known.ended.end())
+		{
+			continue;
+		}
+		std::set<process_life> others{lives.begin(), lives.end()};
+		others.erase(life);
+		const auto before = end->second;
+		add_end(known, life, others);
+		is_new = is_new || end->second != before;
 	}
 	return is_new;
 }
 
+void suspect_list::add_end(suspicion& to, process_life life, const std::set<process_life>& together) const
+{
+	auto& kept = to.ended[life];
+	kept.insert(together.begin(), together.end());
+	keep_smallest(kept, tuning_.most_together);
+	keep_smallest(to.ended, tuning_.most_lives);
+}
+
 void suspect_list::retract(process_life life)
 {
 	for (auto one = suspects_.begin(); one != suspects_.end();)
@@ -166,31 +200,16 @@
 	}
 }
 
-void suspect_list::unite(std::set<process_life>& into, const std::set<process_life>& from) const
-{
-	for (const auto life : from)
-	{
-		if (into.size() >= tuning_.most_lives)
-		{
-			return;
-		}
-		into.insert(life);
-	}
-}
-
 /// \returns Whether anything was new.
 bool suspect_list::take(suspicion& into, const suspicion& from) const
 {
 	const auto before = into;
-	unite(into.ended, from.ended);
-	unite(into.survived, from.survived);
-	for (const auto life : from.ended_together)
+	for (const auto& [life, together] : from.ended)
 	{
-		if (into.ended.contains(life))
-		{
-			into.ended_together.insert(life);
-		}
+		add_end(into, life, together);
 	}
+	into.survived.insert(from.survived.begin(), from.survived.end());
+	keep_smallest(into.survived, tuning_.most_lives);
 	return into != before;
 }
 
@@ -200,7 +219,7 @@
 	const bool holds = is_enough(one.known, 0);
 	if (holds && !one.is_told_held)
 	{
-		held_(one.known);
+		held_(one.known, weight_of(one.known));
 	}
 	one.is_told_held = holds;
 }
--- a/tests/control/peer_report.cpp
+++ b/tests/control/peer_report.cpp
@@ -11,8 +11,8 @@
 quarantine::suspicion suspect(const char* key)
 {
 	using quarantine::process_life;
-	return {quarantine::request_key{key}, {process_life{-1}, process_life{5}}, {process_life{5}},
-		{process_life{9}}};
+	return {quarantine::request_key{key},
+		{{process_life{-1}, {}}, {process_life{5}, {process_life{6}, process_life{-7}}}}, {process_life{9}}};
 }
 } // namespace
 
--- a/tests/control/suspect_rows.cpp
+++ b/tests/control/suspect_rows.cpp
@@ -52,7 +52,7 @@
 
 	proxy::asio::io_context context{1};
 	recording_store store;
-	quarantine::suspect_list list{[](const suspicion&) {}};
+	quarantine::suspect_list list{[](const suspicion&, double) {}};
 	suspect_rows rows{context, store, list, "own", {.gather = milliseconds{1}, .again = milliseconds{1}}};
 };
 } // namespace
@@ -60,15 +60,16 @@
 TEST_CASE("a suspicion comes back from its row as it was written", "[quarantine]")
 {
 	stored_suspicion what{
-		{request_key{"k"}, {process_life{-3}, process_life{4}}, {process_life{4}}, {process_life{1}}},
+		{request_key{"k"}, {{process_life{-3}, {}}, {process_life{4}, {process_life{5}, process_life{-6}}}},
+			{process_life{1}}},
 		registry_time{77}};
 	const row written{"own", "suspect/k", write_suspicion(what), row_version{1}, false};
 	const auto read = read_suspicion(written);
 	REQUIRE(read);
 	CHECK(read->known == what.known);
 	CHECK(read->last_end == what.last_end);
-	for (const auto* broken :
-		{"", "[]", "{}", R"({"ended":["x"],"ended_together":[],"survived":[],"last_end_us":1})"})
+	for (const auto* broken : {"", "[]", "{}", R"({"ended":["x"],"survived":[],"last_end_us":1})",
+			 R"({"ended":[{"life":1,"together":["x"]}],"survived":[],"last_end_us":1})"})
 	{
 		CHECK_FALSE(read_suspicion({"own", "suspect/k", broken, row_version{1}, false}));
 	}
@@ -127,12 +128,12 @@
 {
 	proxy::asio::io_context context{1};
 	recording_store store;
-	quarantine::suspect_list list{[](const suspicion&) {}};
+	quarantine::suspect_list list{[](const suspicion&, double) {}};
 	suspect_rows rows{context, store, list, "own"};
 	const auto row_of = [](const char* key, duration age)
 	{
 		const stored_suspicion what{
-			{request_key{key}, {process_life{1}, process_life{2}, process_life{3}}, {}, {}},
+			{request_key{key}, {{process_life{1}, {}}, {process_life{2}, {}}, {process_life{3}, {}}}, {}},
 			registry_time{seconds{5000}} - age};
 		return row{"own", std::string{suspect_prefix} + key, write_suspicion(what), row_version{1}, false};
 	};
@@ -148,7 +149,7 @@
 {
 	stored_list vm;
 	const stored_suspicion old{
-		{request_key{"old"}, {process_life{1}, process_life{2}, process_life{3}}, {}, {}},
+		{request_key{"old"}, {{process_life{1}, {}}, {process_life{2}, {}}, {process_life{3}, {}}}, {}},
 		registry_time{seconds{500} - std::chrono::minutes{11}}};
 	vm.rows.on_row({"own", "suspect/old", write_suspicion(old), row_version{1}, false}, proxy::steady_now());
 	CHECK_FALSE(vm.list.is_suspect(request_key{"old"}, proxy::steady_now()));
--- a/tests/quarantine/suspect_list.cpp
+++ b/tests/quarantine/suspect_list.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 #include <gingerdyke/base/random.hpp>
 #include <gingerdyke/quarantine/suspect_list.hpp>
+#include <optional>
 
 using namespace gingerdyke;
 using namespace gingerdyke::quarantine;
@@ -32,12 +33,28 @@
 	}
 
 	std::vector<suspicion> held;
-	suspect_list list{[this](const suspicion& one) { held.push_back(one); }};
+	suspect_list list{[this](const suspicion& one, double) { held.push_back(one); }};
 };
 
-suspicion seen(const request_key& key, std::set<process_life> ended)
+suspicion seen(const request_key& key, const std::set<process_life>& ended)
 {
-	return {key, std::move(ended), {}, {}};
+	suspicion made;
+	made.key = key;
+	for (const auto one : ended)
+	{
+		made.ended[one] = {};
+	}
+	return made;
+}
+
+std::set<process_life> lives_ended(const suspicion& of)
+{
+	std::set<process_life> lives;
+	for (const auto& [life, together] : of.ended)
+	{
+		lives.insert(life);
+	}
+	return lives;
 }
 } // namespace
 
@@ -159,8 +176,9 @@
 {
 	std::vector<suspicion> reports{seen(cause, {life(1)}), seen(cause, {life(2)}),
 		seen(cause, {life(1), life(3)}), seen(bystander, {life(1)}), seen(bystander, {life(4)})};
-	reports.push_back({cause, {life(1), life(2)}, {life(1)}, {life(9)}});
-	reports.push_back({cause, {life(5)}, {}, {}});
+	reports.push_back({cause, {{life(1), {life(2), life(21)}}, {life(2), {}}}, {life(9)}});
+	reports.push_back({cause, {{life(1), {life(22)}}}, {}});
+	reports.push_back({cause, {{life(5), {}}}, {}});
 	for (std::uint64_t seed = 1; seed <= 200; ++seed)
 	{
 		seeded_random random{seed};
@@ -177,10 +195,11 @@
 		REQUIRE(told.size() == 2);
 		const auto& first = told.front();
 		CHECK(first.key == cause);
-		CHECK(first.ended == std::set{life(1), life(2), life(3), life(5)});
-		CHECK(first.ended_together == std::set{life(1)});
+		CHECK(lives_ended(first) == std::set{life(1), life(2), life(3), life(5)});
+		CHECK(first.ended.at(life(1)) == std::set{life(2), life(21), life(22)});
+		CHECK(first.ended.at(life(2)).empty());
 		CHECK(first.survived == std::set{life(9)});
-		CHECK(told.back().ended == std::set{life(1), life(4)});
+		CHECK(lives_ended(told.back()) == std::set{life(1), life(4)});
 	}
 }
 
@@ -196,7 +215,7 @@
 	of.end(4, {cause});
 	REQUIRE(of.list.unstored(false, start).size() == 1);
 	const auto stored = of.list.unstored(false, start).front();
-	CHECK(stored.ended == std::set{life(1), life(4)});
+	CHECK(lives_ended(stored) == std::set{life(1), life(4)});
 	of.list.note_stored(stored, start, start);
 	CHECK(of.list.unstored(false, start).empty());
 	of.list.note_stored(seen(cause, {life(7)}), start, start);
@@ -214,6 +233,35 @@
 	CHECK(of.list.unstored(true, start).size() == 1);
 }
 
+TEST_CASE("reports of more ends than are kept add up to the same in any order", "[quarantine]")
+{
+	std::vector<suspicion> reports;
+	for (int number = 1; number <= 12; ++number)
+	{
+		reports.push_back(
+			{cause, {{life(number), {life(number + 1), life(number + 2)}}}, {life(50 + number)}});
+		reports.push_back({cause, {{life(number), {life(30), life(31), life(32)}}}, {}});
+	}
+	std::optional<suspicion> all;
+	for (std::uint64_t seed = 1; seed <= 100; ++seed)
+	{
+		seeded_random random{seed};
+		listed one;
+		for (auto left = reports; !left.empty();)
+		{
+			const auto drawn = random_below(random, left.size());
+			one.list.merge(left[drawn], start, start);
+			left.erase(left.begin() + static_cast<std::ptrdiff_t>(drawn));
+		}
+		const auto told = one.list.news(1, start);
+		REQUIRE(told.size() == 1);
+		CHECK(all.value_or(told.front()) == told.front());
+		all = told.front();
+	}
+	CHECK(all->ended.size() == suspect_tuning{}.most_lives);
+	CHECK(all->ended.at(life(1)).size() == suspect_tuning{}.most_together);
+}
+
 TEST_CASE("two VMs that know more ends than are kept do not store them in turn for ever", "[quarantine]")
 {
 	listed a;
--- a/thrift/relay.thrift
+++ b/thrift/relay.thrift
@@ -58,12 +58,17 @@
 	2: required i64 order
 }
 
-// A request under which replicas ended: lives of replicas, as whole numbers.
+// The life of a replica that ended, and others that ended at the same moment: lives are whole numbers.
+struct RelayEnd {
+	1: required i64 life
+	2: required list<i64> together
+}
+
+// A request under which replicas ended.
 struct RelaySuspicion {
 	1: required string key
-	2: required list<i64> ended
-	3: required list<i64> ended_together
-	4: required list<i64> survived
+	2: required list<RelayEnd> ended
+	3: required list<i64> survived
 }
 
 // What a VM tells the one that it reads from.
