Failing tests: a VM's row of a request overwrites ends that another VM stored

Two VMs write the row at one moment, each with the ends that it knows; the later write wins, and both take what they wrote for stored.

--- a/tests/control/suspect_rows.cpp
+++ b/tests/control/suspect_rows.cpp
@@ -105,6 +105,49 @@
 	CHECK(read_suspicion(vm.stored_row())->known.ended.size() == 3);
 }
 
+// Two VMs wrote the row of one request at the same moment, each with the ends that it knew. The later write
+// was the one with fewer ends, and both took the row for complete. After a loss of all VMs 4 s later the row
+// told two of three ends, and four more replicas ended.
+TEST_CASE("ends that another VM stores meanwhile are not overwritten", "[quarantine]")
+{
+	stored_list vm;
+	vm.end(1, "k");
+	vm.end(2, "k");
+	run_until(vm.context, [&] { return vm.store.changes.size() == 1; });
+	const auto& first = vm.store.changes.front();
+	REQUIRE(first.conditions.size() == 1);
+	CHECK(first.conditions.front().key == "suspect/k");
+	CHECK(first.conditions.front().version == row_version{0});
+	stored_list other;
+	for (const int life : {2, 7, 8})
+	{
+		other.end(life, "k");
+	}
+	run_until(other.context, [&] { return other.store.changes.size() == 1; });
+	vm.store.answer(change_answer{false, {other.stored_row()}});
+	run_until(vm.context, [&] { return vm.store.changes.size() == 2; });
+	REQUIRE(vm.store.changes.back().conditions.size() == 1);
+	CHECK(vm.store.changes.back().conditions.front().version == other.stored_row().version);
+	CHECK(read_suspicion(vm.stored_row())->known.ended.size() == 4);
+}
+
+TEST_CASE("a row that an operator removes while it is written is not made anew", "[quarantine]")
+{
+	stored_list vm;
+	vm.end(1, "k");
+	vm.end(2, "k");
+	run_until(vm.context, [&] { return vm.store.changes.size() == 1; });
+	vm.store.answer(change_answer{true, {}});
+	vm.rows.on_row(vm.stored_row(), proxy::steady_now());
+	vm.end(3, "k");
+	run_until(vm.context, [&] { return vm.store.changes.size() == 2; });
+	vm.store.answer(change_answer{false, {}});
+	CHECK_FALSE(vm.list.is_held(request_key{"k"}, proxy::steady_now()));
+	vm.context.restart();
+	vm.context.run_for(milliseconds{20});
+	CHECK(vm.store.changes.size() == 2);
+}
+
 TEST_CASE("a VM that starts holds back what the rows tell, until an operator removes the row", "[quarantine]")
 {
 	stored_list vm;
