Rows of requests are written on the condition that they are still the same

Cause: two VMs wrote one request's row at the same moment, each with the ends that it knew; the later write won, and both took their own for stored. After a loss of all VMs the row told two of three ends. A row that an operator removed meanwhile is not made anew. A row that can't be read counts as seen, so that it is overwritten. The lifetime of rows is that of suspicions, in one place. Ruled out: a write that failed (no line tells so), rows read late at the start (each VM came back with two ends before its first request).

--- a/include/gingerdyke/control/suspect_rows.hpp
+++ b/include/gingerdyke/control/suspect_rows.hpp
@@ -8,7 +8,10 @@
 #include <gingerdyke/proxy/asio.hpp>
 #include <gingerdyke/quarantine/suspect_list.hpp>
 #include <map>
+#include <optional>
+#include <string>
 #include <string_view>
+#include <vector>
 
 namespace gingerdyke::control
 {
@@ -40,8 +43,8 @@
 	/// A write that failed is made again after this time.
 	duration again = std::chrono::milliseconds{700};
 
-	/// Rows are removed once nothing is forgotten any more by them; the same time as in `suspect_tuning`.
-	duration lifetime = std::chrono::minutes{10};
+	/// Rows are removed once nothing is forgotten any more by them.
+	duration lifetime = quarantine::suspect_tuning{}.lifetime;
 
 	/// Rows removed at once: a change has 100 entries at most.
 	std::size_t most_removed = 50;
@@ -70,8 +73,11 @@
   private:
 	void arm_after(duration pause);
 	void write();
-	void on_written(
-		const std::vector<quarantine::suspicion>& written, const store_result<change_answer>& answer);
+	[[nodiscard]] row_change change_for(const std::vector<quarantine::suspicion>& news, instant now) const;
+	[[nodiscard]] row_change::condition unchanged(const std::string& key) const;
+	void on_written(const std::vector<quarantine::suspicion>& written, const row_change& change,
+		const store_result<change_answer>& answer);
+	void on_changed_meanwhile(const row_change& tried, const std::vector<row>& present, instant now);
 	void remove_old(instant now);
 	void take(const row& one, instant now);
 
@@ -87,8 +93,18 @@
 	/// Rows that came before the registry's clock was known.
 	std::vector<row> early_;
 
-	/// The last end that each row tells of.
-	std::map<std::string, instant> rows_;
+	struct known_row
+	{
+		row_version version{};
+
+		/// The last end that it tells of; none: it can't be read.
+		std::optional<instant> last_end;
+	};
+
+	/// The rows as this VM saw them last. Each is written on the condition that it is still the same: else
+	/// ends that another VM stored a moment ago would be lost, and after a loss of all VMs two ends of three
+	/// known.
+	std::map<std::string, known_row> rows_;
 	bool reads_registry_ = false;
 	bool is_armed_ = false;
 	bool is_writing_ = false;
--- a/src/control/suspect_rows.cpp
+++ b/src/control/suspect_rows.cpp
@@ -1,5 +1,6 @@
 // SPDX-License-Identifier: MIT
 // Requests under which replicas ended, in the registry.
+#include <algorithm>
 #include <gingerdyke/control/row_json.hpp>
 #include <gingerdyke/control/suspect_rows.hpp>
 #include <gingerdyke/log/log.hpp>
@@ -109,15 +110,16 @@
 
 void suspect_rows::take(const row& one, instant now)
 {
+	auto& known = rows_[one.key];
+	known.version = one.version;
 	const auto read = read_suspicion(one);
 	if (!read)
 	{
 		log::write(log::level::error, "suspicion not understood", {{"findings", to_text(read.error())}});
 		return;
 	}
-	const auto last_end = std::min(now, instant{read->last_end - *offset_});
-	rows_[one.key] = last_end;
-	suspects_.note_stored(read->known, last_end, now);
+	known.last_end = std::min(now, instant{read->last_end - *offset_});
+	suspects_.note_stored(read->known, *known.last_end, now);
 	arm();
 }
 
@@ -163,25 +165,39 @@
 		arm_after(tuning_.again);
 		return;
 	}
-	row_change change;
-	for (const auto& one : news)
-	{
-		const auto last_end = suspects_.last_end(one.key).value_or(now);
-		const stored_suspicion stored{one, last_end.time_since_epoch() + *offset_};
-		change.puts.push_back({table_, row_key_of(one.key), write_suspicion(stored)});
-	}
+	const auto change = change_for(news, now);
 	is_writing_ = true;
 	registry_.change(change,
-		[this, news](const store_result<change_answer>& answer)
+		[this, news, change](const store_result<change_answer>& answer)
 		{
 			is_writing_ = false;
-			on_written(news, answer);
+			on_written(news, change, answer);
 		});
 	remove_old(now);
 }
 
-void suspect_rows::on_written(
-	const std::vector<quarantine::suspicion>& written, const store_result<change_answer>& answer)
+row_change suspect_rows::change_for(const std::vector<quarantine::suspicion>& news, instant now) const
+{
+	row_change change;
+	for (const auto& one : news)
+	{
+		const auto key = row_key_of(one.key);
+		const auto last_end = suspects_.last_end(one.key).value_or(now);
+		const stored_suspicion stored{one, last_end.time_since_epoch() + *offset_};
+		change.conditions.push_back(unchanged(key));
+		change.puts.push_back({table_, key, write_suspicion(stored)});
+	}
+	return change;
+}
+
+row_change::condition suspect_rows::unchanged(const std::string& key) const
+{
+	const auto known = rows_.find(key);
+	return {table_, key, known == rows_.end() ? row_version{0} : known->second.version};
+}
+
+void suspect_rows::on_written(const std::vector<quarantine::suspicion>& written, const row_change& change,
+	const store_result<change_answer>& answer)
 {
 	const auto now = proxy::steady_now();
 	if (!answer)
@@ -191,6 +207,12 @@
 		arm_after(tuning_.again);
 		return;
 	}
+	if (!answer->done)
+	{
+		on_changed_meanwhile(change, answer->rows, now);
+		return;
+	}
+	log::write(log::level::info, "suspicions stored", {{"count", written.size()}});
 	for (const auto& one : written)
 	{
 		suspects_.note_stored(one, suspects_.last_end(one.key).value_or(now), now);
@@ -198,14 +220,36 @@
 	arm();
 }
 
+/// What the rows tell is taken first; what they still lack is written with the next change.
+void suspect_rows::on_changed_meanwhile(const row_change& tried, const std::vector<row>& present, instant now)
+{
+	log::write(log::level::info, "suspicions changed by another VM", {{"count", present.size()}});
+	for (const auto& one : present)
+	{
+		on_row(one, now);
+	}
+	for (const auto& one : tried.conditions)
+	{
+		const bool is_present = std::any_of(
+			present.begin(), present.end(), [&](const row& other) { return other.key == one.key; });
+		if (!is_present && one.version != row_version{0})
+		{
+			on_row({table_, one.key, {}, one.version, true}, now);
+		}
+	}
+	arm();
+}
+
 /// Whoever writes also clears away: rows are only read where they are few.
 void suspect_rows::remove_old(instant now)
 {
 	row_change change;
-	for (const auto& [key, last_end] : rows_)
+	for (const auto& [key, known] : rows_)
 	{
-		if (now - last_end > tuning_.lifetime && change.removes.size() < tuning_.most_removed)
+		const bool is_old = known.last_end && now - *known.last_end > tuning_.lifetime;
+		if (is_old && change.removes.size() < tuning_.most_removed)
 		{
+			change.conditions.push_back(unchanged(key));
 			change.removes.push_back({table_, key});
 		}
 	}
@@ -214,13 +258,17 @@
 		return;
 	}
 	registry_.change(change,
-		[](const store_result<change_answer>& answer)
+		[this, change](const store_result<change_answer>& answer)
 		{
 			if (!answer)
 			{
 				log::write(
 					log::level::warn, "old suspicions not removed", {{"why", name_of(answer.error())}});
 			}
+			else if (!answer->done)
+			{
+				on_changed_meanwhile(change, answer->rows, proxy::steady_now());
+			}
 		});
 }
 } // namespace gingerdyke::control
