--- a/include/gingerdyke/control/coordinator.hpp
+++ b/include/gingerdyke/control/coordinator.hpp
@@ -117,6 +117,7 @@
 	void on_evidence_rows(const std::vector<row>& rows);
 	void on_evidence_row(const row& one);
 	void on_vm_row(const row& one);
+	void note_vms();
 	void register_self();
 	void start_rest();
 	[[nodiscard]] table_follower* follower_of(const std::string& table);
--- a/include/gingerdyke/quarantine/suspect_list.hpp
+++ b/include/gingerdyke/quarantine/suspect_list.hpp
@@ -117,9 +117,6 @@
 	/// \brief Whether it depends on an end that is only likely yet whether a request is held back.
 	[[nodiscard]] bool is_open(const request_key& key, instant now) const;
 
-	/// \brief Whether a replica ended under a request.
-	[[nodiscard]] bool is_suspect(const request_key& key, instant now) const;
-
 	/// \brief Whether the next end would hold a request back.
 	[[nodiscard]] bool is_nearly_held(const request_key& key, instant now) const;
 
--- a/src/control/coordinator.cpp
+++ b/src/control/coordinator.cpp
@@ -270,11 +270,13 @@
 
 void coordinator::on_own_rows(const std::vector<row>& rows)
 {
+	bool vms_changed = false;
 	for (const auto& one : rows)
 	{
 		if (one.key.starts_with(vm_prefix))
 		{
 			on_vm_row(one);
+			vms_changed = true;
 		}
 		else if (one.key.starts_with(suspect_prefix))
 		{
@@ -285,13 +287,10 @@
 			on_plan_row(one);
 		}
 	}
-	std::vector<peer> peers;
-	for (const auto& [id, vm] : vms_)
+	if (vms_changed)
 	{
-		peers.push_back(vm);
+		note_vms();
 	}
-	sources_.set_peers(std::move(peers));
-	gateway_.note_vms(vms_.size());
 	if (!std::exchange(looked_for_self_, true))
 	{
 		register_self();
@@ -302,6 +301,18 @@
 	arm();
 }
 
+void coordinator::note_vms()
+{
+	std::vector<peer> peers;
+	peers.reserve(vms_.size());
+	for (const auto& [id, vm] : vms_)
+	{
+		peers.push_back(vm);
+	}
+	sources_.set_peers(std::move(peers));
+	gateway_.note_vms(vms_.size());
+}
+
 void coordinator::on_vm_row(const row& one)
 {
 	if (one.removed)
--- a/src/quarantine/suspect_list.cpp
+++ b/src/quarantine/suspect_list.cpp
@@ -73,11 +73,6 @@
 	return one != nullptr && !is_enough(one->known, 0) && is_enough(one->known, one->presumed.size());
 }
 
-bool suspect_list::is_suspect(const request_key& key, instant now) const
-{
-	return find(key, now) != nullptr;
-}
-
 bool suspect_list::is_nearly_held(const request_key& key, instant now) const
 {
 	const auto* one = find(key, now);
--- a/tests/quarantine/suspect_list.cpp
+++ b/tests/quarantine/suspect_list.cpp
@@ -64,7 +64,7 @@
 	listed of;
 	of.end(1, {cause, bystander});
 	of.end(2, {cause});
-	CHECK(of.list.is_suspect(cause, start));
+	CHECK(of.list.last_end(cause));
 	CHECK_FALSE(of.list.is_held(cause, start));
 	of.end(3, {cause});
 	CHECK(of.list.is_held(cause, start));
@@ -302,7 +302,7 @@
 	of.end(2, {cause});
 	of.end(3, many);
 	CHECK(of.list.size() == suspect_tuning{}.most_suspects);
-	CHECK(of.list.is_suspect(cause, start));
+	CHECK(of.list.last_end(cause));
 	CHECK(of.list.news(1, start).size() == suspect_tuning{}.most_told);
 	CHECK(of.list.news(1, start).front().key == cause);
 	CHECK(of.list.unstored(true, start).size() == 1);
