Failing test: a change of many rows of requests is larger than the registry takes

Seen by reading, then in the test: with a condition a row, 64 rows make 128 entries; the registry takes 100 in a change and refuses a larger one as a whole, so that after a mass loss nothing would be stored.

--- a/tests/control/suspect_rows.cpp
+++ b/tests/control/suspect_rows.cpp
@@ -131,6 +131,45 @@
 	CHECK(read_suspicion(vm.stored_row())->known.ended.size() == 4);
 }
 
+// The registry takes 100 entries in a change, conditions among them, and refuses a larger one as a whole.
+TEST_CASE("many rows are written and removed in changes that the registry takes", "[quarantine]")
+{
+	constexpr std::size_t most_entries = 100;
+	const auto entries = [](const row_change& one)
+	{ return one.conditions.size() + one.puts.size() + one.removes.size(); };
+	stored_list vm;
+	std::vector<request_key> many;
+	for (int i = 0; i < 150; ++i)
+	{
+		many.emplace_back("k" + std::to_string(i));
+		const stored_suspicion old{{request_key{"old" + std::to_string(i)}, {{process_life{1}, {}}}, {}},
+			registry_time{seconds{500} - std::chrono::minutes{11}}};
+		vm.rows.on_row({"own", "suspect/" + old.known.key.str(), write_suspicion(old), row_version{1}, false},
+			proxy::steady_now());
+	}
+	for (const int life : {1, 2})
+	{
+		vm.list.presume(process_life{life}, many, proxy::steady_now());
+		vm.list.confirm(process_life{life}, {}, proxy::steady_now());
+	}
+	vm.rows.arm();
+	for (std::size_t written = 0; written < many.size(); written += vm.store.changes.front().puts.size())
+	{
+		const auto before = vm.store.changes.size();
+		run_until(vm.context, [&] { return vm.store.changes.size() >= before + 2; });
+		REQUIRE(vm.store.waiting.size() == 2);
+		for (int i = 0; i < 2; ++i)
+		{
+			vm.store.answer(change_answer{true, {}});
+		}
+	}
+	for (const auto& one : vm.store.changes)
+	{
+		CHECK(entries(one) <= most_entries);
+	}
+	CHECK(vm.list.unstored(false, proxy::steady_now()).empty());
+}
+
 TEST_CASE("a row that an operator removes while it is written is not made anew", "[quarantine]")
 {
 	stored_list vm;
