Changes of rows of requests stay within what the registry takes

Cause: 64 rows with a condition each are 128 entries, 100 are taken. Change: at most 50 rows are written, or removed, in one change; what is left follows with the next.

--- a/include/gingerdyke/control/suspect_rows.hpp
+++ b/include/gingerdyke/control/suspect_rows.hpp
@@ -46,8 +46,9 @@
 	/// Rows are removed once nothing is forgotten any more by them.
 	duration lifetime = quarantine::suspect_tuning{}.lifetime;
 
-	/// Rows removed at once: a change has 100 entries at most.
-	std::size_t most_removed = 50;
+	/// Rows written, or removed, in one change: it has 100 entries at most, and each row takes two of them,
+	/// its condition and itself. A larger change is refused as a whole, and nothing would be stored.
+	std::size_t most_rows = 50;
 };
 
 /// \brief Keeps the rows and the list of suspects in step.
--- a/src/control/suspect_rows.cpp
+++ b/src/control/suspect_rows.cpp
@@ -155,11 +155,12 @@
 void suspect_rows::write()
 {
 	const auto now = proxy::steady_now();
-	const auto news = suspects_.unstored(reads_registry_, now);
+	auto news = suspects_.unstored(reads_registry_, now);
 	if (news.empty())
 	{
 		return;
 	}
+	news.resize(std::min(news.size(), tuning_.most_rows));
 	if (!offset_)
 	{
 		arm_after(tuning_.again);
@@ -247,7 +248,7 @@
 	for (const auto& [key, known] : rows_)
 	{
 		const bool is_old = known.last_end && now - *known.last_end > tuning_.lifetime;
-		if (is_old && change.removes.size() < tuning_.most_removed)
+		if (is_old && change.removes.size() < tuning_.most_rows)
 		{
 			change.conditions.push_back(unchanged(key));
 			change.removes.push_back({table_, key});
