--- a/tests/quarantine/suspect_list.cpp
+++ b/tests/quarantine/suspect_list.cpp
@@ -223,16 +223,37 @@
 	CHECK(of.list.unstored(false, start).empty());
 }
 
-TEST_CASE("what stood beside replicas that ended together is not stored", "[quarantine]")
+TEST_CASE("what stood beside one replica of several that ended together is not stored", "[quarantine]")
 {
 	listed of;
-	of.end(1, {bystander});
-	of.end(2, {bystander}, {life(1), life(2), life(3), life(4)});
+	of.end(1, {bystander}, {life(1), life(2), life(3), life(4)});
 	CHECK(of.list.unstored(true, start).empty());
 	of.end(5, {bystander});
 	CHECK(of.list.unstored(true, start).size() == 1);
 }
 
+// Four VMs of two failure domains send the request to a replica each at the same moment. Each domain knows of
+// two ends, and of two more replicas that ended without it: at half weight that was too little to store, and
+// four more replicas ended 1.2 s later.
+TEST_CASE(
+	"ends at the same moment that two failure domains know in halves are stored and add up", "[quarantine]")
+{
+	const std::vector<process_life> all{life(1), life(2), life(3), life(4)};
+	listed one;
+	listed other;
+	one.end(1, {cause, bystander}, all);
+	one.end(2, {cause}, all);
+	other.end(3, {cause}, all);
+	other.end(4, {cause}, all);
+	CHECK_FALSE(one.list.is_held(cause, start));
+	for (const auto& stored : other.list.unstored(true, start))
+	{
+		one.list.note_stored(stored, start, start);
+	}
+	CHECK(one.list.is_held(cause, start));
+	CHECK_FALSE(one.list.is_held(bystander, start));
+}
+
 TEST_CASE("reports of more ends than are kept add up to the same in any order", "[quarantine]")
 {
 	std::vector<suspicion> reports;
