--- a/tests/quarantine/suspect_list.cpp
+++ b/tests/quarantine/suspect_list.cpp
@@ -232,6 +232,16 @@
 	CHECK(of.list.unstored(true, start).size() == 1);
 }
 
+TEST_CASE("what stood beside replicas that ended together is not stored", "[quarantine]")
+{
+	listed of;
+	of.end(1, {bystander});
+	of.end(2, {bystander}, {life(1), life(2), life(3), life(4)});
+	CHECK(of.list.unstored(true, start).empty());
+	of.end(5, {bystander});
+	CHECK(of.list.unstored(true, start).size() == 1);
+}
+
 // Four VMs of two failure domains send the request to a replica each at the same moment. Each domain knows of
 // two ends, and of two more replicas that ended without it: at half weight that was too little to store, and
 // four more replicas ended 1.2 s later.
