--- a/include/gingerdyke/control/coordinator.hpp
+++ b/include/gingerdyke/control/coordinator.hpp
@@ -36,6 +36,10 @@
 	/// Reads a row of the operators' table; findings where it can't be understood.
 	std::function<checked<operator_news>(const row&)> read_operator_row;
 
+	/// The failure domain that a row of the operators' table orders to evacuate for as long as the row is
+	/// there; none: it is another row.
+	std::function<std::optional<failure_domain_id>(const std::string& key)> evacuated_domain;
+
 	/// Reads a row of the replicas' table.
 	std::function<checked<routing::replica>(const row&)> read_replica_row;
 
@@ -100,7 +104,10 @@
 	void on_suspicion() { suspects_.arm(); }
 
   private:
+	void on_operator_table(const std::vector<row>& rows);
 	void on_operator_rows(const std::vector<row>& rows);
+	void on_operator_row(const row& one);
+	void on_evacuation(const failure_domain_id& domain, bool is_withdrawn);
 	void on_replica_rows(const std::vector<row>& rows);
 	void on_replicas(const std::vector<row>& rows);
 	/// Replicas that rows name, and the ids of rows that can't be read.
--- a/include/gingerdyke/proxy/exchange.hpp
+++ b/include/gingerdyke/proxy/exchange.hpp
@@ -46,6 +46,9 @@
 	/// What was known before it was sent; true again where this replica did not run it.
 	trace trace_before{trace::not_run};
 
+	/// The replica counted as cold, and this VM had a share left.
+	bool is_cold{};
+
 	/// The connection is up: the request may have left.
 	bool connected{};
 
@@ -98,6 +101,7 @@
 
 	// What the replica does.
 	void on_connected();
+	[[nodiscard]] bool may_still_send() const;
 	void on_head(answer_head head);
 	void on_not_run();
 	void on_body(std::string_view bytes);
@@ -125,6 +129,7 @@
 	// Endings; each answers the caller once.
 	void refuse(int status, std::string reason);
 	void refuse_held();
+	void refuse_without_replica();
 	void refuse_until(duration wait, std::string reason);
 	void give_up(int status, std::string reason);
 	void answer_here(int status, std::string reason, header_fields fields);
--- a/include/gingerdyke/proxy/gateway.hpp
+++ b/include/gingerdyke/proxy/gateway.hpp
@@ -12,10 +12,12 @@
 #include <gingerdyke/quarantine/suspect_list.hpp>
 #include <gingerdyke/rollout/version_shift.hpp>
 #include <gingerdyke/routing/catalog.hpp>
+#include <gingerdyke/routing/evacuated_domains.hpp>
 #include <gingerdyke/routing/first_token_time.hpp>
 #include <gingerdyke/routing/replica_selector.hpp>
 #include <gingerdyke/routing/replica_set.hpp>
 #include <gingerdyke/routing/size_policy.hpp>
+#include <gingerdyke/routing/slow_start.hpp>
 #include <map>
 #include <ostream>
 
@@ -70,6 +72,10 @@
 	/// The expectation is a mean: with 1, callers were refused who would have been answered.
 	int refusal_margin = 2;
 
+	/// Callers who wait for the same replicas are told to come back over this much more of the wait: all at
+	/// one moment would overload what has just returned.
+	double retry_spread = 0.5;
+
 	/// When a refused caller may come back: about the time after which another VM or replica is likely found.
 	duration retry_after = std::chrono::milliseconds{250};
 };
@@ -150,6 +156,14 @@
 	/// \brief VMs that share the replicas; until they are known as many as a small deployment has.
 	[[nodiscard]] unsigned vm_count() const noexcept { return vm_count_; }
 
+	/// \brief Why no replica of a service may be sent a request, and how long until that is likely over.
+	struct unavailability
+	{
+		std::string reason;
+		duration retry_after{};
+	};
+	[[nodiscard]] unavailability why_unavailable(const service_id& service, instant now) const;
+
 	/// \brief Answers a caller's request.
 	[[nodiscard]] std::shared_ptr<active_request> handle(request what, std::shared_ptr<answer_sink> to);
 
@@ -187,6 +201,8 @@
 
 	[[nodiscard]] const routing::catalog_ptr& catalog() const noexcept { return catalog_; }
 	[[nodiscard]] routing::replica_set& replicas() noexcept { return replicas_; }
+	[[nodiscard]] routing::evacuated_domains& evacuated() noexcept { return evacuated_; }
+	[[nodiscard]] routing::slow_start& cold_replicas() noexcept { return cold_replicas_; }
 	[[nodiscard]] routing::replica_selector& selector() noexcept { return selector_; }
 	[[nodiscard]] upstream_pool& pool() noexcept { return pool_; }
 	[[nodiscard]] rollout::version_shift& versions() noexcept { return versions_; }
@@ -198,6 +214,8 @@
 
   private:
 	void on_replica_change(const routing::replica& one, routing::replica_change change);
+	void on_evacuation(const failure_domain_id& domain, bool is_evacuated);
+	void note_cold(const routing::replica& one, routing::replica_change change, instant now);
 	[[nodiscard]] replica_end_watch::hooks end_hooks();
 	void on_replica_end(
 		const replica_end& end, bool has_ended, const std::vector<quarantine::process_life>& together);
@@ -210,6 +228,8 @@
 	gateway_tuning tuning_;
 	routing::catalog_ptr catalog_;
 	routing::replica_set replicas_;
+	routing::evacuated_domains evacuated_;
+	routing::slow_start cold_replicas_;
 	routing::replica_selector selector_;
 	upstream_pool pool_;
 	quarantine::suspect_list suspects_;
--- a/include/gingerdyke/routing/catalog.hpp
+++ b/include/gingerdyke/routing/catalog.hpp
@@ -84,6 +84,18 @@
 	double cost{};
 };
 
+/// \brief What a replica of a service bears while it is cold.
+struct cold_limit
+{
+	/// Requests a second, of all VMs together.
+	double requests_per_s{};
+
+	/// For how long it is cold after its start.
+	duration start_time{};
+
+	auto operator<=>(const cold_limit&) const = default;
+};
+
 /// \brief What the operator says of one service.
 struct service
 {
@@ -98,6 +110,9 @@
 	/// Empty where the service is no engine.
 	std::vector<priced_model> models;
 
+	/// What a replica bears while it is cold; none: no limit is stated.
+	std::optional<cold_limit> cold;
+
 	/// \brief The share of the dearest model's price that a model costs: about the share of its time too. 1
 	/// where the model or its price is not known.
 	[[nodiscard]] double relative_cost(const model_id& model) const;
@@ -158,6 +173,8 @@
 	/// \brief A service by its name, or null.
 	[[nodiscard]] const service* find_service(const service_id& id) const;
 
+	[[nodiscard]] const std::vector<service>& services() const noexcept { return data_.services; }
+
 	[[nodiscard]] const caller_limits& limits() const noexcept { return data_.limits; }
 
 	[[nodiscard]] bool needs_keys() const noexcept { return data_.needs_keys; }
--- a/include/gingerdyke/routing/replica_set.hpp
+++ b/include/gingerdyke/routing/replica_set.hpp
@@ -35,6 +35,9 @@
 	/// It takes no new work: it leaves.
 	bool leaving{};
 
+	/// How much longer it is cold, as its entry said when it was written; none: it does not say.
+	std::optional<duration> cold_left;
+
 	auto operator<=>(const replica&) const = default;
 
 	/// \brief Whether both are one process: one that started again under its id holds nothing of before.
@@ -125,6 +128,9 @@
 	/// \brief A replica by its id, or null.
 	[[nodiscard]] replica_ptr find(const replica_id& id) const;
 
+	/// \brief Replicas of all services, leaving ones too.
+	[[nodiscard]] std::vector<replica_ptr> all() const;
+
 	[[nodiscard]] std::size_t size() const noexcept { return by_id_.size(); }
 
 	/// \brief Whether a replica's entry is missing and it is not taken as gone yet.
--- a/src/control/coordinator.cpp
+++ b/src/control/coordinator.cpp
@@ -48,7 +48,7 @@
 	  register_timer_(gateway.context()), write_timer_(gateway.context()), expire_timer_(gateway.context()),
 	  evidence_timer_(gateway.context()),
 	  operators_(gateway.context(), store_, layout_.operator_table, random,
-		  {[this](const auto& rows) { on_operator_rows(rows); },
+		  {[this](const auto& rows) { on_operator_table(rows); },
 			  [this](const auto& rows) { on_operator_rows(rows); },
 			  [this](instant newest_at, registry_time at)
 			  {
@@ -77,7 +77,8 @@
 		  {.wait = tuning_.replica_wait, .gather = tuning_.gather}),
 	  own_(gateway.context(), store_, layout_.own_table, random,
 		  {[this](const auto& rows) { on_own_rows(rows); }, [this](const auto& rows) { on_own_rows(rows); },
-			  [](instant, registry_time) {}, [](store_error) {}},
+			  [this](instant newest_at, registry_time) { gateway_.cold_replicas().confirm_vms(newest_at); },
+			  [](store_error) {}},
 		  {.wait = tuning_.other_wait, .gather = tuning_.gather}),
 	  evidence_(gateway.context(), registry, layout_.evidence_table, random,
 		  {[this](const auto& rows) { on_evidence_rows(rows); },
@@ -173,36 +174,63 @@
 	return nullptr;
 }
 
-void coordinator::on_operator_rows(const std::vector<row>& rows)
+/// An evacuation whose row is not there was withdrawn, perhaps while this VM heard nothing.
+void coordinator::on_operator_table(const std::vector<row>& rows)
 {
+	std::set<failure_domain_id> evacuated;
 	for (const auto& one : rows)
 	{
-		if (one.removed)
+		if (const auto domain = layout_.evacuated_domain(one.key); domain && !one.removed)
 		{
-			continue;
-		}
-		const auto news = layout_.read_operator_row(one);
-		if (!news)
-		{
-			log_findings("operator's row not understood", news.error());
-			continue;
+			evacuated.insert(*domain);
 		}
-		if (const auto* catalog = std::get_if<routing::catalog_ptr>(&*news))
+	}
+	gateway_.evacuated().replace_all(evacuated);
+	on_operator_rows(rows);
+}
+
+void coordinator::on_operator_rows(const std::vector<row>& rows)
+{
+	for (const auto& one : rows)
+	{
+		if (const auto domain = layout_.evacuated_domain(one.key))
 		{
-			take_catalog(*catalog);
+			on_evacuation(*domain, one.removed);
 		}
-		if (const auto* order = std::get_if<rollout::shift_order>(&*news))
+		else if (!one.removed)
 		{
-			log::write(log::level::info, "version shift ordered",
-				{{"service", order->service.str()}, {"to", order->to_version},
-					{"order", order->order.value()}});
-			gateway_.versions().on_order(*order, proxy::steady_now());
+			on_operator_row(one);
 		}
 	}
 	relay_.on_change(layout_.operator_table);
 	arm();
 }
 
+void coordinator::on_evacuation(const failure_domain_id& domain, bool is_withdrawn)
+{
+	is_withdrawn ? gateway_.evacuated().remove(domain) : gateway_.evacuated().add(domain);
+}
+
+void coordinator::on_operator_row(const row& one)
+{
+	const auto news = layout_.read_operator_row(one);
+	if (!news)
+	{
+		log_findings("operator's row not understood", news.error());
+		return;
+	}
+	if (const auto* catalog = std::get_if<routing::catalog_ptr>(&*news))
+	{
+		take_catalog(*catalog);
+	}
+	if (const auto* order = std::get_if<rollout::shift_order>(&*news))
+	{
+		log::write(log::level::info, "version shift ordered",
+			{{"service", order->service.str()}, {"to", order->to_version}, {"order", order->order.value()}});
+		gateway_.versions().on_order(*order, proxy::steady_now());
+	}
+}
+
 void coordinator::take_catalog(const routing::catalog_ptr& catalog)
 {
 	if (gateway_.take(catalog))
@@ -304,13 +332,15 @@
 void coordinator::note_vms()
 {
 	std::vector<peer> peers;
-	peers.reserve(vms_.size());
+	std::vector<vm_id> names;
 	for (const auto& [id, vm] : vms_)
 	{
 		peers.push_back(vm);
+		names.push_back(id);
 	}
 	sources_.set_peers(std::move(peers));
 	gateway_.note_vms(vms_.size());
+	gateway_.cold_replicas().set_vms(self_.vm, names, proxy::steady_now());
 }
 
 void coordinator::on_vm_row(const row& one)
--- a/src/control/coordinator_peers.cpp
+++ b/src/control/coordinator_peers.cpp
@@ -41,6 +41,10 @@
 	{
 		gateway_.confirm_replicas(newest_at);
 	}
+	if (table == layout_.own_table)
+	{
+		gateway_.cold_replicas().confirm_vms(newest_at);
+	}
 }
 
 relay_server_hooks coordinator::server_hooks()
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -2,6 +2,7 @@
 // One request: attempts and endings. Its admission is in exchange_admission.cpp, what its replica does in
 // exchange_answers.cpp.
 #include <algorithm>
+#include <gingerdyke/base/crypto.hpp>
 #include <gingerdyke/proxy/exchange.hpp>
 #include <utility>
 
@@ -81,7 +82,7 @@
 	const auto replica = choose_replica();
 	if (!replica)
 	{
-		give_up(unavailable, "no replica");
+		refuse_without_replica();
 		return;
 	}
 	if (const auto wait = time_until_servable(*replica))
@@ -145,7 +146,8 @@
 	{
 		const bool was_tried = std::find(tried_.begin(), tried_.end(), one.id) != tried_.end();
 		return !was_tried && (version.empty() || one.version == version) && versions.is_in_use(one, now) &&
-			   has_room(one) && allowed(one);
+			   has_room(one) && !shared_.evacuated().contains(one.domain) &&
+			   shared_.cold_replicas().takes(one, now) && allowed(one);
 	};
 	auto chosen = shared_.selector().choose(what, now);
 	if (!chosen)
@@ -262,6 +264,8 @@
 	attempt_->run = shared_.ends().runs().begin(*to, key_, now);
 	// From here on a replica may run it at any moment, whatever is heard of it.
 	trace_ = trace::may_have_run;
+	attempt_->is_cold = shared_.cold_replicas().is_cold(*to, now);
+	shared_.cold_replicas().note_sent(*to, now);
 	attempt_->link = shared_.pool().take(to, route_->may_run_again(), now);
 	attempt_->work_ahead = work_before_first_token(*to);
 	const auto weight = model_weight();
@@ -381,6 +385,20 @@
 	answer_here(bad_gateway, reason, {});
 }
 
+/// Those who are told to wait for the same replicas come back one after the other.
+void exchange::refuse_without_replica()
+{
+	const auto now = steady_now();
+	auto [reason, wait] = shared_.why_unavailable(service_id_, now);
+	if (trace_ != trace::not_run || answer_begun_)
+	{
+		give_up(unavailable, std::move(reason));
+		return;
+	}
+	const auto spread = 1 + shared_.tuning().retry_spread * unit_of(stable_hash(id_));
+	refuse_until(scaled(wait, spread), std::move(reason));
+}
+
 void exchange::refuse_until(duration wait, std::string reason)
 {
 	answer_here(unavailable, std::move(reason), {{"Retry-After", seconds_text(wait)}});
--- a/src/proxy/exchange_answers.cpp
+++ b/src/proxy/exchange_answers.cpp
@@ -25,16 +25,26 @@
 void exchange::on_connected()
 {
 	shared_.ends().runs().note_connected(*attempt_->to, attempt_->sent_at);
-	if (!shared_.replicas().takes_work(*attempt_->to))
+	if (!may_still_send())
 	{
 		take_back_attempt();
 		dispatch();
 		return;
 	}
+	shared_.cold_replicas().note_left(*attempt_->to, attempt_->sent_at, steady_now());
 	attempt_->connected = true;
 	arm_attempt_timer(first_byte_limit());
 }
 
+bool exchange::may_still_send() const
+{
+	const auto now = steady_now();
+	const auto& to = *attempt_->to;
+	// What counted as cold when it was chosen has its share already.
+	const bool has_share = attempt_->is_cold || shared_.cold_replicas().takes(to, now);
+	return shared_.replicas().takes_work(to) && !shared_.evacuated().contains(to.domain) && has_share;
+}
+
 void exchange::on_head(answer_head head)
 {
 	const auto& names = shared_.names();
@@ -307,6 +317,7 @@
 {
 	note_result(routing::replica_result::not_connected);
 	const auto to = attempt_->to;
+	shared_.cold_replicas().note_unknown(*to, routing::cold_reason::unreachable, steady_now());
 	take_back_attempt();
 	if (fault == upstream_fault::refused_connection)
 	{
--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -21,6 +21,26 @@
 			{"version", one.version}, {"change", routing::name_of(change)}});
 }
 
+void log_cold(const routing::replica& one, routing::cold_reason reason, duration left)
+{
+	log::write(log::level::info, "replica is cold",
+		{{"replica", one.id.str()}, {"service", one.service.str()}, {"failure_domain", one.domain.str()},
+			{"why", routing::name_of(reason)}, {"for_ms", to_milliseconds(left)}});
+}
+
+std::map<service_id, routing::cold_limit> cold_limits_of(const routing::catalog& catalog)
+{
+	std::map<service_id, routing::cold_limit> limits;
+	for (const auto& one : catalog.services())
+	{
+		if (one.cold)
+		{
+			limits[one.id] = *one.cold;
+		}
+	}
+	return limits;
+}
+
 rollout::shift_tuning shift_tuning_for(const fleet_bounds& bounds)
 {
 	rollout::shift_tuning tuning;
@@ -97,8 +117,10 @@
 	: context_(context), names_(std::move(names)), bounds_(bounds), log_(log), tuning_(tuning),
 	  replicas_([this](const routing::replica& one, routing::replica_change change)
 		  { on_replica_change(one, change); }),
-	  selector_(replicas_, std::move(own_domain), random, log_ejection), pool_(context, names_.request_id),
-	  suspects_(log_hold), ends_(context, end_hooks()),
+	  evacuated_([this](const failure_domain_id& domain, bool is_evacuated)
+		  { on_evacuation(domain, is_evacuated); }),
+	  cold_replicas_(log_cold), selector_(replicas_, std::move(own_domain), random, log_ejection),
+	  pool_(context, names_.request_id), suspects_(log_hold), ends_(context, end_hooks()),
 	  versions_(std::move(random), log_shift, shift_tuning_for(bounds_))
 {
 }
@@ -110,6 +132,7 @@
 		return false;
 	}
 	catalog_ = std::move(next);
+	cold_replicas_.set_limits(cold_limits_of(*catalog_));
 	tell_ready();
 	return true;
 }
@@ -178,6 +201,18 @@
 	return !stop_began_ || now - *stop_began_ < last;
 }
 
+gateway::unavailability gateway::why_unavailable(const service_id& service, instant now) const
+{
+	if (const auto wait = cold_replicas_.time_until_warm(service, now))
+	{
+		return {"replicas are cold", std::max(*wait, tuning_.retry_after)};
+	}
+	const auto& all = replicas_.of(service);
+	const bool is_evacuated = std::any_of(
+		all.begin(), all.end(), [this](const auto& one) { return evacuated_.contains(one->domain); });
+	return {is_evacuated ? "failure domains are evacuated" : "no replica", tuning_.retry_after};
+}
+
 std::shared_ptr<active_request> gateway::handle(request what, std::shared_ptr<answer_sink> to)
 {
 	const auto made = std::make_shared<exchange>(*this, std::move(what), std::move(to));
@@ -213,6 +248,11 @@
 	metrics::write_head(out, "gingerdyke_replicas_suspected", "gauge",
 		"Replicas whose entries are missing and that are not taken as gone yet.");
 	out << "gingerdyke_replicas_suspected " << replicas_.suspected_count() << "\n";
+	metrics::write_head(out, "gingerdyke_replicas_cold", "gauge", "Replicas that count as cold.");
+	out << "gingerdyke_replicas_cold " << cold_replicas_.cold_count(now) << "\n";
+	metrics::write_head(out, "gingerdyke_failure_domains_evacuated", "gauge",
+		"Failure domains whose replicas get nothing by an operator's order.");
+	out << "gingerdyke_failure_domains_evacuated " << evacuated_.size() << "\n";
 	metrics::write_head(out, "gingerdyke_replicas", "gauge", "Replicas known.");
 	out << "gingerdyke_replicas " << replicas_.size() << "\n";
 	metrics::write_head(out, "gingerdyke_replica_ends_total", "counter",
@@ -268,6 +308,7 @@
 	const bool was_expected = !entry || !replicas_.takes_work(*entry);
 	log_replica_end(end, was_expected);
 	was_expected ? suspects_.retract(end.life) : suspects_.confirm(end.life, together, now);
+	cold_replicas_.note_unknown(*end.replica, routing::cold_reason::unreachable, now);
 	// Nobody else has to find out by a connection that is refused.
 	selector_.note_result(*end.replica, routing::replica_result::not_connected, duration{0}, now);
 	if (suspicion_hook_ && !end.requests.empty())
@@ -284,6 +325,37 @@
 		[&](const auto& key) { return key != than && suspects_.is_nearly_held(key, now); });
 }
 
+/// What was kept for replicas while they got nothing may be lost, whatever their entries said meanwhile.
+void gateway::on_evacuation(const failure_domain_id& domain, bool is_evacuated)
+{
+	log::write(log::level::info, "evacuation",
+		{{"failure_domain", domain.str()}, {"in_force", is_evacuated}, {"evacuated", evacuated_.size()}});
+	if (is_evacuated)
+	{
+		return;
+	}
+	const auto now = steady_now();
+	for (const auto& one : replicas_.all())
+	{
+		if (one->domain == domain)
+		{
+			cold_replicas_.note_unknown(*one, routing::cold_reason::evacuated, now);
+		}
+	}
+}
+
+void gateway::note_cold(const routing::replica& one, routing::replica_change change, instant now)
+{
+	const bool has_started =
+		change == routing::replica_change::restarted || change == routing::replica_change::added;
+	cold_replicas_.note_told(one, now);
+	// Of replicas that were there before this VM nothing is known to have started.
+	if (has_started && !one.cold_left && replicas_.known())
+	{
+		cold_replicas_.note_unknown(one, routing::cold_reason::started, now);
+	}
+}
+
 void gateway::on_replica_change(const routing::replica& one, routing::replica_change change)
 {
 	// The first reading of the registry is told as a whole.
@@ -291,6 +363,14 @@
 	{
 		log_replica(one, change);
 	}
+	if (change == routing::replica_change::gone)
+	{
+		cold_replicas_.forget(one.id);
+	}
+	else
+	{
+		note_cold(one, change, steady_now());
+	}
 	if (change == routing::replica_change::gone || change == routing::replica_change::restarted)
 	{
 		pool_.drop(one.id);
--- a/src/routing/replica_set.cpp
+++ b/src/routing/replica_set.cpp
@@ -181,6 +181,17 @@
 	return found == by_service_.end() ? none : found->second;
 }
 
+std::vector<replica_ptr> replica_set::all() const
+{
+	std::vector<replica_ptr> found;
+	found.reserve(by_id_.size());
+	for (const auto& [id, one] : by_id_)
+	{
+		found.push_back(one);
+	}
+	return found;
+}
+
 replica_ptr replica_set::find(const replica_id& id) const
 {
 	const auto found = by_id_.find(id);
--- a/tests/support/proxy_world.hpp
+++ b/tests/support/proxy_world.hpp
@@ -44,8 +44,8 @@
 	{
 		REQUIRE_FALSE(callers_.listen({"127.0.0.1", 0}));
 		data.version = routing::config_version{1};
-		data.services.push_back({service_id{"plain"}, 0, false, {}});
-		data.services.push_back({service_id{"engine"}, 0, true, {}});
+		data.services.push_back({service_id{"plain"}, 0, false, {}, {}});
+		data.services.push_back({service_id{"engine"}, 0, true, {}, {}});
 		data.routes.push_back(route("unsafe", "/unsafe/", "plain"));
 		data.routes.push_back(route("safe", "/safe/", "plain"));
 		data.routes.back().repeatable = true;
