--- a/include/gingerdyke/quarantine/suspect_list.hpp
+++ b/include/gingerdyke/quarantine/suspect_list.hpp
@@ -155,6 +155,8 @@
 
 	[[nodiscard]] const entry* find(const request_key& key, instant now) const;
 	[[nodiscard]] bool has_other_cause(const std::set<process_life>& together, const suspicion& known) const;
+	/// Whether at least as many replicas ended under it, at each moment, as ended beside it.
+	[[nodiscard]] bool is_half_known(const suspicion& known) const;
 	[[nodiscard]] double weight_of(const suspicion& known) const;
 	[[nodiscard]] bool is_enough(const suspicion& known, std::size_t further_ends) const;
 	[[nodiscard]] bool note_together(suspicion& known, const std::vector<process_life>& lives) const;
--- a/src/quarantine/suspect_list.cpp
+++ b/src/quarantine/suspect_list.cpp
@@ -27,11 +27,26 @@
 	return is_known ? &found->second : nullptr;
 }
 
+namespace
+{
+/// Lives that ended at a moment and did not end under the request.
+std::size_t count_others(const std::set<process_life>& together, const suspicion& known)
+{
+	return static_cast<std::size_t>(std::count_if(
+		together.begin(), together.end(), [&](process_life life) { return !known.ended.contains(life); }));
+}
+} // namespace
+
 bool suspect_list::has_other_cause(const std::set<process_life>& together, const suspicion& known) const
 {
-	const auto others = std::count_if(
-		together.begin(), together.end(), [&](process_life life) { return !known.ended.contains(life); });
-	return static_cast<std::size_t>(others) >= tuning_.others_together;
+	return count_others(together, known) >= tuning_.others_together;
+}
+
+bool suspect_list::is_half_known(const suspicion& known) const
+{
+	return known.ended.size() > 1 &&
+		   std::all_of(known.ended.begin(), known.ended.end(),
+			   [&](const auto& end) { return count_others(end.second, known) <= known.ended.size(); });
 }
 
 double suspect_list::weight_of(const suspicion& known) const
@@ -52,13 +67,18 @@
 }
 
 /// A loss of many replicas at once leaves requests beside one or two of them: to store these would cost
-/// writes and says next to nothing.
+/// writes and says next to nothing. Of a request that ended a few at once at VMs of two failure domains each
+/// domain knows a half; only the registry brings the halves together.
 bool suspect_list::is_worth_storing(const entry& one, bool for_others) const
 {
 	const auto weight = weight_of(one.known);
 	const bool has_end_alone = std::any_of(one.known.ended.begin(), one.known.ended.end(),
 		[&](const auto& end) { return !has_other_cause(end.second, one.known); });
-	return weight >= tuning_.weight_to_store ? for_others || one.is_own : for_others && has_end_alone;
+	if (weight >= tuning_.weight_to_store)
+	{
+		return for_others || one.is_own;
+	}
+	return for_others && (has_end_alone || is_half_known(one.known));
 }
 
 bool suspect_list::is_held(const request_key& key, instant now) const
