The limit for evacuations is a setting of its own; how long a replica says that it is cold is checked

The time within which an evacuation has to be in force may be shorter than that of a configuration: the copies of tables are then kept younger. Tests for the entry's field (whole numbers only, as the others) and the service's limit.

--- a/tests/platform/platform.cpp
+++ b/tests/platform/platform.cpp
@@ -77,6 +77,11 @@
 	const auto read = platform::read_settings(json_source::of_value("f", good));
 	REQUIRE(read);
 	CHECK(read->bounds.revocation_time == std::chrono::milliseconds{4700});
+	CHECK(read->news_limit() == std::chrono::seconds{2});
+	auto evacuating = good;
+	evacuating["evacuation_limit_ms"] = 900;
+	CHECK(platform::read_settings(json_source::of_value("f", evacuating))->news_limit() ==
+		  std::chrono::milliseconds{900});
 	auto bad = good;
 	bad["serve"] = 5;
 	bad.erase("vm");
--- a/tests/platform/replica_entries.cpp
+++ b/tests/platform/replica_entries.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: MIT
 // Entries of replicas: what names one to use, and what does not, whoever wrote it.
 #include "../support/controlled_vm.hpp"
+#include <limits>
 #include <row_codec.hpp>
 
 using namespace gingerdyke;
@@ -65,11 +66,30 @@
 		entry["born"] = other;
 		CHECK_FALSE(is_read(entry));
 	}
+	for (const auto& other : {json(7.5), json(-3), json("0"), json(nullptr), json(true)})
+	{
+		CAPTURE(other.dump());
+		auto entry = whole_entry();
+		entry["cold_remaining_ms"] = other;
+		CHECK_FALSE(is_read(entry));
+	}
 	auto many = whole_entry();
 	many["slots"] = 1ULL << 40U;
 	CHECK_FALSE(is_read(many));
 }
 
+TEST_CASE("a replica's entry tells how long it is cold, or does not say", "[platform][entries][slow_start]")
+{
+	auto entry = whole_entry();
+	CHECK(platform::read_replica(row_of(entry.dump()))->cold_left == duration{0});
+	entry["cold_remaining_ms"] = 2750;
+	CHECK(platform::read_replica(row_of(entry.dump()))->cold_left == std::chrono::milliseconds{2750});
+	entry["cold_remaining_ms"] = std::numeric_limits<std::uint64_t>::max();
+	CHECK(platform::read_replica(row_of(entry.dump()))->cold_left == std::chrono::hours{24});
+	entry.erase("cold_remaining_ms");
+	CHECK_FALSE(platform::read_replica(row_of(entry.dump()))->cold_left);
+}
+
 TEST_CASE("a state that is not known names no replica to use", "[platform][entries]")
 {
 	auto entry = whole_entry();
