The soak evacuates a failure domain; comments give reasons, not trials

An evacuation comes last in each run: one VM is killed and starts again, the registry forgets its history, all VMs serve on by the other failure domain, and the order is withdrawn. Requests sent 4 s and more after the order must not run there.

--- a/include/gingerdyke/control/shared_store.hpp
+++ b/include/gingerdyke/control/shared_store.hpp
@@ -49,8 +49,7 @@
 	unsigned sources_to_start = 1;
 
 	/// While the own copy of the contact table is overdue too, only its calls ask the registry; those of
-	/// other tables look again after this time. All tables' calls together made 5,325 calls to a registry
-	/// that was away for some seconds in a deployment of 91 VMs.
+	/// other tables look again after this time: one table's calls tell whether the registry is back.
 	duration contact_pause = std::chrono::milliseconds{250};
 
 	/// An answer is awaited this long beyond the wait.
--- a/include/gingerdyke/control/source_selector.hpp
+++ b/include/gingerdyke/control/source_selector.hpp
@@ -38,8 +38,7 @@
 
 	/// VMs of a failure domain that look for a lost registry as often as that, and how long the others leave
 	/// it alone at most: with the time limit of a call well within the 3 s after which the users count a VM
-	/// as in touch again. In a deployment of 91 VMs whose registry was away for some it made 2,663 calls of
-	/// 3,355 (one run each).
+	/// as in touch again. If all VMs looked as often, their calls would go on by the thousand.
 	std::size_t scouts = 2;
 	duration follower_rest = std::chrono::milliseconds{1250};
 
--- a/include/gingerdyke/proxy/gateway.hpp
+++ b/include/gingerdyke/proxy/gateway.hpp
@@ -27,8 +27,7 @@
 struct gateway_tuning
 {
 	/// An attempt that may be repeated is given up without a first byte after this part of the objective.
-	/// Below 1 it gave up requests that a busy engine was about to answer: their callers waited twice, and
-	/// the engine had read their prompts for nothing.
+	/// Below 1 a busy engine's callers would be taken away just before their answers begin, and wait twice.
 	double first_byte_share = 1.2;
 
 	/// The same for answers that come whole; their times spread up to seven times the mean.
@@ -69,7 +68,7 @@
 	duration longest_start = std::chrono::milliseconds{400};
 
 	/// A request is refused where its first token is expected after this multiple of the time that it has.
-	/// The expectation is a mean: with 1, callers were refused who would have been answered.
+	/// The expectation is a mean: with 1, half of those refused would have been answered.
 	int refusal_margin = 2;
 
 	/// Callers who wait for the same replicas are told to come back over this much more of the wait: all at
@@ -125,8 +124,7 @@
 	[[nodiscard]] std::optional<duration> confirmed_age(instant now) const;
 
 	/// \brief Whether what the configuration does not know can be said not to exist: it was confirmed within
-	/// the time in which a change comes into force. A VM that had lost the registry answered 404 for a route
-	/// that was 5 s old.
+	/// the time in which a change comes into force. A VM that has lost the registry knows no newer route.
 	[[nodiscard]] bool knows_all_routes(instant now) const;
 
 	/// \brief Notes that the table of replicas was the newest at a moment.
--- a/include/gingerdyke/proxy/prompt.hpp
+++ b/include/gingerdyke/proxy/prompt.hpp
@@ -23,7 +23,7 @@
 	std::uint64_t shared_parts{};
 
 	/// \brief Tokens that an engine is expected to read: about half of the shared parts are kept where the
-	/// prompt goes, as the users' engines report.
+	/// prompt goes.
 	[[nodiscard]] double expected_reading() const noexcept
 	{
 		constexpr double kept_share = 0.5;
@@ -31,9 +31,8 @@
 	}
 
 	/// \brief Work that it is for an engine to generate the answer, in tokens read. A token of one of many
-	/// answers in a batch takes as long as five or six tokens read, and the most that is stated is about four
-	/// times what is generated. With a weight of 10 short questions with long answers counted as more than
-	/// long prompts, and went round idle engines.
+	/// answers in a batch takes as long as a few tokens read, and callers state a few times as many as are
+	/// generated.
 	[[nodiscard]] double generating_work() const noexcept
 	{
 		constexpr double generated_weight = 1;
--- a/include/gingerdyke/routing/first_token_time.hpp
+++ b/include/gingerdyke/routing/first_token_time.hpp
@@ -11,7 +11,7 @@
 struct first_token_tuning
 {
 	/// Tokens that an engine reads in a millisecond with its largest model, assumed where answers tell
-	/// nothing: the users' engines read 12 to 19.
+	/// nothing: the slower end of what engines do, so that a VM that has just started asks little of them.
 	double assumed_speed = 12;
 
 	/// What that assumption counts beside answers, in their time: that of one long prompt.
--- a/include/gingerdyke/routing/replica_selector.hpp
+++ b/include/gingerdyke/routing/replica_selector.hpp
@@ -21,14 +21,12 @@
 	unsigned drawn = 3;
 
 	/// Affinity gives way where another replica has less work by this many tokens read by the same model,
-	/// beside those of the shared parts that it would have to read: about what the users' engines read in
-	/// 1.5 s with their largest model. Of 4,000, 16,000 and 40,000 the first reads shared parts again twice
-	/// as often, the last lets engines queue on a small site.
+	/// beside those of the shared parts that it would have to read. A smaller margin reads shared parts again
+	/// with each small change of load; a larger one lets callers queue beside idle engines.
 	double affinity_margin = 28000;
 
 	/// A replica of another failure domain counts as having this much more work, in tokens read by the
-	/// largest model: a quarter of a second of an engine's time. Without it two thirds of all prompts cross
-	/// failure domains, with it half of their bytes (docs/decisions.md compares 3,000, 6,000, 10,000).
+	/// largest model: prompts and answers that cross failure domains are paid for.
 	double far_work = 3000;
 
 	/// Requests for models that take less than this share of the largest one's time also favour a replica of
--- a/include/gingerdyke/routing/size_policy.hpp
+++ b/include/gingerdyke/routing/size_policy.hpp
@@ -8,20 +8,18 @@
 
 namespace gingerdyke::routing
 {
-/// \brief Tuning of `size_policy`; docs/decisions.md has the runs behind the figures.
+/// \brief Tuning of `size_policy`.
 struct size_tuning
 {
 	/// An answer with less confidence than this (0 to 100) is given up for the largest model's where that
 	/// comes at once. Lower, callers keep answers that were too hard for the small model; higher, largest
-	/// models' prompts make engines queue, and all wait (docs/decisions.md compares 50, 60, 75).
+	/// models' prompts make engines queue, and all wait.
 	double escalate_below = 60;
 
 	/// Parts of the objective at which the larger model's first token is expected, counted from the request's
 	/// arrival: up to the first the whole confidence above is asked for, from the second on none. In between
 	/// it falls evenly: the later the larger answer, the less it is worth, and the more it delays others.
-	/// Above 1 since the expectation is a mean, and what is asked for near it is small: with 1 callers were
-	/// given small models' answers that a larger one would have bettered in time, with 2 late ones
-	/// (docs/decisions.md).
+	/// The second is above 1 since the expectation is a mean: half of such answers still begin in time.
 	double early_share = 0.14;
 	double late_share = 1.4;
 };
--- a/soak/history.cpp
+++ b/soak/history.cpp
@@ -29,6 +29,9 @@
 /// The same for a VM that loses the registry again and again: other VMs tell it, as soon as it has noticed.
 constexpr std::chrono::seconds disturbed_leave_limit{4};
 
+/// A request sent later than this after the order to evacuate a replica's failure domain must not reach it.
+constexpr std::chrono::seconds evacuation_limit{4};
+
 /// Replicas that a request may end, and those that it may end later than this after them.
 constexpr std::size_t ends_allowed = 3;
 constexpr std::chrono::seconds contact_limit{3};
@@ -84,6 +87,7 @@
 	judge_versions(found);
 	judge_stops(found);
 	judge_departures(found);
+	judge_evacuations(found);
 	judge_crashes(found);
 	return found;
 }
@@ -221,6 +225,24 @@
 	}
 }
 
+void history::judge_evacuations(findings& into) const
+{
+	for (const auto& order : evacuations_)
+	{
+		for (const auto& [id, one] : requests_)
+		{
+			const bool is_within = one.sent.at > order.ordered + evacuation_limit;
+			const bool ran_there = std::any_of(one.runs.begin(), one.runs.end(),
+				[&](const seen_run& seen)
+				{ return seen.at < order.withdrawn && order.replicas.contains(seen.run.replica); });
+			if (is_within && ran_there)
+			{
+				into.push_back("an evacuated failure domain gets nothing: " + id + " through " + one.sent.vm);
+			}
+		}
+	}
+}
+
 std::vector<crash_end> history::ends_of(const crashing_request& what) const
 {
 	std::vector<crash_end> ends;
--- a/soak/history.hpp
+++ b/soak/history.hpp
@@ -75,6 +75,14 @@
 	std::set<std::string> disturbed_vms;
 };
 
+/// \brief An order to send nothing to some replicas, from its writing to its withdrawal.
+struct evacuation
+{
+	std::set<std::string> replicas;
+	instant ordered;
+	instant withdrawn;
+};
+
 /// \brief The path of a request that crashes each replica that runs it.
 struct crashing_request
 {
@@ -101,6 +109,7 @@
 	void key_removed(const std::string& key, instant at) { removed_keys_[key] = at; }
 	void stopped(const quiet_stop& stop) { stops_.push_back(stop); }
 	void left(const departure& what) { departures_.push_back(what); }
+	void evacuated(const evacuation& what) { evacuations_.push_back(what); }
 	void crashes(const crashing_request& what) { crashing_.push_back(what); }
 
 	/// \brief Something that must not happen and needs no judging.
@@ -137,6 +146,7 @@
 	void judge_versions(findings& into) const;
 	void judge_stops(findings& into) const;
 	void judge_departures(findings& into) const;
+	void judge_evacuations(findings& into) const;
 	[[nodiscard]] std::vector<crash_end> ends_of(const crashing_request& what) const;
 	void judge_crashes(findings& into) const;
 
@@ -144,6 +154,7 @@
 	std::map<std::string, instant> removed_keys_;
 	std::vector<quiet_stop> stops_;
 	std::vector<departure> departures_;
+	std::vector<evacuation> evacuations_;
 	std::vector<crashing_request> crashing_;
 	findings broken_;
 };
--- a/soak/world.cpp
+++ b/soak/world.cpp
@@ -132,6 +132,7 @@
 	}
 	let_a_request_crash_replicas();
 	let_replicas_leave();
+	let_a_failure_domain_be_evacuated();
 	for (const auto& one : vms_)
 	{
 		std::for_each(one->callers.begin(), one->callers.end(), [](const auto& caller) { caller->stop(); });
@@ -264,6 +265,42 @@
 	}
 }
 
+/// Meanwhile one VM is killed and starts again, and the registry forgets its history. All VMs serve on by the
+/// replicas of the other failure domain; after the order is withdrawn those of the first are used again.
+void world::let_a_failure_domain_be_evacuated()
+{
+	constexpr std::chrono::seconds until_in_force{4};
+	constexpr std::chrono::seconds in_force{2};
+	const std::string domain = "a";
+	evacuation order;
+	for (const auto& one : backends_)
+	{
+		if (one->domain == domain)
+		{
+			order.replicas.insert(one->replica->id());
+		}
+	}
+	const auto row = "evacuate/" + domain;
+	order.ordered = proxy::steady_now();
+	registry_.put("op", row, json::object());
+	vms_[options_.seed % vms_.size()]->process->signal(SIGKILL);
+	run_for(until_in_force);
+	registry_.compact();
+	run_for(in_force);
+	order.withdrawn = proxy::steady_now();
+	history_.evacuated(order);
+	registry_.remove("op", row);
+	const auto all_serve = [&]
+	{
+		return std::all_of(vms_.begin(), vms_.end(),
+			[&](const auto& one) { return one->served_at && *one->served_at >= order.withdrawn; });
+	};
+	if (!run_until(all_serve, recovery_limit))
+	{
+		history_.broken("a system recovers", "after an evacuation");
+	}
+}
+
 void world::add_vm(std::size_t index)
 {
 	auto made = std::make_unique<vm>();
--- a/soak/world.hpp
+++ b/soak/world.hpp
@@ -92,6 +92,7 @@
 	void crash(backend& one);
 	void let_a_request_crash_replicas();
 	void let_replicas_leave();
+	void let_a_failure_domain_be_evacuated();
 
 	void watch_processes();
 	void on_process_end(vm& one, const process_end& how);
--- a/tests/soak/history.cpp
+++ b/tests/soak/history.cpp
@@ -190,6 +190,26 @@
 	CHECK(finds(seen, "a replica that left gets nothing") == is_late);
 }
 
+TEST_CASE("soak: a request that reaches an evacuated failure domain is found", "[soak]")
+{
+	history seen;
+	const auto ordered = start + seconds{1};
+	const auto withdrawn = start + seconds{9};
+	seen.evacuated({{"r0"}, ordered, withdrawn});
+	const auto run_at = [&](const char* id, duration at)
+	{
+		seen.sent(make_request(id, request_kind::once, at));
+		seen.answered(id, make_answer(200, platform::standin::whole_body(id), at));
+		seen.ran(run_of(id), start + at);
+	};
+	run_at("before", seconds{0});
+	run_at("on-its-way", seconds{4});
+	run_at("after", milliseconds{9100});
+	CHECK_FALSE(finds(seen, "an evacuated failure domain gets nothing"));
+	run_at("late", milliseconds{5100});
+	CHECK(finds(seen, "an evacuated failure domain gets nothing"));
+}
+
 TEST_CASE("soak: a seed draws the same faults each time", "[soak]")
 {
 	const auto first = draw_faults(7, seconds{8});
