A VM's place among the VMs for a cold replica is worked out once a list, not at each choice

After a loss of a failure domain each choice put 300 VMs in order for each cold replica. Ruled out: the lookups of cold replicas, which are skipped where none is cold. Change: the place is kept until the list of VMs changes.

--- a/include/gingerdyke/routing/slow_start.hpp
+++ b/include/gingerdyke/routing/slow_start.hpp
@@ -103,6 +103,11 @@
 
 		/// Requests of this VM within the window, the oldest first.
 		std::deque<instant> sent;
+
+		/// How many VMs come before this one, and on which of the lists: each choice asks for each cold
+		/// replica, and to put hundreds of VMs in order takes longer than the choice.
+		mutable std::size_t rank{};
+		mutable std::uint64_t ranked_list{};
 	};
 
 	[[nodiscard]] const state* find_cold(const replica& one, instant now) const;
@@ -116,8 +121,9 @@
 	std::map<service_id, cold_limit> limits_;
 	std::map<replica_id, state> states_;
 
-	/// Hashes of the names of the VMs, and of this one.
+	/// Hashes of the names of the VMs, and of this one; the number of the list, from 1.
 	std::vector<std::uint64_t> vms_;
+	std::uint64_t list_number_{};
 	std::uint64_t self_{};
 
 	/// When this VM was first seen on the list; none: it is not on it.
--- a/src/routing/slow_start.cpp
+++ b/src/routing/slow_start.cpp
@@ -30,6 +30,7 @@
 void slow_start::set_vms(const vm_id& self, const std::vector<vm_id>& vms, instant now)
 {
 	self_ = stable_hash(self.str());
+	++list_number_;
 	vms_.clear();
 	for (const auto& one : vms)
 	{
@@ -123,9 +124,15 @@
 
 std::size_t slow_start::rank_at(const state& of) const
 {
-	const auto own = mix_hash(of.hash, self_);
-	return static_cast<std::size_t>(std::count_if(
-		vms_.begin(), vms_.end(), [&](std::uint64_t vm) { return mix_hash(of.hash, vm) < own; }));
+	if (of.ranked_list != list_number_)
+	{
+		const auto own = mix_hash(of.hash, self_);
+		const auto before = std::count_if(
+			vms_.begin(), vms_.end(), [&](std::uint64_t vm) { return mix_hash(of.hash, vm) < own; });
+		of.rank = static_cast<std::size_t>(before);
+		of.ranked_list = list_number_;
+	}
+	return of.rank;
 }
 
 void slow_start::note_sent(const replica& one, instant now)
