--- a/tests/proxy/evacuated_domain.cpp
+++ b/tests/proxy/evacuated_domain.cpp
@@ -23,7 +23,8 @@
 /// of another.
 struct evacuated_while_asked
 {
-	evacuated_while_asked(const char* service, scripted_answer first_answer, scripted_answer later_answer)
+	evacuated_while_asked(
+		const char* service, const scripted_answer& first_answer, const scripted_answer& later_answer)
 		: answer{[this, first_answer, later_answer](const std::string&)
 			  {
 				  const bool is_first = asked++ == 0;
