A cold replica's heartbeats no longer make work that grows with the number of replicas

Cause, by reading: the time that an entry says a replica is cold changes with each heartbeat, so each counted as a changed replica (a log line, all replicas of its service told to the shifts), and each also looked through all cold replicas for old ones.

--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -358,6 +358,13 @@
 
 void gateway::on_replica_change(const routing::replica& one, routing::replica_change change)
 {
+	const bool is_still_cold = one.cold_left.value_or(duration{0}) > duration{0};
+	if (change == routing::replica_change::changed && is_still_cold)
+	{
+		// Each heartbeat of a cold replica tells less time: of thousands that start at once, too much to log.
+		note_cold(one, change, steady_now());
+		return;
+	}
 	// The first reading of the registry is told as a whole.
 	if (replicas_.known())
 	{
--- a/src/routing/slow_start.cpp
+++ b/src/routing/slow_start.cpp
@@ -73,7 +73,10 @@
 	{
 		began_(one, reason, left);
 	}
-	std::erase_if(states_, [&](const auto& entry) { return entry.second.cold_until <= now; });
+	if (known.cold_until <= now)
+	{
+		states_.erase(one.id);
+	}
 }
 
 const slow_start::state* slow_start::find_cold(const replica& one, instant now) const
