Clean-up: a cold replica's time is news of its own kind; orders withdrawn are dropped in one place; the soak's recovery asked once

Read once more, behaviour as it was but for a log line: the time for which an entry says that a replica is cold was compared with all else that an entry says, and the gateway told the two apart afterwards by a special case. replica_set now tells such news as 'cold_time'; the line 'replica changed' of the last heartbeat of a cold one goes with it. evacuated_domains: 'replace_all' added what the rows add right after it; it is 'retain' now. suspect_list cut what suspect_rows cuts again: one cut. The soak asked in four places whether all VMs serve: one. gateway's 'unavailability' is described as what it is.

--- a/include/gingerdyke/control/coordinator.hpp
+++ b/include/gingerdyke/control/coordinator.hpp
@@ -107,7 +107,6 @@
 	void on_operator_table(const std::vector<row>& rows);
 	void on_operator_rows(const std::vector<row>& rows);
 	void on_operator_row(const row& one);
-	void on_evacuation(const failure_domain_id& domain, bool is_withdrawn);
 	void on_replica_rows(const std::vector<row>& rows);
 	void on_replicas(const std::vector<row>& rows);
 	/// Replicas that rows name, and the ids of rows that can't be read.
--- a/include/gingerdyke/proxy/gateway.hpp
+++ b/include/gingerdyke/proxy/gateway.hpp
@@ -102,6 +102,16 @@
 	stale,
 };
 
+/// \brief A service without a replica that may be sent a request.
+struct unavailability
+{
+	/// For the log and the caller.
+	std::string reason;
+
+	/// How long until that is likely over.
+	duration retry_after{};
+};
+
 /// \brief State shared by all requests. Lives on one event loop.
 class gateway
 {
@@ -154,12 +164,7 @@
 	/// \brief VMs that share the replicas; until they are known as many as a small deployment has.
 	[[nodiscard]] unsigned vm_count() const noexcept { return vm_count_; }
 
-	/// \brief Why no replica of a service may be sent a request, and how long until that is likely over.
-	struct unavailability
-	{
-		std::string reason;
-		duration retry_after{};
-	};
+	/// \brief Why no replica of a service may be sent a request.
 	[[nodiscard]] unavailability why_unavailable(const service_id& service, instant now) const;
 
 	/// \brief Answers a caller's request.
--- a/include/gingerdyke/routing/evacuated_domains.hpp
+++ b/include/gingerdyke/routing/evacuated_domains.hpp
@@ -23,8 +23,8 @@
 	/// \brief Takes the news that an order was withdrawn.
 	void remove(const failure_domain_id& domain);
 
-	/// \brief Takes all orders that stand; others were withdrawn.
-	void replace_all(const std::set<failure_domain_id>& domains);
+	/// \brief Drops all orders but those that stand: the others were withdrawn.
+	void retain(const std::set<failure_domain_id>& standing);
 
 	/// \brief Whether a failure domain's replicas are to get nothing.
 	[[nodiscard]] bool contains(const failure_domain_id& domain) const { return domains_.contains(domain); }
--- a/include/gingerdyke/routing/replica_set.hpp
+++ b/include/gingerdyke/routing/replica_set.hpp
@@ -57,6 +57,8 @@
 {
 	added,
 	changed,
+	/// Its entry tells another time for which it is cold, and nothing else: as each heartbeat of a cold one.
+	cold_time,
 	/// It started again under its id.
 	restarted,
 	leaving,
--- a/soak/world.cpp
+++ b/soak/world.cpp
@@ -93,12 +93,7 @@
 		add_callers(*one);
 	}
 	watch_processes();
-	const auto all_serve = [this](instant since)
-	{
-		return std::all_of(vms_.begin(), vms_.end(),
-			[&](const auto& one) { return one->served_at && *one->served_at >= since; });
-	};
-	if (!run_until([&] { return all_serve(instant{}); }, recovery_limit))
+	if (!run_until([&] { return all_serve_since(instant{}); }, recovery_limit))
 	{
 		history_.broken("a system starts", "a VM serves nothing");
 	}
@@ -120,7 +115,7 @@
 	run_for(options_.length + longest_fault);
 	end_all_faults();
 	const auto calm_since = proxy::steady_now();
-	if (!run_until([&] { return all_serve(calm_since); }, recovery_limit))
+	if (!run_until([&] { return all_serve_since(calm_since); }, recovery_limit))
 	{
 		for (const auto& one : vms_)
 		{
@@ -197,16 +192,7 @@
 	}
 	run_for(after_kill);
 	std::for_each(repeating.begin(), repeating.end(), [](const auto& one) { one->stop(); });
-	const auto calm_since = proxy::steady_now();
-	const auto all_serve = [&]
-	{
-		return std::all_of(vms_.begin(), vms_.end(),
-			[&](const auto& one) { return one->served_at && *one->served_at >= calm_since; });
-	};
-	if (!run_until(all_serve, recovery_limit))
-	{
-		history_.broken("a system recovers", "after a request that crashes replicas");
-	}
+	await_recovery("after a request that crashes replicas");
 }
 
 /// One replica says that it leaves, another one's entry goes; the VMs of one failure domain lose the registry
@@ -290,14 +276,21 @@
 	order.withdrawn = proxy::steady_now();
 	history_.evacuated(order);
 	registry_.remove("op", row);
-	const auto all_serve = [&]
-	{
-		return std::all_of(vms_.begin(), vms_.end(),
-			[&](const auto& one) { return one->served_at && *one->served_at >= order.withdrawn; });
-	};
-	if (!run_until(all_serve, recovery_limit))
+	await_recovery("after an evacuation");
+}
+
+bool world::all_serve_since(instant since) const
+{
+	return std::all_of(vms_.begin(), vms_.end(),
+		[&](const auto& one) { return one->served_at && *one->served_at >= since; });
+}
+
+void world::await_recovery(const std::string& after_what)
+{
+	const auto since = proxy::steady_now();
+	if (!run_until([&] { return all_serve_since(since); }, recovery_limit))
 	{
-		history_.broken("a system recovers", "after an evacuation");
+		history_.broken("a system recovers", after_what);
 	}
 }
 
--- a/soak/world.hpp
+++ b/soak/world.hpp
@@ -94,6 +94,12 @@
 	void let_replicas_leave();
 	void let_a_failure_domain_be_evacuated();
 
+	/// Whether each VM has served a request since a moment.
+	[[nodiscard]] bool all_serve_since(instant since) const;
+
+	/// Waits until each VM serves again; a broken promise where that takes too long.
+	void await_recovery(const std::string& after_what);
+
 	void watch_processes();
 	void on_process_end(vm& one, const process_end& how);
 	void after(duration span, std::function<void()> then);
--- a/src/control/coordinator.cpp
+++ b/src/control/coordinator.cpp
@@ -177,15 +177,15 @@
 /// An evacuation whose row is not there was withdrawn, perhaps while this VM heard nothing.
 void coordinator::on_operator_table(const std::vector<row>& rows)
 {
-	std::set<failure_domain_id> evacuated;
+	std::set<failure_domain_id> standing;
 	for (const auto& one : rows)
 	{
-		if (const auto domain = layout_.evacuated_domain(one.key); domain && !one.removed)
+		if (const auto domain = layout_.evacuated_domain(one.key))
 		{
-			evacuated.insert(*domain);
+			standing.insert(*domain);
 		}
 	}
-	gateway_.evacuated().replace_all(evacuated);
+	gateway_.evacuated().retain(standing);
 	on_operator_rows(rows);
 }
 
@@ -195,7 +195,7 @@
 	{
 		if (const auto domain = layout_.evacuated_domain(one.key))
 		{
-			on_evacuation(*domain, one.removed);
+			one.removed ? gateway_.evacuated().remove(*domain) : gateway_.evacuated().add(*domain);
 		}
 		else if (!one.removed)
 		{
@@ -206,11 +206,6 @@
 	arm();
 }
 
-void coordinator::on_evacuation(const failure_domain_id& domain, bool is_withdrawn)
-{
-	is_withdrawn ? gateway_.evacuated().remove(domain) : gateway_.evacuated().add(domain);
-}
-
 void coordinator::on_operator_row(const row& one)
 {
 	const auto news = layout_.read_operator_row(one);
--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -201,7 +201,7 @@
 	return !stop_began_ || now - *stop_began_ < last;
 }
 
-gateway::unavailability gateway::why_unavailable(const service_id& service, instant now) const
+unavailability gateway::why_unavailable(const service_id& service, instant now) const
 {
 	if (const auto wait = cold_replicas_.time_until_warm(service, now))
 	{
@@ -358,11 +358,9 @@
 
 void gateway::on_replica_change(const routing::replica& one, routing::replica_change change)
 {
-	const bool is_still_cold = one.cold_left.value_or(duration{0}) > duration{0};
-	if (change == routing::replica_change::changed && is_still_cold)
+	if (change == routing::replica_change::cold_time)
 	{
-		// Each heartbeat of a cold replica tells less time: of thousands that start at once, too much to log.
-		note_cold(one, change, steady_now());
+		cold_replicas_.note_told(one, steady_now());
 		return;
 	}
 	// The first reading of the registry is told as a whole.
--- a/src/quarantine/suspect_list.cpp
+++ b/src/quarantine/suspect_list.cpp
@@ -280,7 +280,6 @@
 	{
 		several.insert(several.end(), singles.begin(), singles.end());
 	}
-	several.resize(std::min(several.size(), tuning_.most_told));
 	return several;
 }
 
--- a/src/routing/evacuated_domains.cpp
+++ b/src/routing/evacuated_domains.cpp
@@ -20,19 +20,15 @@
 	}
 }
 
-void evacuated_domains::replace_all(const std::set<failure_domain_id>& domains)
+void evacuated_domains::retain(const std::set<failure_domain_id>& standing)
 {
 	const auto before = domains_;
 	for (const auto& one : before)
 	{
-		if (!domains.contains(one))
+		if (!standing.contains(one))
 		{
 			remove(one);
 		}
 	}
-	for (const auto& one : domains)
-	{
-		add(one);
-	}
 }
 } // namespace gingerdyke::routing
--- a/src/routing/replica_set.cpp
+++ b/src/routing/replica_set.cpp
@@ -20,6 +20,8 @@
 		return "added";
 	case replica_change::changed:
 		return "changed";
+	case replica_change::cold_time:
+		return "cold time";
 	case replica_change::restarted:
 		return "restarted";
 	case replica_change::leaving:
@@ -40,7 +42,13 @@
 	{
 		return replica_change::restarted;
 	}
-	return now.leaving && !before.leaving ? replica_change::leaving : replica_change::changed;
+	if (now.leaving && !before.leaving)
+	{
+		return replica_change::leaving;
+	}
+	auto of_same_time = now;
+	of_same_time.cold_left = before.cold_left;
+	return of_same_time == before ? replica_change::cold_time : replica_change::changed;
 }
 } // namespace
 
--- a/tests/routing/restarted_replica.cpp
+++ b/tests/routing/restarted_replica.cpp
@@ -144,3 +144,24 @@
 	CHECK(pool.open(replica_id{"r0"}) == 1);
 	CHECK(pool.idle(replica_id{"r0"}) == 0);
 }
+
+TEST_CASE("a heartbeat that only tells another time for which a replica is cold is news of its own kind",
+	"[routing][slow_start]")
+{
+	restart_world world;
+	auto cold = started("r0", 1000);
+	cold.cold_left = milliseconds{1500};
+	world.set.put(cold, at(milliseconds{0}));
+	cold.cold_left = milliseconds{300};
+	world.set.put(cold, at(milliseconds{1200}));
+	CHECK(world.changes == std::vector{replica_change::cold_time, replica_change::cold_time});
+	CHECK(world.set.find(replica_id{"r0"})->cold_left == milliseconds{300});
+	cold.cold_left = milliseconds{0};
+	cold.slots = 7;
+	world.set.put(cold, at(milliseconds{2400}));
+	cold.leaving = true;
+	cold.cold_left = milliseconds{900};
+	world.set.put(cold, at(milliseconds{3600}));
+	CHECK(world.changes.at(2) == replica_change::changed);
+	CHECK(world.changes.at(3) == replica_change::leaving);
+}
