Sight: a line tells when a replica names a limit of its load, changes it or ends it

The header is read now (its name in platform/), 'replica limits its load' names replica, limit, change and the request whose answer said so; the gauge gingerdyke_replicas_limited and a counter of statements that can't be read (one line a replica). A limit is over by the answer to a request sent after it was last named. Nothing hangs on it yet: no request goes elsewhere. Ruled out so far: nothing.

--- a/include/gingerdyke/proxy/exchange.hpp
+++ b/include/gingerdyke/proxy/exchange.hpp
@@ -103,6 +103,7 @@
 	void on_connected();
 	[[nodiscard]] bool may_still_send() const;
 	void on_head(answer_head head);
+	void note_statements(const answer_head& head);
 	void on_not_run();
 	void on_body(std::string_view bytes);
 	void on_events(std::string_view bytes);
--- a/include/gingerdyke/proxy/gateway.hpp
+++ b/include/gingerdyke/proxy/gateway.hpp
@@ -11,6 +11,7 @@
 #include <gingerdyke/proxy/upstream_pool.hpp>
 #include <gingerdyke/quarantine/suspect_list.hpp>
 #include <gingerdyke/rollout/version_shift.hpp>
+#include <gingerdyke/routing/announced_limits.hpp>
 #include <gingerdyke/routing/catalog.hpp>
 #include <gingerdyke/routing/evacuated_domains.hpp>
 #include <gingerdyke/routing/first_token_time.hpp>
@@ -20,6 +21,7 @@
 #include <gingerdyke/routing/slow_start.hpp>
 #include <map>
 #include <ostream>
+#include <set>
 
 namespace gingerdyke::proxy
 {
@@ -176,6 +178,9 @@
 	/// \brief Notes a replica's answer for the shift of its service's version.
 	void note_answer(const routing::replica& from, const rollout::answer_sample& answer);
 
+	/// \brief Notes that a replica says something of itself that can't be read.
+	void note_unreadable(const routing::replica& from, const std::string& value);
+
 	/// \brief Replicas' ends, and the requests under which they came.
 	[[nodiscard]] replica_end_watch& ends() noexcept { return ends_; }
 
@@ -206,6 +211,7 @@
 	[[nodiscard]] routing::replica_set& replicas() noexcept { return replicas_; }
 	[[nodiscard]] routing::evacuated_domains& evacuated() noexcept { return evacuated_; }
 	[[nodiscard]] routing::slow_start& cold_replicas() noexcept { return cold_replicas_; }
+	[[nodiscard]] routing::announced_limits& announced() noexcept { return announced_; }
 	[[nodiscard]] routing::replica_selector& selector() noexcept { return selector_; }
 	[[nodiscard]] upstream_pool& pool() noexcept { return pool_; }
 	[[nodiscard]] rollout::version_shift& versions() noexcept { return versions_; }
@@ -233,11 +239,16 @@
 	routing::replica_set replicas_;
 	routing::evacuated_domains evacuated_;
 	routing::slow_start cold_replicas_;
+	routing::announced_limits announced_;
 	routing::replica_selector selector_;
 	upstream_pool pool_;
 	quarantine::suspect_list suspects_;
 	replica_end_watch ends_;
 	std::uint64_t replica_ends_ = 0;
+	std::uint64_t unreadable_statements_ = 0;
+
+	/// Replicas of which a line told already that they can't be understood.
+	std::set<replica_id> unreadable_replicas_;
 	rollout::version_shift versions_;
 	routing::size_policy sizes_;
 	std::map<service_id, routing::first_token_time> first_tokens_;
--- a/include/gingerdyke/proxy/header_names.hpp
+++ b/include/gingerdyke/proxy/header_names.hpp
@@ -45,6 +45,9 @@
 	/// Model's own confidence in its answer, 0 to 100.
 	std::string confidence;
 
+	/// Requests a second that a replica in need takes from all VMs together, a decimal number.
+	std::string load_limit;
+
 	/// Requests of one value belong together.
 	std::string session;
 
--- a/src/proxy/exchange_answers.cpp
+++ b/src/proxy/exchange_answers.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <gingerdyke/proxy/exchange.hpp>
+#include <gingerdyke/proxy/replica_statements.hpp>
 
 namespace gingerdyke::proxy
 {
@@ -51,6 +52,7 @@
 	attempt_->first_byte = steady_now() - attempt_->sent_at;
 	attempt_->head = std::move(head);
 	const auto& came = attempt_->head;
+	note_statements(came);
 	if (came.find(names.not_run) != nullptr || came.status == misdirected)
 	{
 		on_not_run();
@@ -94,6 +96,23 @@
 	}
 }
 
+/// What another process says that has the replica's address now is not the replica's word.
+void exchange::note_statements(const answer_head& head)
+{
+	if (head.status == misdirected || is_foreign(head))
+	{
+		return;
+	}
+	const auto& from = *attempt_->to;
+	const auto said = read_statements(head, shared_.names());
+	if (!said.unreadable.empty())
+	{
+		shared_.note_unreadable(from, said.unreadable);
+		return;
+	}
+	shared_.announced().note_answer(from, {said.load_limit, attempt_->sent_at, id_}, steady_now());
+}
+
 rollout::answer_sample exchange::sample_of(duration took) const
 {
 	const auto& to = *attempt_->to;
--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -28,6 +28,14 @@
 			{"why", routing::name_of(reason)}, {"for_ms", to_milliseconds(left)}});
 }
 
+void log_limit(
+	const routing::replica& one, routing::limit_change change, const routing::limit_statement& said)
+{
+	log::write(log::level::info, "replica limits its load",
+		{{"replica", one.id.str()}, {"service", one.service.str()}, {"change", routing::name_of(change)},
+			{"requests_per_s", said.requests_per_s.value_or(0)}, {"request", said.request}});
+}
+
 std::map<service_id, routing::cold_limit> cold_limits_of(const routing::catalog& catalog)
 {
 	std::map<service_id, routing::cold_limit> limits;
@@ -119,8 +127,9 @@
 		  { on_replica_change(one, change); }),
 	  evacuated_([this](const failure_domain_id& domain, bool is_evacuated)
 		  { on_evacuation(domain, is_evacuated); }),
-	  cold_replicas_(log_cold), selector_(replicas_, std::move(own_domain), random, log_ejection),
-	  pool_(context, names_.request_id), suspects_(log_hold), ends_(context, end_hooks()),
+	  cold_replicas_(log_cold), announced_(log_limit),
+	  selector_(replicas_, std::move(own_domain), random, log_ejection), pool_(context, names_.request_id),
+	  suspects_(log_hold), ends_(context, end_hooks()),
 	  versions_(std::move(random), log_shift, shift_tuning_for(bounds_))
 {
 }
@@ -250,6 +259,9 @@
 	out << "gingerdyke_replicas_suspected " << replicas_.suspected_count() << "\n";
 	metrics::write_head(out, "gingerdyke_replicas_cold", "gauge", "Replicas that count as cold.");
 	out << "gingerdyke_replicas_cold " << cold_replicas_.cold_count(now) << "\n";
+	metrics::write_head(out, "gingerdyke_replicas_limited", "gauge",
+		"Replicas that name a limit of their load in their answers.");
+	out << "gingerdyke_replicas_limited " << announced_.size() << "\n";
 	metrics::write_head(out, "gingerdyke_failure_domains_evacuated", "gauge",
 		"Failure domains whose replicas get nothing by an operator's order.");
 	out << "gingerdyke_failure_domains_evacuated " << evacuated_.size() << "\n";
@@ -258,6 +270,9 @@
 	metrics::write_head(out, "gingerdyke_replica_ends_total", "counter",
 		"Replicas whose process ended while this VM had requests there, or before one was sent.");
 	out << "gingerdyke_replica_ends_total " << replica_ends_ << "\n";
+	metrics::write_head(out, "gingerdyke_replica_statements_unreadable_total", "counter",
+		"Answers in which a replica says something of itself that can't be read.");
+	out << "gingerdyke_replica_statements_unreadable_total " << unreadable_statements_ << "\n";
 	metrics::write_head(
 		out, "gingerdyke_requests_suspected", "gauge", "Requests under which replicas ended.");
 	out << "gingerdyke_requests_suspected " << suspects_.size() << "\n";
@@ -282,6 +297,18 @@
 	}
 }
 
+void gateway::note_unreadable(const routing::replica& from, const std::string& value)
+{
+	constexpr std::size_t longest = 60;
+	++unreadable_statements_;
+	if (unreadable_replicas_.insert(from.id).second)
+	{
+		log::write(log::level::warn, "replica's statement not understood",
+			{{"replica", from.id.str()}, {"service", from.service.str()},
+				{"value", value.substr(0, longest)}});
+	}
+}
+
 replica_end_watch::hooks gateway::end_hooks()
 {
 	replica_end_watch::hooks hooks;
@@ -378,6 +405,8 @@
 	}
 	if (change == routing::replica_change::gone || change == routing::replica_change::restarted)
 	{
+		announced_.forget(one.id);
+		unreadable_replicas_.erase(one.id);
 		pool_.drop(one.id);
 		selector_.forget(one.id);
 		ends_.runs().release(one.id, steady_now());
--- a/tests/support/proxy_world.hpp
+++ b/tests/support/proxy_world.hpp
@@ -25,6 +25,7 @@
 	names.prompt_parts = "Prompt-Parts";
 	names.priority = "Priority";
 	names.confidence = "Confidence";
+	names.load_limit = "Load-Limit";
 	names.session = "Session";
 	names.last_event_id = "Last-Event-Id";
 	names.key_scheme = "Token";
