Clean-up: the list of VMs, by which they share out what replicas bear, is a module of its own

slow_start kept it, and the limits that replicas name need the same. fleet_list holds the list, its freshness and a VM's rank for a replica; ranks take turns by failure domain, so that the first few stand in several.

--- a/include/gingerdyke/proxy/gateway.hpp
+++ b/include/gingerdyke/proxy/gateway.hpp
@@ -15,6 +15,7 @@
 #include <gingerdyke/routing/catalog.hpp>
 #include <gingerdyke/routing/evacuated_domains.hpp>
 #include <gingerdyke/routing/first_token_time.hpp>
+#include <gingerdyke/routing/fleet_list.hpp>
 #include <gingerdyke/routing/replica_selector.hpp>
 #include <gingerdyke/routing/replica_set.hpp>
 #include <gingerdyke/routing/size_policy.hpp>
@@ -209,6 +210,7 @@
 
 	[[nodiscard]] const routing::catalog_ptr& catalog() const noexcept { return catalog_; }
 	[[nodiscard]] routing::replica_set& replicas() noexcept { return replicas_; }
+	[[nodiscard]] routing::fleet_list& vms() noexcept { return vms_; }
 	[[nodiscard]] routing::evacuated_domains& evacuated() noexcept { return evacuated_; }
 	[[nodiscard]] routing::slow_start& cold_replicas() noexcept { return cold_replicas_; }
 	[[nodiscard]] routing::announced_limits& announced() noexcept { return announced_; }
@@ -238,6 +240,7 @@
 	routing::catalog_ptr catalog_;
 	routing::replica_set replicas_;
 	routing::evacuated_domains evacuated_;
+	routing::fleet_list vms_;
 	routing::slow_start cold_replicas_;
 	routing::announced_limits announced_;
 	routing::replica_selector selector_;
--- a/include/gingerdyke/routing/slow_start.hpp
+++ b/include/gingerdyke/routing/slow_start.hpp
@@ -2,10 +2,10 @@
 // Slow start: how many requests a cold replica gets from all VMs together, kept by each VM for itself.
 #pragma once
 
-#include <cstdint>
 #include <deque>
 #include <functional>
 #include <gingerdyke/routing/catalog.hpp>
+#include <gingerdyke/routing/fleet_list.hpp>
 #include <gingerdyke/routing/replica_set.hpp>
 #include <map>
 #include <optional>
@@ -32,11 +32,6 @@
 /// \brief Tuning of `slow_start`.
 struct slow_start_tuning
 {
-	/// A VM has a share only while its list of VMs was the newest at most this long ago, and once it has
-	/// stood on the list for longer: so every VM with a share stands on the lists of all others with one.
-	/// News of the list comes within a second, but for lost answers.
-	duration list_lifetime = std::chrono::seconds{5};
-
 	/// A VM's requests are counted over this time: a second, and the time by which two of them may come
 	/// closer together on their way than they were sent.
 	duration window = std::chrono::milliseconds{1050};
@@ -46,25 +41,20 @@
 ///
 /// No VM asks another one. A VM that knows n VMs may send a cold replica its equal part of the limit in each
 /// second; where there are more VMs than requests, one request, if a hash of VM and replica puts it among
-/// the first. VMs whose lists differ still keep the limit together: see `slow_start_tuning::list_lifetime`.
+/// the first. VMs whose lists differ still keep the limit together: only one with a fresh list, and whom
+/// others count, has a share.
 class slow_start
 {
   public:
 	/// \brief Told when a replica begins to count as cold, and for how long.
 	using cold_hook = std::function<void(const replica&, cold_reason, duration left)>;
 
-	explicit slow_start(cold_hook began, slow_start_tuning tuning = {});
+	/// \param vms List of the VMs that send to the replicas; must outlive this.
+	slow_start(const fleet_list& vms, cold_hook began, slow_start_tuning tuning = {});
 
 	/// \brief Sets the limits; replicas of other services never count as cold.
 	void set_limits(std::map<service_id, cold_limit> limits) { limits_ = std::move(limits); }
 
-	/// \brief Takes the list of VMs that send to the replicas.
-	/// \param self This VM, which need not be on it yet.
-	void set_vms(const vm_id& self, const std::vector<vm_id>& vms, instant now);
-
-	/// \brief Notes that the list was the newest at a moment.
-	void confirm_vms(instant newest_at);
-
 	/// \brief Takes what a replica's entry says, where it says how long the replica is cold.
 	void note_told(const replica& one, instant now);
 
@@ -98,36 +88,21 @@
 		service_id service;
 		instant cold_until;
 
-		/// Hash by which VMs are put in order for this replica.
-		std::uint64_t hash{};
+		fleet_rank place;
 
 		/// Requests of this VM within the window, the oldest first.
 		std::deque<instant> sent;
-
-		/// How many VMs come before this one, and on which of the lists: each choice asks for each cold
-		/// replica, and to put hundreds of VMs in order takes longer than the choice.
-		mutable std::size_t rank{};
-		mutable std::uint64_t ranked_list{};
 	};
 
 	[[nodiscard]] const state* find_cold(const replica& one, instant now) const;
 	[[nodiscard]] std::size_t share_of(const state& of, instant now) const;
 	[[nodiscard]] bool has_list(instant now) const;
-	[[nodiscard]] std::size_t rank_at(const state& of) const;
 	void extend(const replica& one, duration left, cold_reason reason, instant now);
 
+	const fleet_list& vms_;
 	cold_hook began_;
 	slow_start_tuning tuning_;
 	std::map<service_id, cold_limit> limits_;
 	std::map<replica_id, state> states_;
-
-	/// Hashes of the names of the VMs, and of this one; the number of the list, from 1.
-	std::vector<std::uint64_t> vms_;
-	std::uint64_t list_number_{};
-	std::uint64_t self_{};
-
-	/// When this VM was first seen on the list; none: it is not on it.
-	std::optional<instant> listed_at_;
-	std::optional<instant> vms_newest_at_;
 };
 } // namespace gingerdyke::routing
--- a/src/control/coordinator.cpp
+++ b/src/control/coordinator.cpp
@@ -77,7 +77,7 @@
 		  {.wait = tuning_.replica_wait, .gather = tuning_.gather}),
 	  own_(gateway.context(), store_, layout_.own_table, random,
 		  {[this](const auto& rows) { on_own_rows(rows); }, [this](const auto& rows) { on_own_rows(rows); },
-			  [this](instant newest_at, registry_time) { gateway_.cold_replicas().confirm_vms(newest_at); },
+			  [this](instant newest_at, registry_time) { gateway_.vms().confirm(newest_at); },
 			  [](store_error) {}},
 		  {.wait = tuning_.other_wait, .gather = tuning_.gather}),
 	  evidence_(gateway.context(), registry, layout_.evidence_table, random,
@@ -327,15 +327,15 @@
 void coordinator::note_vms()
 {
 	std::vector<peer> peers;
-	std::vector<vm_id> names;
+	std::vector<routing::fleet_member> members;
 	for (const auto& [id, vm] : vms_)
 	{
 		peers.push_back(vm);
-		names.push_back(id);
+		members.push_back({id, vm.domain});
 	}
 	sources_.set_peers(std::move(peers));
 	gateway_.note_vms(vms_.size());
-	gateway_.cold_replicas().set_vms(self_.vm, names, proxy::steady_now());
+	gateway_.vms().set(self_.vm, members, proxy::steady_now());
 }
 
 void coordinator::on_vm_row(const row& one)
--- a/src/control/coordinator_peers.cpp
+++ b/src/control/coordinator_peers.cpp
@@ -43,7 +43,7 @@
 	}
 	if (table == layout_.own_table)
 	{
-		gateway_.cold_replicas().confirm_vms(newest_at);
+		gateway_.vms().confirm(newest_at);
 	}
 }
 
--- a/src/routing/slow_start.cpp
+++ b/src/routing/slow_start.cpp
@@ -23,28 +23,11 @@
 	return "unknown";
 }
 
-slow_start::slow_start(cold_hook began, slow_start_tuning tuning) : began_(std::move(began)), tuning_(tuning)
+slow_start::slow_start(const fleet_list& vms, cold_hook began, slow_start_tuning tuning)
+	: vms_(vms), began_(std::move(began)), tuning_(tuning)
 {
 }
 
-void slow_start::set_vms(const vm_id& self, const std::vector<vm_id>& vms, instant now)
-{
-	self_ = stable_hash(self.str());
-	++list_number_;
-	vms_.clear();
-	for (const auto& one : vms)
-	{
-		vms_.push_back(stable_hash(one.str()));
-	}
-	const bool is_listed = std::find(vms.begin(), vms.end(), self) != vms.end();
-	listed_at_ = is_listed ? std::optional{listed_at_.value_or(now)} : std::nullopt;
-}
-
-void slow_start::confirm_vms(instant newest_at)
-{
-	vms_newest_at_ = std::max(vms_newest_at_.value_or(newest_at), newest_at);
-}
-
 void slow_start::note_told(const replica& one, instant now)
 {
 	if (one.cold_left)
@@ -66,7 +49,8 @@
 {
 	const auto until = now + left;
 	auto& known =
-		states_.try_emplace(one.id, state{one.service, {}, stable_hash(one.id.str()), {}}).first->second;
+		states_.try_emplace(one.id, state{one.service, {}, fleet_rank{stable_hash(one.id.str())}, {}})
+			.first->second;
 	const bool was_cold = known.cold_until > now;
 	known.cold_until = std::max(known.cold_until, until);
 	if (!was_cold && find_cold(one, now) != nullptr)
@@ -106,9 +90,7 @@
 
 bool slow_start::has_list(instant now) const
 {
-	const bool is_new_enough = vms_newest_at_ && now - *vms_newest_at_ <= tuning_.list_lifetime;
-	const bool is_known_to_others = listed_at_ && now - *listed_at_ > tuning_.list_lifetime;
-	return is_new_enough && is_known_to_others;
+	return vms_.is_fresh(now) && vms_.is_known_to_others(now);
 }
 
 std::size_t slow_start::share_of(const state& of, instant now) const
@@ -122,20 +104,7 @@
 	{
 		return limit / vms_.size();
 	}
-	return rank_at(of) < limit ? 1 : 0;
-}
-
-std::size_t slow_start::rank_at(const state& of) const
-{
-	if (of.ranked_list != list_number_)
-	{
-		const auto own = mix_hash(of.hash, self_);
-		const auto before = std::count_if(
-			vms_.begin(), vms_.end(), [&](std::uint64_t vm) { return mix_hash(of.hash, vm) < own; });
-		of.rank = static_cast<std::size_t>(before);
-		of.ranked_list = list_number_;
-	}
-	return of.rank;
+	return of.place.in(vms_) < limit ? 1 : 0;
 }
 
 void slow_start::note_sent(const replica& one, instant now)
--- a/tests/routing/slow_start.cpp
+++ b/tests/routing/slow_start.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: MIT
 // Slow start over many VMs in virtual time: the limit of a cold replica holds whatever each VM knows of the
 // others, and what the replica bears is used.
+#include "../support/fleet.hpp"
 #include "../support/replicas.hpp"
 
 #include <algorithm>
@@ -13,6 +14,8 @@
 using namespace gingerdyke::routing;
 using gingerdyke::test::at;
 using gingerdyke::test::make_replica;
+using gingerdyke::test::vm_named;
+using gingerdyke::test::vms_up_to;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -20,27 +23,14 @@
 {
 constexpr double limit = 13;
 
-slow_start make_slow_start()
+/// One VM, and what it knows of cold replicas.
+struct cold_vm
 {
-	slow_start made{[](const replica&, cold_reason, duration) {}};
-	made.set_limits({{service_id{"s"}, {limit, seconds{3}}}});
-	return made;
-}
-
-vm_id vm_named(std::size_t number)
-{
-	return vm_id{"vm" + std::to_string(number)};
-}
+	cold_vm() { cold.set_limits({{service_id{"s"}, {limit, seconds{3}}}}); }
 
-std::vector<vm_id> vms_up_to(std::size_t count)
-{
-	std::vector<vm_id> all;
-	for (std::size_t i = 0; i < count; ++i)
-	{
-		all.push_back(vm_named(i));
-	}
-	return all;
-}
+	fleet_list vms;
+	slow_start cold{vms, [](const replica&, cold_reason, duration) {}};
+};
 
 replica cold_replica(milliseconds left)
 {
@@ -66,9 +56,8 @@
 }
 
 /// One VM of a deployment, which hears of the others with a delay or not at all.
-struct member
+struct member : cold_vm
 {
-	slow_start cold = make_slow_start();
 	instant started;
 	std::size_t known{};
 };
@@ -114,8 +103,8 @@
 			const bool hears = (i % 5 != 0 || passed < seconds{10}) && random_unit(random) < 0.02;
 			if (hears)
 			{
-				vm.cold.set_vms(vm_named(i), vms_up_to(listed), now);
-				vm.cold.confirm_vms(now);
+				vm.vms.set(vm_named(i), vms_up_to(listed), now);
+				vm.vms.confirm(now);
 			}
 			if (vm.cold.takes(one, now))
 			{
@@ -149,9 +138,10 @@
 		const auto now = at(seconds{10});
 		for (std::size_t i = 0; i < vms; ++i)
 		{
-			auto cold = make_slow_start();
-			cold.set_vms(vm_named(i), vms_up_to(vms), at(seconds{0}));
-			cold.confirm_vms(now);
+			cold_vm vm;
+			auto& cold = vm.cold;
+			vm.vms.set(vm_named(i), vms_up_to(vms), at(seconds{0}));
+			vm.vms.confirm(now);
 			cold.note_told(one, now);
 			while (cold.takes(one, now))
 			{
@@ -167,24 +157,26 @@
 TEST_CASE(
 	"a VM without a list that is new enough, or that is new on it, has no share", "[routing][slow_start]")
 {
-	auto cold = make_slow_start();
+	cold_vm vm;
+	auto& cold = vm.cold;
 	const auto one = cold_replica(seconds{60});
 	cold.note_told(one, at(seconds{0}));
 	CHECK_FALSE(cold.takes(one, at(seconds{0})));
-	cold.set_vms(vm_named(0), vms_up_to(2), at(seconds{0}));
-	cold.confirm_vms(at(seconds{4}));
+	vm.vms.set(vm_named(0), vms_up_to(2), at(seconds{0}));
+	vm.vms.confirm(at(seconds{4}));
 	CHECK_FALSE(cold.takes(one, at(seconds{5})));
 	CHECK(cold.takes(one, at(milliseconds{5001})));
 	CHECK(cold.takes(one, at(seconds{9})));
 	CHECK_FALSE(cold.takes(one, at(milliseconds{9001})));
-	cold.set_vms(vm_named(0), {vm_named(1)}, at(seconds{9}));
-	cold.confirm_vms(at(seconds{9}));
+	vm.vms.set(vm_named(0), {{vm_named(1), {}}}, at(seconds{9}));
+	vm.vms.confirm(at(seconds{9}));
 	CHECK_FALSE(cold.takes(one, at(seconds{9})));
 }
 
 TEST_CASE("a replica is cold for as long as it says, the longest of what is known", "[routing][slow_start]")
 {
-	auto cold = make_slow_start();
+	cold_vm vm;
+	auto& cold = vm.cold;
 	cold.note_told(cold_replica(milliseconds{2000}), at(seconds{0}));
 	cold.note_told(cold_replica(milliseconds{300}), at(milliseconds{500}));
 	const auto one = make_replica("r1");
@@ -199,7 +191,8 @@
 
 TEST_CASE("replicas of services without a limit are never cold", "[routing][slow_start]")
 {
-	slow_start cold{[](const replica&, cold_reason, duration) { FAIL("nothing is cold"); }};
+	const fleet_list vms;
+	slow_start cold{vms, [](const replica&, cold_reason, duration) { FAIL("nothing is cold"); }};
 	const auto one = cold_replica(seconds{60});
 	cold.note_told(one, at(seconds{0}));
 	cold.note_unknown(one, cold_reason::evacuated, at(seconds{0}));
@@ -209,10 +202,11 @@
 
 TEST_CASE("a request that left later than it was chosen counts from when it left", "[routing][slow_start]")
 {
-	auto cold = make_slow_start();
+	cold_vm vm;
+	auto& cold = vm.cold;
 	const auto one = cold_replica(seconds{60});
-	cold.set_vms(vm_named(0), vms_up_to(13), at(seconds{0}));
-	cold.confirm_vms(at(seconds{8}));
+	vm.vms.set(vm_named(0), vms_up_to(13), at(seconds{0}));
+	vm.vms.confirm(at(seconds{8}));
 	cold.note_told(one, at(seconds{8}));
 	cold.note_sent(one, at(seconds{8}));
 	CHECK_FALSE(cold.takes(one, at(seconds{8})));
