A replica gets from all VMs together no more than the limit that it names

Callers saw nothing but a replica in need that got worse: one that asked for 1.6 requests a second got 23 in four. Cause: what an answer's head says of its replica was read by no file; the next request knew nothing of it. Class: what a replica says of itself is heard from the registry only. announced_limits shares the limit out without messages: each VM works out from the list of VMs how often it may send (at an even pace, begun at a moment by its rank). With more VMs than twice the limit and four, so many of them as the limit and four have a share, and the others take turns at a quarter of it, so that each finds out that the need is over. It is asked where a replica is chosen and again when a connection is up, so second attempts, larger models and resumed streams keep it too. Where no replica of a service takes more, the rest is refused at once as not run, with the time until this VM's next share.

--- a/include/gingerdyke/proxy/exchange.hpp
+++ b/include/gingerdyke/proxy/exchange.hpp
@@ -49,6 +49,9 @@
 	/// The replica counted as cold, and this VM had a share left.
 	bool is_cold{};
 
+	/// The replica named a limit, and this VM had a share left.
+	bool is_limited{};
+
 	/// The connection is up: the request may have left.
 	bool connected{};
 
--- a/src/proxy/exchange_answers.cpp
+++ b/src/proxy/exchange_answers.cpp
@@ -33,6 +33,10 @@
 		return;
 	}
 	shared_.cold_replicas().note_left(*attempt_->to, attempt_->sent_at, steady_now());
+	if (!attempt_->is_limited)
+	{
+		shared_.announced().note_sent(*attempt_->to, steady_now());
+	}
 	attempt_->connected = true;
 	arm_attempt_timer(first_byte_limit());
 }
@@ -41,9 +45,11 @@
 {
 	const auto now = steady_now();
 	const auto& to = *attempt_->to;
-	// What counted as cold when it was chosen has its share already.
-	const bool has_share = attempt_->is_cold || shared_.cold_replicas().takes(to, now);
-	return shared_.replicas().takes_work(to) && !shared_.evacuated().contains(to.domain) && has_share;
+	// What counted as cold, or as limited, when it was chosen has its share already.
+	const bool has_cold_share = attempt_->is_cold || shared_.cold_replicas().takes(to, now);
+	const bool has_limit_share = attempt_->is_limited || shared_.announced().takes(to, now);
+	return shared_.replicas().takes_work(to) && !shared_.evacuated().contains(to.domain) && has_cold_share &&
+		   has_limit_share;
 }
 
 void exchange::on_head(answer_head head)
--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -127,7 +127,7 @@
 		  { on_replica_change(one, change); }),
 	  evacuated_([this](const failure_domain_id& domain, bool is_evacuated)
 		  { on_evacuation(domain, is_evacuated); }),
-	  cold_replicas_(vms_, log_cold), announced_(log_limit),
+	  cold_replicas_(vms_, log_cold), announced_(vms_, log_limit),
 	  selector_(replicas_, std::move(own_domain), random, log_ejection), pool_(context, names_.request_id),
 	  suspects_(log_hold), ends_(context, end_hooks()),
 	  versions_(std::move(random), log_shift, shift_tuning_for(bounds_))
@@ -216,6 +216,10 @@
 	{
 		return {"replicas are cold", std::max(*wait, tuning_.retry_after)};
 	}
+	if (const auto wait = announced_.time_until_share(service, now))
+	{
+		return {"replicas limit their load", std::max(*wait, tuning_.retry_after)};
+	}
 	const auto& all = replicas_.of(service);
 	const bool is_evacuated = std::any_of(
 		all.begin(), all.end(), [this](const auto& one) { return evacuated_.contains(one->domain); });
