VMs of a failure domain tell each other of the limits that replicas name

A VM without a share gets no answers from a replica in need: it would learn only by its own rare turns that the need is over, on large deployments after minutes. What a VM heard itself now goes with its report to the VM that it reads from, and with the summary to those that read there; what it was only told does not, so that no news circles. The newer word counts; a request that is under way when a limit is found to be over does not bring it back. VMs that were not told by an answer keep the limit too, which spares the replica. Cost: some 25 bytes a limited replica in each report, nothing without one.

--- a/include/gingerdyke/control/peer_report.hpp
+++ b/include/gingerdyke/control/peer_report.hpp
@@ -4,6 +4,7 @@
 
 #include <gingerdyke/quarantine/suspect_list.hpp>
 #include <gingerdyke/rollout/version_shift.hpp>
+#include <gingerdyke/routing/announced_limits.hpp>
 #include <gingerdyke/routing/replica_selector.hpp>
 #include <string>
 #include <vector>
@@ -29,6 +30,9 @@
 	/// Requests under which replicas ended lately. Each VM may have seen one end only, and all of them too
 	/// many.
 	std::vector<quarantine::suspicion> suspects;
+
+	/// What it heard itself of limits that replicas name.
+	std::vector<routing::limit_news> limits;
 };
 
 /// \brief What a VM knows of all the others that report to it.
@@ -42,5 +46,9 @@
 
 	/// Requests under which several replicas ended lately.
 	std::vector<quarantine::suspicion> suspects;
+
+	/// What it and the VMs that report to it, other than the one that is told, heard of limits that replicas
+	/// name.
+	std::vector<routing::limit_news> limits;
 };
 } // namespace gingerdyke::control
--- a/include/gingerdyke/control/report_board.hpp
+++ b/include/gingerdyke/control/report_board.hpp
@@ -25,11 +25,24 @@
 	/// \brief Takes a VM's report in place of its last one.
 	void take(const std::string& reporter, std::vector<routing::replica_work> work, instant now);
 
+	/// \brief Takes what a VM heard of replicas' limits in place of what it told last.
+	void take_limits(const std::string& reporter, std::vector<routing::limit_news> limits, instant now);
+
 	/// \brief Sums up the open work of all VMs with a report that still counts, but one.
 	/// \param reporter The VM that is left out; it knows its own work better.
 	[[nodiscard]] std::vector<routing::replica_work> work_of_others(const std::string& reporter, instant now);
 
+	/// \brief What all VMs with a report that still counts, but one, heard of replicas' limits, as old as it
+	/// is now.
+	[[nodiscard]] std::vector<routing::limit_news> limits_of_others(const std::string& reporter, instant now);
+
   private:
+	struct kept_limits
+	{
+		std::vector<routing::limit_news> limits;
+		instant at;
+	};
+
 	struct kept_report
 	{
 		std::vector<routing::replica_work> work;
@@ -38,5 +51,6 @@
 
 	report_board_tuning tuning_;
 	std::map<std::string, kept_report> by_reporter_;
+	std::map<std::string, kept_limits> limits_by_reporter_;
 };
 } // namespace gingerdyke::control
--- a/src/control/coordinator_peers.cpp
+++ b/src/control/coordinator_peers.cpp
@@ -69,8 +69,9 @@
 		return std::nullopt;
 	}
 	const auto& versions = gateway_.versions();
+	const auto now = proxy::steady_now();
 	return peer_report{reporter_, gateway_.selector().open_work(), versions.own_evidence(),
-		versions.suspensions(), gateway_.suspects().news(1, proxy::steady_now())};
+		versions.suspensions(), gateway_.suspects().news(1, now), gateway_.announced().own_news(now)};
 }
 
 void coordinator::on_report(const peer_report& report)
@@ -84,6 +85,8 @@
 	}
 	take_suspensions(report.suspended);
 	take_suspects(report.suspects);
+	board_.take_limits(report.reporter, report.limits, now);
+	take_limits(report.limits);
 	if (!report.evidence.empty())
 	{
 		arm();
@@ -94,10 +97,11 @@
 {
 	const auto now = proxy::steady_now();
 	board_.take(reporter_, gateway_.selector().open_work(), now);
+	board_.take_limits(reporter_, gateway_.announced().own_news(now), now);
 	// What stood beside one end only is for the VMs that sum up.
 	constexpr std::size_t least_ended = 2;
 	return {board_.work_of_others(reporter, now), gateway_.versions().suspensions(),
-		gateway_.suspects().news(least_ended, now)};
+		gateway_.suspects().news(least_ended, now), board_.limits_of_others(reporter, now)};
 }
 
 void coordinator::on_summary(const peer_summary& summary)
@@ -105,6 +109,19 @@
 	note_work_of_others(summary.work);
 	take_suspensions(summary.suspended);
 	take_suspects(summary.suspects);
+	take_limits(summary.limits);
+}
+
+void coordinator::take_limits(const std::vector<routing::limit_news>& limits)
+{
+	const auto now = proxy::steady_now();
+	for (const auto& heard : limits)
+	{
+		if (const auto of = gateway_.replicas().find(heard.replica))
+		{
+			gateway_.announced().note_elsewhere(*of, heard, now);
+		}
+	}
 }
 
 void coordinator::take_suspects(const std::vector<quarantine::suspicion>& suspects)
--- a/src/control/report_board.cpp
+++ b/src/control/report_board.cpp
@@ -32,4 +32,35 @@
 	}
 	return all;
 }
+
+void report_board::take_limits(
+	const std::string& reporter, std::vector<routing::limit_news> limits, instant now)
+{
+	if (limits.empty())
+	{
+		limits_by_reporter_.erase(reporter);
+		return;
+	}
+	limits_by_reporter_[reporter] = {std::move(limits), now};
+}
+
+std::vector<routing::limit_news> report_board::limits_of_others(const std::string& reporter, instant now)
+{
+	std::erase_if(
+		limits_by_reporter_, [&](const auto& entry) { return now - entry.second.at > tuning_.lifetime; });
+	std::vector<routing::limit_news> all;
+	for (const auto& [name, kept] : limits_by_reporter_)
+	{
+		if (name == reporter)
+		{
+			continue;
+		}
+		for (auto heard : kept.limits)
+		{
+			heard.age += now - kept.at;
+			all.push_back(std::move(heard));
+		}
+	}
+	return all;
+}
 } // namespace gingerdyke::control
--- a/src/control/report_message.cpp
+++ b/src/control/report_message.cpp
@@ -260,6 +260,36 @@
 	}
 	return all;
 }
+std::vector<wire::RelayLimit> written(const std::vector<routing::limit_news>& limits)
+{
+	std::vector<wire::RelayLimit> all;
+	all.reserve(limits.size());
+	for (const auto& one : limits)
+	{
+		auto& added = all.emplace_back();
+		added.replica = one.replica.str();
+		added.incarnation = one.incarnation.value();
+		if (one.requests_per_s)
+		{
+			added.__set_requests_per_s(*one.requests_per_s);
+		}
+		added.age_us = one.age.count();
+	}
+	return all;
+}
+
+std::vector<routing::limit_news> read(const std::vector<wire::RelayLimit>& limits)
+{
+	std::vector<routing::limit_news> all;
+	all.reserve(limits.size());
+	for (const auto& one : limits)
+	{
+		const auto limit = one.__isset.requests_per_s ? std::optional{one.requests_per_s} : std::nullopt;
+		all.push_back({replica_id{one.replica}, routing::replica_incarnation{one.incarnation}, limit,
+			duration{one.age_us}});
+	}
+	return all;
+}
 } // namespace
 
 wire::RelayReport written(const peer_report& report)
@@ -279,13 +309,17 @@
 	{
 		message.__set_suspects(written(report.suspects));
 	}
+	if (!report.limits.empty())
+	{
+		message.__set_limits(written(report.limits));
+	}
 	return message;
 }
 
 peer_report read(const wire::RelayReport& message)
 {
-	peer_report report{
-		message.reporter, read(message.work), {}, read(message.suspended), read(message.suspects)};
+	peer_report report{message.reporter, read(message.work), {}, read(message.suspended),
+		read(message.suspects), read(message.limits)};
 	for (const auto& one : message.evidence)
 	{
 		report.evidence.push_back(read(one));
@@ -302,11 +336,15 @@
 	{
 		message.__set_suspects(written(summary.suspects));
 	}
+	if (!summary.limits.empty())
+	{
+		message.__set_limits(written(summary.limits));
+	}
 	return message;
 }
 
 peer_summary read(const wire::RelaySummary& message)
 {
-	return {read(message.work), read(message.suspended), read(message.suspects)};
+	return {read(message.work), read(message.suspended), read(message.suspects), read(message.limits)};
 }
 } // namespace gingerdyke::control
--- a/tests/control/peer_report.cpp
+++ b/tests/control/peer_report.cpp
@@ -14,6 +14,11 @@
 	return {quarantine::request_key{key},
 		{{process_life{-1}, {}}, {process_life{5}, {process_life{6}, process_life{-7}}}}, {process_life{9}}};
 }
+
+routing::limit_news limit_of(const char* replica, std::optional<double> requests_per_s, duration age)
+{
+	return {replica_id{replica}, routing::replica_incarnation{4}, requests_per_s, age};
+}
 } // namespace
 
 TEST_CASE(
@@ -31,6 +36,22 @@
 	CHECK(board.work_of_others("c", start + seconds{5}).empty());
 }
 
+TEST_CASE(
+	"what others heard of limits is told with its age, without the asker's, while it is fresh", "[reports]")
+{
+	report_board board;
+	board.take_limits("a", {limit_of("r1", 1.5, milliseconds{40})}, start);
+	board.take_limits("b", {limit_of("r2", std::nullopt, milliseconds{5})}, start);
+	const auto for_b = board.limits_of_others("b", start + milliseconds{300});
+	REQUIRE(for_b.size() == 1);
+	CHECK(for_b.front().replica == replica_id{"r1"});
+	CHECK(for_b.front().age == milliseconds{340});
+	CHECK(board.limits_of_others("c", start + milliseconds{300}).size() == 2);
+	board.take_limits("a", {}, start + milliseconds{300});
+	CHECK(board.limits_of_others("b", start + milliseconds{300}).empty());
+	CHECK(board.limits_of_others("c", start + seconds{2}).empty());
+}
+
 TEST_CASE("a report goes with a poll, and a summary comes back", "[reports]")
 {
 	proxy::asio::io_context context{1};
@@ -40,8 +61,8 @@
 	hooks.reported = [&](const peer_report& report) { reported = report; };
 	hooks.summarise = [](const std::string& reporter)
 	{
-		return peer_summary{
-			{{replica_id{"for " + reporter}, 7}}, {{service_id{"s"}, row_version{12}}}, {suspect("held")}};
+		return peer_summary{{{replica_id{"for " + reporter}, 7}}, {{service_id{"s"}, row_version{12}}},
+			{suspect("held")}, {limit_of("r1", std::nullopt, milliseconds{7})}};
 	};
 	relay_server server{context, hooks};
 	const auto port = free_port(context);
@@ -60,13 +81,16 @@
 	seen.seen.by_pace["m"].new_version[5].note(3);
 	seen.seen.late.new_version[1] = {4, 1};
 	const rollout::shift_suspension verdict{service_id{"s"}, row_version{12}};
-	const peer_report report{"me", {{replica_id{"r1"}, 40}}, {seen}, {verdict}, {suspect("seen")}};
+	const peer_report report{"me", {{replica_id{"r1"}, 40}}, {seen}, {verdict}, {suspect("seen")},
+		{limit_of("r2", 1.5, milliseconds{20})}};
 	client->call({0, "t", row_version{3}, milliseconds{1}, {}, report}, seconds{20},
 		[](const store_result<row_batch>&) {});
 	test::run_until(context, [&] { return summary.has_value(); });
 	CHECK(summary->work.front().replica.str() == "for me");
 	CHECK(summary->suspended.front().order.value() == 12);
 	CHECK(summary->suspects == std::vector{suspect("held")});
+	REQUIRE(summary->limits.size() == 1);
+	CHECK_FALSE(summary->limits.front().requests_per_s);
 	REQUIRE(reported);
 	CHECK(reported->work.front().tokens == 40);
 	REQUIRE(reported->evidence.size() == 1);
@@ -74,6 +98,11 @@
 	REQUIRE(reported->suspended.size() == 1);
 	CHECK(reported->suspended.front().order.value() == 12);
 	CHECK(reported->suspects == std::vector{suspect("seen")});
+	REQUIRE(reported->limits.size() == 1);
+	CHECK(reported->limits.front().replica == replica_id{"r2"});
+	CHECK(reported->limits.front().incarnation == routing::replica_incarnation{4});
+	CHECK(reported->limits.front().requests_per_s == 1.5);
+	CHECK(reported->limits.front().age == milliseconds{20});
 	server.stop();
 	client->abandon();
 }
--- a/thrift/relay.thrift
+++ b/thrift/relay.thrift
@@ -71,6 +71,15 @@
 	3: required list<i64> survived
 }
 
+// What a VM heard of the requests a second that a replica asks for; without them the replica asks for no limit
+// any more.
+struct RelayLimit {
+	1: required string replica
+	2: required i64 incarnation
+	3: optional double requests_per_s
+	4: required i64 age_us
+}
+
 // What a VM tells the one that it reads from.
 struct RelayReport {
 	1: required string reporter
@@ -78,6 +87,7 @@
 	3: required list<RelayEvidence> evidence
 	4: optional list<RelaySuspension> suspended
 	5: optional list<RelaySuspicion> suspects
+	6: optional list<RelayLimit> limits
 }
 
 // What a VM is told in return.
@@ -85,6 +95,7 @@
 	1: required list<RelayWork> work
 	2: required list<RelaySuspension> suspended
 	3: optional list<RelaySuspicion> suspects
+	4: optional list<RelayLimit> limits
 }
 
 struct RelayPoll {
