Sight: lines tell when a replica says in an answer that it leaves or wants rest

Both are read now (the platform's header name in platform/; Retry-After in seconds with decimals or as a date, of several the longest, on a 503 only): 'replica says that it leaves' and 'replica wants rest', once each, with the request whose answer said so; the gauge gingerdyke_replicas_resting. Nothing hangs on them yet. A value that can't be read is counted, and told once a replica.

--- a/include/gingerdyke/proxy/gateway.hpp
+++ b/include/gingerdyke/proxy/gateway.hpp
@@ -18,6 +18,7 @@
 #include <gingerdyke/routing/fleet_list.hpp>
 #include <gingerdyke/routing/replica_selector.hpp>
 #include <gingerdyke/routing/replica_set.hpp>
+#include <gingerdyke/routing/rest_periods.hpp>
 #include <gingerdyke/routing/size_policy.hpp>
 #include <gingerdyke/routing/slow_start.hpp>
 #include <map>
@@ -179,6 +180,10 @@
 	/// \brief Notes a replica's answer for the shift of its service's version.
 	void note_answer(const routing::replica& from, const rollout::answer_sample& answer);
 
+	/// \brief Notes a replica's word that it leaves.
+	/// \param request Id of the request whose answer said so, for the log.
+	void note_leaving(const routing::replica& from, const std::string& request);
+
 	/// \brief Notes that a replica says something of itself that can't be read.
 	void note_unreadable(const routing::replica& from, const std::string& value);
 
@@ -214,6 +219,7 @@
 	[[nodiscard]] routing::evacuated_domains& evacuated() noexcept { return evacuated_; }
 	[[nodiscard]] routing::slow_start& cold_replicas() noexcept { return cold_replicas_; }
 	[[nodiscard]] routing::announced_limits& announced() noexcept { return announced_; }
+	[[nodiscard]] routing::rest_periods& resting() noexcept { return resting_; }
 	[[nodiscard]] routing::replica_selector& selector() noexcept { return selector_; }
 	[[nodiscard]] upstream_pool& pool() noexcept { return pool_; }
 	[[nodiscard]] rollout::version_shift& versions() noexcept { return versions_; }
@@ -243,6 +249,7 @@
 	routing::fleet_list vms_;
 	routing::slow_start cold_replicas_;
 	routing::announced_limits announced_;
+	routing::rest_periods resting_;
 	routing::replica_selector selector_;
 	upstream_pool pool_;
 	quarantine::suspect_list suspects_;
@@ -252,6 +259,9 @@
 
 	/// Replicas of which a line told already that they can't be understood.
 	std::set<replica_id> unreadable_replicas_;
+
+	/// Replicas that said that they leave.
+	std::set<replica_id> told_leaving_;
 	rollout::version_shift versions_;
 	routing::size_policy sizes_;
 	std::map<service_id, routing::first_token_time> first_tokens_;
--- a/include/gingerdyke/proxy/header_names.hpp
+++ b/include/gingerdyke/proxy/header_names.hpp
@@ -48,6 +48,9 @@
 	/// Requests a second that a replica in need takes from all VMs together, a decimal number.
 	std::string load_limit;
 
+	/// `1` in an answer of a replica that leaves.
+	std::string leaving;
+
 	/// Requests of one value belong together.
 	std::string session;
 
--- a/src/proxy/exchange_answers.cpp
+++ b/src/proxy/exchange_answers.cpp
@@ -110,13 +110,22 @@
 		return;
 	}
 	const auto& from = *attempt_->to;
-	const auto said = read_statements(head, shared_.names());
+	const auto now = steady_now();
+	const auto said = read_statements(head, shared_.names(), std::chrono::system_clock::now());
+	if (said.leaves)
+	{
+		shared_.note_leaving(from, id_);
+	}
+	if (said.rest)
+	{
+		shared_.resting().note_rest(from, *said.rest, id_, now);
+	}
 	if (!said.unreadable.empty())
 	{
 		shared_.note_unreadable(from, said.unreadable);
 		return;
 	}
-	shared_.announced().note_answer(from, {said.load_limit, attempt_->sent_at, id_}, steady_now());
+	shared_.announced().note_answer(from, {said.load_limit, attempt_->sent_at, id_}, now);
 }
 
 rollout::answer_sample exchange::sample_of(duration took) const
--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -36,6 +36,13 @@
 			{"requests_per_s", said.requests_per_s.value_or(0)}, {"request", said.request}});
 }
 
+void log_rest(const routing::replica& one, const std::string& request, duration left)
+{
+	log::write(log::level::info, "replica wants rest",
+		{{"replica", one.id.str()}, {"service", one.service.str()}, {"for_ms", to_milliseconds(left)},
+			{"request", request}});
+}
+
 std::map<service_id, routing::cold_limit> cold_limits_of(const routing::catalog& catalog)
 {
 	std::map<service_id, routing::cold_limit> limits;
@@ -127,7 +134,7 @@
 		  { on_replica_change(one, change); }),
 	  evacuated_([this](const failure_domain_id& domain, bool is_evacuated)
 		  { on_evacuation(domain, is_evacuated); }),
-	  cold_replicas_(vms_, log_cold), announced_(vms_, log_limit),
+	  cold_replicas_(vms_, log_cold), announced_(vms_, log_limit), resting_(log_rest),
 	  selector_(replicas_, std::move(own_domain), random, log_ejection), pool_(context, names_.request_id),
 	  suspects_(log_hold), ends_(context, end_hooks()),
 	  versions_(std::move(random), log_shift, shift_tuning_for(bounds_))
@@ -266,6 +273,9 @@
 	metrics::write_head(out, "gingerdyke_replicas_limited", "gauge",
 		"Replicas that name a limit of their load in their answers.");
 	out << "gingerdyke_replicas_limited " << announced_.size() << "\n";
+	metrics::write_head(
+		out, "gingerdyke_replicas_resting", "gauge", "Replicas that want nothing from this VM for a time.");
+	out << "gingerdyke_replicas_resting " << resting_.count(now) << "\n";
 	metrics::write_head(out, "gingerdyke_failure_domains_evacuated", "gauge",
 		"Failure domains whose replicas get nothing by an operator's order.");
 	out << "gingerdyke_failure_domains_evacuated " << evacuated_.size() << "\n";
@@ -301,6 +311,15 @@
 	}
 }
 
+void gateway::note_leaving(const routing::replica& from, const std::string& request)
+{
+	if (told_leaving_.insert(from.id).second)
+	{
+		log::write(log::level::info, "replica says that it leaves",
+			{{"replica", from.id.str()}, {"service", from.service.str()}, {"request", request}});
+	}
+}
+
 void gateway::note_unreadable(const routing::replica& from, const std::string& value)
 {
 	constexpr std::size_t longest = 60;
@@ -410,6 +429,8 @@
 	if (change == routing::replica_change::gone || change == routing::replica_change::restarted)
 	{
 		announced_.forget(one.id);
+		resting_.forget(one.id);
+		told_leaving_.erase(one.id);
 		unreadable_replicas_.erase(one.id);
 		pool_.drop(one.id);
 		selector_.forget(one.id);
--- a/src/proxy/replica_statements.cpp
+++ b/src/proxy/replica_statements.cpp
@@ -3,12 +3,18 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <ctime>
 #include <gingerdyke/proxy/replica_statements.hpp>
+#include <iomanip>
+#include <locale>
+#include <sstream>
 
 namespace gingerdyke::proxy
 {
 namespace
 {
+constexpr int unavailable = 503;
+
 /// A decimal number from 0 on; none: it is something else.
 std::optional<double> read_amount(const std::string& text)
 {
@@ -18,24 +24,66 @@
 	const bool is_whole = read.ec == std::errc{} && read.ptr == end;
 	return is_whole && std::isfinite(value) && value >= 0 ? std::optional{value} : std::nullopt;
 }
-} // namespace
 
-replica_statements read_statements(const answer_head& head, const header_names& names)
+/// A time to come back: seconds with decimals, or a date. Dates that have passed are no time at all.
+std::optional<duration> read_wait(const std::string& text, std::chrono::system_clock::time_point time_of_day)
 {
-	replica_statements read;
-	for (const auto& one : head.fields)
+	if (const auto seconds = read_amount(text))
 	{
-		if (!same_name(one.name, names.load_limit))
+		constexpr double longest_s = 1e9;
+		const std::chrono::duration<double> span{std::min(*seconds, longest_s)};
+		return std::chrono::duration_cast<duration>(span);
+	}
+	std::istringstream in{text};
+	in.imbue(std::locale::classic());
+	std::tm parts{};
+	in >> std::get_time(&parts, "%a, %d %b %Y %H:%M:%S GMT");
+	if (in.fail())
+	{
+		return std::nullopt;
+	}
+	const auto then = std::chrono::system_clock::from_time_t(timegm(&parts));
+	return std::max(std::chrono::duration_cast<duration>(then - time_of_day), duration{0});
+}
+
+void read_field(replica_statements& into, const header_field& field, bool is_refusal,
+	const header_names& names, std::chrono::system_clock::time_point time_of_day)
+{
+	if (same_name(field.name, names.load_limit))
+	{
+		const auto limit = read_amount(field.value);
+		if (!limit)
 		{
-			continue;
+			into.unreadable = field.value;
+			return;
 		}
-		const auto limit = read_amount(one.value);
-		if (!limit)
+		into.load_limit = std::min(into.load_limit.value_or(*limit), *limit);
+	}
+	else if (same_name(field.name, names.leaving))
+	{
+		into.leaves = into.leaves || field.value == "1";
+	}
+	else if (is_refusal && same_name(field.name, "Retry-After"))
+	{
+		const auto wait = read_wait(field.value, time_of_day);
+		if (!wait)
 		{
-			read.unreadable = one.value;
-			continue;
+			into.unreadable = field.value;
+			return;
 		}
-		read.load_limit = std::min(read.load_limit.value_or(*limit), *limit);
+		into.rest = std::max(into.rest.value_or(*wait), *wait);
+	}
+}
+} // namespace
+
+replica_statements read_statements(
+	const answer_head& head, const header_names& names, std::chrono::system_clock::time_point time_of_day)
+{
+	replica_statements read;
+	const bool is_refusal = head.status == unavailable;
+	for (const auto& one : head.fields)
+	{
+		read_field(read, one, is_refusal, names, time_of_day);
 	}
 	return read;
 }
