A replica that says in an answer that it leaves gets nothing any more

Cause: only the registry's entry told of a leave, and the registry was away; the answer's word was read by no file. replica_set keeps the word by process, whatever entries say before or after, until another process is there under the id; idle connections are closed, streams go on. Where all replicas of a service leave, requests are refused at once ('all replicas leave'). The test of the next process under the id chose between two replicas by their answer times and told nothing; it now has one replica left and asks that all ten requests go there.

--- a/include/gingerdyke/proxy/gateway.hpp
+++ b/include/gingerdyke/proxy/gateway.hpp
@@ -259,9 +259,6 @@
 
 	/// Replicas of which a line told already that they can't be understood.
 	std::set<replica_id> unreadable_replicas_;
-
-	/// Replicas that said that they leave.
-	std::set<replica_id> told_leaving_;
 	rollout::version_shift versions_;
 	routing::size_policy sizes_;
 	std::map<service_id, routing::first_token_time> first_tokens_;
--- a/include/gingerdyke/routing/replica_set.hpp
+++ b/include/gingerdyke/routing/replica_set.hpp
@@ -80,6 +80,10 @@
 	/// Up to this share of a service's replicas, those whose entries are missing get no work. Where more are
 	/// missing an outage is the likelier cause, and the others would be overloaded.
 	double avoided_share = 0.5;
+
+	/// A replica's word that it leaves is kept for this long where its entry is missing: longer than it
+	/// serves on, and than entries are missing in an outage.
+	duration leaving_memory = std::chrono::minutes{5};
 };
 
 /// \brief Follows discovery. Entries that vanish while the registry is away say nothing about the replica.
@@ -106,6 +110,11 @@
 	/// \param at When it did; earlier than now where another VM's copy tells.
 	void note_sound(instant at);
 
+	/// \brief A replica's own word that it leaves. It holds until its process has ended, whatever its entry
+	/// says before or after.
+	/// \returns Whether that is news.
+	bool note_leaving(const replica& one, instant now);
+
 	/// \brief A replica's own word that another one has its address now.
 	void forget(const replica_id& id);
 
@@ -147,10 +156,19 @@
   private:
 	[[nodiscard]] bool sound_for_long(instant now) const;
 	[[nodiscard]] duration sound_time(instant now) const;
+	void replace(const replica_ptr& known, replica entry, replica_change change);
+	void forget_old_leaves(instant now);
 	void drop(const replica_id& id);
 	void index(const replica_ptr& entry);
 	void unindex(const replica_ptr& entry);
 
+	/// A replica's own word that it leaves.
+	struct told_leave
+	{
+		replica_incarnation incarnation;
+		instant at;
+	};
+
 	change_hook changed_;
 	replica_set_tuning tuning_;
 	bool known_ = false;
@@ -167,5 +185,6 @@
 	/// began anew with each loss of the registry would never end where it is lost every two seconds, and
 	/// requests would go to replicas that left long ago.
 	std::map<replica_id, duration> suspected_;
+	std::map<replica_id, told_leave> told_leaves_;
 };
 } // namespace gingerdyke::routing
--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -230,7 +230,12 @@
 	const auto& all = replicas_.of(service);
 	const bool is_evacuated = std::any_of(
 		all.begin(), all.end(), [this](const auto& one) { return evacuated_.contains(one->domain); });
-	return {is_evacuated ? "failure domains are evacuated" : "no replica", tuning_.retry_after};
+	const bool all_leave =
+		!all.empty() && std::all_of(all.begin(), all.end(), [](const auto& one) { return one->leaving; });
+	const auto* reason = is_evacuated ? "failure domains are evacuated"
+						 : all_leave  ? "all replicas leave"
+									  : "no replica";
+	return {reason, tuning_.retry_after};
 }
 
 std::shared_ptr<active_request> gateway::handle(request what, std::shared_ptr<answer_sink> to)
@@ -313,7 +318,7 @@
 
 void gateway::note_leaving(const routing::replica& from, const std::string& request)
 {
-	if (told_leaving_.insert(from.id).second)
+	if (replicas_.note_leaving(from, steady_now()))
 	{
 		log::write(log::level::info, "replica says that it leaves",
 			{{"replica", from.id.str()}, {"service", from.service.str()}, {"request", request}});
@@ -430,12 +435,15 @@
 	{
 		announced_.forget(one.id);
 		resting_.forget(one.id);
-		told_leaving_.erase(one.id);
 		unreadable_replicas_.erase(one.id);
 		pool_.drop(one.id);
 		selector_.forget(one.id);
 		ends_.runs().release(one.id, steady_now());
 	}
+	if (change == routing::replica_change::leaving)
+	{
+		pool_.drop(one.id);
+	}
 	versions_.note_replicas(one.service, replicas_.of(one.service));
 }
 } // namespace gingerdyke::proxy
--- a/src/routing/replica_set.cpp
+++ b/src/routing/replica_set.cpp
@@ -57,15 +57,26 @@
 {
 }
 
-void replica_set::put(replica entry, instant /*now*/)
+void replica_set::put(replica entry, instant now)
 {
 	suspected_.erase(entry.id);
+	forget_old_leaves(now);
+	const auto told = told_leaves_.find(entry.id);
+	if (told != told_leaves_.end() && told->second.incarnation == entry.incarnation)
+	{
+		entry.leaving = true;
+	}
 	const auto known = find(entry.id);
 	if (known && *known == entry)
 	{
 		return;
 	}
 	const auto change = known ? change_from(*known, entry) : replica_change::added;
+	replace(known, std::move(entry), change);
+}
+
+void replica_set::replace(const replica_ptr& known, replica entry, replica_change change)
+{
 	if (known)
 	{
 		unindex(known);
@@ -75,6 +86,32 @@
 	changed_(*kept, change);
 }
 
+bool replica_set::note_leaving(const replica& one, instant now)
+{
+	const auto known = find(one.id);
+	const bool is_of_before = known && !known->is_same_process(one);
+	const auto told = told_leaves_.find(one.id);
+	const bool is_told = told != told_leaves_.end() && told->second.incarnation == one.incarnation;
+	if (is_of_before || is_told)
+	{
+		return false;
+	}
+	told_leaves_[one.id] = {one.incarnation, now};
+	if (known && !known->leaving)
+	{
+		auto entry = *known;
+		entry.leaving = true;
+		replace(known, std::move(entry), replica_change::leaving);
+	}
+	return true;
+}
+
+void replica_set::forget_old_leaves(instant now)
+{
+	std::erase_if(told_leaves_, [&](const auto& entry)
+		{ return !by_id_.contains(entry.first) && now - entry.second.at > tuning_.leaving_memory; });
+}
+
 void replica_set::remove(const replica_id& id, instant now)
 {
 	const auto known = find(id);
--- a/tests/proxy/leaving_replica.cpp
+++ b/tests/proxy/leaving_replica.cpp
@@ -61,10 +61,13 @@
 {
 	one_leaves of;
 	of.ask(3);
+	REQUIRE(of.leaving.requests().size() == 1);
+	auto& replicas = of.world.gateway().replicas();
 	of.entry.incarnation = routing::replica_incarnation{2};
-	of.world.gateway().replicas().put(of.entry, proxy::steady_now());
+	replicas.put(of.entry, proxy::steady_now());
+	replicas.forget(replica_id{"r1"});
 	of.ask(10);
-	CHECK(of.leaving.requests().size() > 1);
+	CHECK(of.leaving.requests().size() == 11);
 }
 
 TEST_CASE(
