The soak's replicas say of themselves that they leave, want rest or take few requests; a judge counts what arrives

Entries say meanwhile that they are ready, and the registry is lost for 3 s. The judge (soak/statement_judge, tested on its own) knows by VM and its process's life who was told. The soak was not run against the code before the repairs.

--- a/soak/history.cpp
+++ b/soak/history.cpp
@@ -89,9 +89,26 @@
 	judge_departures(found);
 	judge_evacuations(found);
 	judge_crashes(found);
+	for (auto& one : judge_statements(arrivals_))
+	{
+		found.push_back(std::move(one));
+	}
 	return found;
 }
 
+void history::arrived(const std::string& request_id, const std::string& replica,
+	const platform::standin::statement& said, instant at)
+{
+	const auto found = requests_.find(request_id);
+	if (found == requests_.end())
+	{
+		broken("replicas get callers' requests", request_id + " at " + replica);
+		return;
+	}
+	const auto& sent = found->second.sent;
+	arrivals_.push_back({said, replica, sent.vm + "/" + std::to_string(sent.life), at});
+}
+
 void history::judge_request(const record& one, findings& into) const
 {
 	const auto& id = one.sent.id;
--- a/soak/history.hpp
+++ b/soak/history.hpp
@@ -2,6 +2,8 @@
 // What callers and replicas saw in one run of the soak, and the promises that it is checked against.
 #pragma once
 
+#include "statement_judge.hpp"
+
 #include <gingerdyke/base/units.hpp>
 #include <map>
 #include <optional>
@@ -110,6 +112,9 @@
 	void stopped(const quiet_stop& stop) { stops_.push_back(stop); }
 	void left(const departure& what) { departures_.push_back(what); }
 	void evacuated(const evacuation& what) { evacuations_.push_back(what); }
+	/// \brief A request reached a replica that says something of itself.
+	void arrived(const std::string& request_id, const std::string& replica,
+		const platform::standin::statement& said, instant at);
 	void crashes(const crashing_request& what) { crashing_.push_back(what); }
 
 	/// \brief Something that must not happen and needs no judging.
@@ -156,6 +161,7 @@
 	std::vector<departure> departures_;
 	std::vector<evacuation> evacuations_;
 	std::vector<crashing_request> crashing_;
+	std::vector<told_arrival> arrivals_;
 	findings broken_;
 };
 } // namespace gingerdyke::soak
--- a/soak/world.cpp
+++ b/soak/world.cpp
@@ -3,6 +3,7 @@
 #include "world.hpp"
 
 #include <algorithm>
+#include <array>
 #include <csignal>
 #include <standin/deployment.hpp>
 #include <unistd.h>
@@ -127,6 +128,7 @@
 	}
 	let_a_request_crash_replicas();
 	let_replicas_leave();
+	let_replicas_speak_of_themselves();
 	let_a_failure_domain_be_evacuated();
 	for (const auto& one : vms_)
 	{
@@ -251,6 +253,39 @@
 	}
 }
 
+/// One names a limit, one says that it leaves, and one refuses all and asks for rest, while their entries say
+/// that they are ready. Then the registry is lost for a while.
+void world::let_replicas_speak_of_themselves()
+{
+	using standin::statement;
+	constexpr std::chrono::milliseconds until_used{600};
+	constexpr std::chrono::seconds with_registry{5};
+	constexpr std::chrono::seconds without_registry{3};
+	constexpr std::chrono::milliseconds rest{1500};
+	constexpr double limit = 1.5;
+	const std::array<statement, 3> said{
+		statement{limit, false, {}}, statement{{}, true, {}}, statement{{}, false, rest}};
+	std::vector<standin::replica*> speaking;
+	for (std::size_t i = 0; i < said.size(); ++i)
+	{
+		add_backend(standin::plain_service, "v1");
+		speaking.push_back(backends_.back()->replica.get());
+	}
+	run_for(until_used);
+	for (std::size_t i = 0; i < said.size(); ++i)
+	{
+		speaking[i]->say(said.at(i),
+			[this](const std::string& request, const std::string& replica, const statement& what)
+			{ history_.arrived(request, replica, what, proxy::steady_now()); });
+	}
+	run_for(with_registry);
+	registry_.fail_with(standin::registry_fault::unavailable);
+	run_for(without_registry);
+	registry_.fail_with(standin::registry_fault::none);
+	std::for_each(speaking.begin(), speaking.end(), [](auto* one) { one->say({}); });
+	await_recovery("after replicas spoke of themselves");
+}
+
 /// Meanwhile one VM is killed and starts again, and the registry forgets its history. All VMs serve on by the
 /// replicas of the other failure domain; after the order is withdrawn those of the first are used again.
 void world::let_a_failure_domain_be_evacuated()
--- a/soak/world.hpp
+++ b/soak/world.hpp
@@ -92,6 +92,7 @@
 	void crash(backend& one);
 	void let_a_request_crash_replicas();
 	void let_replicas_leave();
+	void let_replicas_speak_of_themselves();
 	void let_a_failure_domain_be_evacuated();
 
 	/// Whether each VM has served a request since a moment.
