--- a/include/gingerdyke/control/table_follower.hpp
+++ b/include/gingerdyke/control/table_follower.hpp
@@ -66,6 +66,7 @@
 	void on_changes(store_result<row_batch> result, instant sent_at);
 	[[nodiscard]] bool is_over(unsigned run) const noexcept { return stopped_ || run != run_; }
 	[[nodiscard]] static instant newest_at(instant sent_at, const row_batch& batch);
+	void log_superseded(const std::vector<row>& rows) const;
 	void confirm_cache(instant sent_at, const row_batch& batch);
 	void note_success(instant sent_at, const row_batch& batch);
 	void note_failure(store_error error);
--- a/src/control/table_follower.cpp
+++ b/src/control/table_follower.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <gingerdyke/control/table_follower.hpp>
 #include <gingerdyke/log/log.hpp>
+#include <set>
 
 namespace gingerdyke::control
 {
@@ -116,6 +117,7 @@
 	}
 	next_ = std::max(*next_, result->newest);
 	known_ = std::max(*known_, result->newest);
+	log_superseded(result->rows);
 	cache_.apply(result->rows, result->newest);
 	confirm_cache(sent_at, *result);
 	if (!result->rows.empty())
@@ -131,6 +133,26 @@
 	follow();
 }
 
+/// One answer may tell of several changes of a row.
+void table_follower::log_superseded(const std::vector<row>& rows) const
+{
+	std::set<std::string> keys;
+	std::string last;
+	for (const auto& one : rows)
+	{
+		if (!keys.insert(one.key).second)
+		{
+			last = one.key;
+		}
+	}
+	if (keys.size() < rows.size())
+	{
+		log::write(log::level::info, "rows superseded",
+			{{"table", cache_.table()}, {"rows", rows.size()}, {"superseded", rows.size() - keys.size()},
+				{"last", last}});
+	}
+}
+
 /// The answer was given after the call was sent and held; a copy was the newest as long before as it is old.
 instant table_follower::newest_at(instant sent_at, const row_batch& batch)
 {
