--- a/tests/platform/replica_entries.cpp
+++ b/tests/platform/replica_entries.cpp
@@ -151,3 +151,22 @@
 		});
 	CHECK_FALSE(world.gateway().replicas().is_suspected(replica_id{"r2"}));
 }
+
+TEST_CASE("a replica that came and went within one answer of the registry is gone", "[platform][entries]")
+{
+	proxy_world world;
+	platform::standin::registry rows{world.context};
+	rows.put("op", "config", {{"version", 1}, {"routes", json::array()}, {"services", json::array()}});
+	rows.put("servers", "first", whole_entry());
+	controlled_vm vm{world, rows, "vm1"};
+	auto& replicas = world.gateway().replicas();
+	world.run_until([&] { return replicas.find(replica_id{"first"}) != nullptr; });
+	// The VM gathers changes for a while after an answer that held some.
+	rows.put("servers", "second", whole_entry());
+	world.run_until([&] { return replicas.find(replica_id{"second"}) != nullptr; });
+	rows.put("servers", "third", whole_entry());
+	rows.remove("servers", "third");
+	rows.put("servers", "fourth", whole_entry());
+	world.run_until([&] { return replicas.find(replica_id{"fourth"}) != nullptr; });
+	CHECK(replicas.find(replica_id{"third"}) == nullptr);
+}
