A copy of a table tells only news, the last change of each row, to its own VM as to those that read from it

Cause: the registry's answers tell every change; where a replica came and went within one, coordinator applied rows that went before rows that came, so its VM kept it for good, while its copy, and the VMs that read from it, had it as gone. Traced by 'rows superseded' (26 rows, 1, the replica's key) at the moment at which the three readers add it. Now one way from rows to belief: table_cache::apply keeps by version what is newer, and tells each changed row once, as it is now; a row older than what is known, as after a whole read over several pages, is none. coordinator takes rows of replicas one after the other. The same for the other tables: operators' rows were applied in order, but each superseded configuration was read as well (up to 3 of 4 in an answer): they no longer are; own rows and evidence keep the newest anyway. Ruled out: an answer older than told, a change of the cold time, lines left out.

--- a/include/gingerdyke/control/coordinator.hpp
+++ b/include/gingerdyke/control/coordinator.hpp
@@ -110,13 +110,7 @@
 	void on_replica_rows(const std::vector<row>& rows);
 	void on_replicas(const std::vector<row>& rows);
 	/// Replicas that rows name, and the ids of rows that can't be read.
-	struct replica_rows
-	{
-		std::vector<routing::replica> entries;
-		std::vector<replica_id> unreadable;
-	};
-
-	[[nodiscard]] replica_rows read_replicas(const std::vector<row>& rows) const;
+	[[nodiscard]] std::optional<routing::replica> read_replica(const row& one) const;
 	void on_own_rows(const std::vector<row>& rows);
 	void on_plan_row(const row& one);
 	void follow_evidence();
--- a/include/gingerdyke/control/table_cache.hpp
+++ b/include/gingerdyke/control/table_cache.hpp
@@ -18,7 +18,9 @@
 	void replace(const std::vector<row>& rows, row_version newest);
 
 	/// \brief Takes changes.
-	void apply(const std::vector<row>& rows, row_version newest);
+	/// \returns What is news, in order: of several changes of a row the last one, and none that is older than
+	/// what is known. So it is the same for whoever reads the table, however the changes came.
+	std::vector<row> apply(const std::vector<row>& rows, row_version newest);
 
 	/// \brief Notes that the copy was the newest at a moment, and the registry's clock now.
 	void confirm(instant at, registry_time registry_now, instant now);
--- a/include/gingerdyke/control/table_follower.hpp
+++ b/include/gingerdyke/control/table_follower.hpp
@@ -31,7 +31,7 @@
 	/// The whole table as it is.
 	std::function<void(const std::vector<row>&)> replaced;
 
-	/// Rows that changed, in order.
+	/// Rows that changed, in order, each once and as it is now.
 	std::function<void(const std::vector<row>&)> changed;
 
 	/// A call was answered: what is known was the newest at a moment.
@@ -66,7 +66,7 @@
 	void on_changes(store_result<row_batch> result, instant sent_at);
 	[[nodiscard]] bool is_over(unsigned run) const noexcept { return stopped_ || run != run_; }
 	[[nodiscard]] static instant newest_at(instant sent_at, const row_batch& batch);
-	void log_superseded(const std::vector<row>& rows) const;
+	void log_superseded(std::size_t rows, std::size_t news) const;
 	void confirm_cache(instant sent_at, const row_batch& batch);
 	void note_success(instant sent_at, const row_batch& batch);
 	void note_failure(store_error error);
--- a/src/control/coordinator.cpp
+++ b/src/control/coordinator.cpp
@@ -240,19 +240,13 @@
 	const auto now = proxy::steady_now();
 	for (const auto& one : rows)
 	{
-		if (one.removed)
+		auto entry = read_replica(one);
+		if (entry)
 		{
-			gateway_.replicas().remove(replica_id{one.key}, now);
+			gateway_.replicas().put(std::move(*entry), now);
+			continue;
 		}
-	}
-	auto read = read_replicas(rows);
-	for (const auto& id : read.unreadable)
-	{
-		gateway_.replicas().remove(id, now);
-	}
-	for (auto& entry : read.entries)
-	{
-		gateway_.replicas().put(std::move(entry), now);
+		gateway_.replicas().remove(replica_id{one.key}, now);
 	}
 	relay_.on_change(layout_.replica_table);
 	expire_replicas();
@@ -260,35 +254,35 @@
 
 void coordinator::on_replicas(const std::vector<row>& rows)
 {
-	auto read = read_replicas(rows);
+	std::vector<routing::replica> entries;
+	for (const auto& one : rows)
+	{
+		if (auto entry = read_replica(one))
+		{
+			entries.push_back(std::move(*entry));
+		}
+	}
 	log::write(log::level::info, "replicas read",
-		{{"count", read.entries.size()}, {"unreadable", read.unreadable.size()}});
-	gateway_.take_replicas(std::move(read.entries), proxy::steady_now());
+		{{"count", entries.size()}, {"unreadable", rows.size() - entries.size()}});
+	gateway_.take_replicas(std::move(entries), proxy::steady_now());
 	relay_.on_change(layout_.replica_table);
 }
 
 /// An entry that can't be read names no replica to use, also where one was known under its id: another writer
 /// may have put it there. The replica's own next heartbeat brings it back.
-coordinator::replica_rows coordinator::read_replicas(const std::vector<row>& rows) const
+std::optional<routing::replica> coordinator::read_replica(const row& one) const
 {
-	replica_rows read;
-	for (const auto& one : rows)
+	if (one.removed)
 	{
-		if (one.removed)
-		{
-			continue;
-		}
-		if (auto entry = layout_.read_replica_row(one))
-		{
-			read.entries.push_back(std::move(*entry));
-		}
-		else
-		{
-			read.unreadable.emplace_back(one.key);
-			log_findings("replica's row not understood", entry.error());
-		}
+		return std::nullopt;
+	}
+	auto entry = layout_.read_replica_row(one);
+	if (!entry)
+	{
+		log_findings("replica's row not understood", entry.error());
+		return std::nullopt;
 	}
-	return read;
+	return std::move(*entry);
 }
 
 void coordinator::on_own_rows(const std::vector<row>& rows)
--- a/src/control/table_cache.cpp
+++ b/src/control/table_cache.cpp
@@ -2,6 +2,7 @@
 // A VM's copy of one table of the registry.
 #include <algorithm>
 #include <gingerdyke/control/table_cache.hpp>
+#include <set>
 
 namespace gingerdyke::control
 {
@@ -9,6 +10,11 @@
 {
 /// Rows that are gone are kept up to this many, so that others learn of them; then the oldest are forgotten.
 constexpr std::size_t most_removed = 2000;
+
+bool is_older(const row& a, const row& b) noexcept
+{
+	return a.version < b.version;
+}
 } // namespace
 
 void table_cache::replace(const std::vector<row>& rows, row_version newest)
@@ -43,14 +49,28 @@
 	forget_removed();
 }
 
-void table_cache::apply(const std::vector<row>& rows, row_version newest)
+std::vector<row> table_cache::apply(const std::vector<row>& rows, row_version newest)
 {
+	std::set<std::string> changed;
 	for (const auto& one : rows)
 	{
-		put(one);
+		const auto known = rows_.find(one.key);
+		if (known == rows_.end() || known->second.version < one.version)
+		{
+			put(one);
+			changed.insert(one.key);
+		}
+	}
+	std::vector<row> news;
+	news.reserve(changed.size());
+	for (const auto& key : changed)
+	{
+		news.push_back(rows_.at(key));
 	}
+	std::sort(news.begin(), news.end(), is_older);
 	newest_ = std::max(newest_, newest);
 	forget_removed();
+	return news;
 }
 
 void table_cache::put(const row& one)
@@ -115,8 +135,7 @@
 			batch->rows.push_back(one);
 		}
 	}
-	std::sort(batch->rows.begin(), batch->rows.end(),
-		[](const row& a, const row& b) { return a.version < b.version; });
+	std::sort(batch->rows.begin(), batch->rows.end(), is_older);
 	return batch;
 }
 } // namespace gingerdyke::control
--- a/src/control/table_follower.cpp
+++ b/src/control/table_follower.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <gingerdyke/control/table_follower.hpp>
 #include <gingerdyke/log/log.hpp>
-#include <set>
 
 namespace gingerdyke::control
 {
@@ -117,12 +116,12 @@
 	}
 	next_ = std::max(*next_, result->newest);
 	known_ = std::max(*known_, result->newest);
-	log_superseded(result->rows);
-	cache_.apply(result->rows, result->newest);
+	const auto news = cache_.apply(result->rows, result->newest);
+	log_superseded(result->rows.size(), news.size());
 	confirm_cache(sent_at, *result);
-	if (!result->rows.empty())
+	if (!news.empty())
 	{
-		hooks_.changed(result->rows);
+		hooks_.changed(news);
 	}
 	note_success(sent_at, *result);
 	if (!result->rows.empty() && tuning_.gather > duration{0})
@@ -133,23 +132,13 @@
 	follow();
 }
 
-/// One answer may tell of several changes of a row.
-void table_follower::log_superseded(const std::vector<row>& rows) const
+/// One answer may tell of several changes of a row, or of what is known.
+void table_follower::log_superseded(std::size_t rows, std::size_t news) const
 {
-	std::set<std::string> keys;
-	std::string last;
-	for (const auto& one : rows)
-	{
-		if (!keys.insert(one.key).second)
-		{
-			last = one.key;
-		}
-	}
-	if (keys.size() < rows.size())
+	if (news < rows)
 	{
 		log::write(log::level::info, "rows superseded",
-			{{"table", cache_.table()}, {"rows", rows.size()}, {"superseded", rows.size() - keys.size()},
-				{"last", last}});
+			{{"table", cache_.table()}, {"rows", rows}, {"superseded", rows - news}});
 	}
 }
 
