--- a/tests/control/table_news.cpp
+++ b/tests/control/table_news.cpp
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: MIT
 // Who reads a table from the registry and who reads it from another VM's copy believe the same of each row.
 #include "../support/control_world.hpp"
-#include <rapidcheck.h>
+#include "../support/drawn.hpp"
 
 using namespace gingerdyke;
 using namespace gingerdyke::test;
@@ -94,7 +94,8 @@
 
 TEST_CASE("readers of the registry and those who read from them believe the same", "[cache]")
 {
-	const bool holds = rc::check(
+	constexpr int cases = 300;
+	check_drawn_cases(40, cases,
 		[]
 		{
 			table_history registry;
@@ -136,7 +137,6 @@
 			take(expected, registry.changes);
 			RC_ASSERT(reader.rows == expected);
 		});
-	CHECK(holds);
 }
 
 TEST_CASE("of several changes of a row in one answer the last one counts", "[cache]")
--- a/tests/node/fault_matrix.cpp
+++ b/tests/node/fault_matrix.cpp
@@ -1,11 +1,10 @@
 // SPDX-License-Identifier: MIT
 // Every fault at every step, then pairs of them drawn with fixed seeds.
+#include "support/drawn.hpp"
 #include "support/promises.hpp"
 #include "support/scenario.hpp"
 #include <catch2/catch.hpp>
 #include <cstdlib>
-#include <rapidcheck.h>
-#include <sstream>
 
 using namespace gingerdyke;
 using namespace gingerdyke::test;
@@ -109,10 +108,6 @@
 /// Up to three faults together, at drawn steps, in a world with a drawn seed, losing some messages.
 void check_drawn(std::uint64_t seed)
 {
-	rc::detail::TestParams params;
-	params.seed = seed;
-	params.maxSuccess = drawn_histories();
-	params.maxSize = 100;
 	const auto property = []
 	{
 		const auto numbers = *rc::gen::container<std::vector<std::vector<int>>>(
@@ -141,11 +136,7 @@
 			RC_FAIL(describe(faults, world_seed) + ", loss " + std::to_string(loss) + ": " + broken.front());
 		}
 	};
-	const auto result = rc::detail::checkTestable(property, rc::detail::TestMetadata{}, params);
-	std::ostringstream text;
-	rc::detail::printResultMessage(result, text);
-	INFO(text.str());
-	CHECK(result.is<rc::detail::SuccessResult>());
+	check_drawn_cases(seed, drawn_histories(), property);
 }
 } // namespace
 
