Statements that the program does not know are counted, and told once a name

Headers of answers that begin as the platform's or with 'Server-', fields of a replica's entry (looked at when the replica is first seen after the start, not with each heartbeat) and rows of the operators' table that are not known are counted, and a line tells each name once, 64 names at most, each cut to 80 bytes. Names are in platform/. Not looked at: fields of the configuration.

--- a/include/gingerdyke/control/coordinator.hpp
+++ b/include/gingerdyke/control/coordinator.hpp
@@ -43,6 +43,9 @@
 	/// Reads a row of the replicas' table.
 	std::function<checked<routing::replica>(const row&)> read_replica_row;
 
+	/// Fields of a row of the replicas' table that are not known.
+	std::function<std::vector<std::string>(const row&)> unknown_replica_fields;
+
 	/// The row in which operators look up how a shift stands.
 	std::function<row_change::put(const rollout::shift_plan&)> status_row;
 };
@@ -110,6 +113,7 @@
 	void on_replica_rows(const std::vector<row>& rows);
 	void on_replicas(const std::vector<row>& rows);
 	/// Replicas that rows name, and the ids of rows that can't be read.
+	void note_unknown_fields(const row& one);
 	[[nodiscard]] std::optional<routing::replica> read_replica(const row& one) const;
 	void on_own_rows(const std::vector<row>& rows);
 	void on_plan_row(const row& one);
--- a/include/gingerdyke/proxy/gateway.hpp
+++ b/include/gingerdyke/proxy/gateway.hpp
@@ -8,6 +8,7 @@
 #include <gingerdyke/proxy/header_names.hpp>
 #include <gingerdyke/proxy/replica_end_watch.hpp>
 #include <gingerdyke/proxy/request_log.hpp>
+#include <gingerdyke/proxy/unknown_statements.hpp>
 #include <gingerdyke/proxy/upstream_pool.hpp>
 #include <gingerdyke/quarantine/suspect_list.hpp>
 #include <gingerdyke/rollout/version_shift.hpp>
@@ -220,6 +221,7 @@
 	[[nodiscard]] routing::slow_start& cold_replicas() noexcept { return cold_replicas_; }
 	[[nodiscard]] routing::announced_limits& announced() noexcept { return announced_; }
 	[[nodiscard]] routing::rest_periods& resting() noexcept { return resting_; }
+	[[nodiscard]] unknown_statements& unknown() noexcept { return unknown_; }
 	[[nodiscard]] routing::replica_selector& selector() noexcept { return selector_; }
 	[[nodiscard]] upstream_pool& pool() noexcept { return pool_; }
 	[[nodiscard]] rollout::version_shift& versions() noexcept { return versions_; }
@@ -256,6 +258,7 @@
 	replica_end_watch ends_;
 	std::uint64_t replica_ends_ = 0;
 	std::uint64_t unreadable_statements_ = 0;
+	unknown_statements unknown_;
 
 	/// Replicas of which a line told already that they can't be understood.
 	std::set<replica_id> unreadable_replicas_;
--- a/include/gingerdyke/proxy/header_names.hpp
+++ b/include/gingerdyke/proxy/header_names.hpp
@@ -60,6 +60,12 @@
 	/// Scheme of the `Authorization` header.
 	std::string key_scheme;
 
+	/// Beginnings of headers by which replicas may say something of themselves.
+	std::vector<std::string> statement_prefixes;
+
+	/// Headers that begin so and are read, or left unread on purpose.
+	std::vector<std::string> known_statements;
+
 	/// Headers that only the router may set, removed from what callers send.
 	std::vector<std::string> reserved;
 };
--- a/include/gingerdyke/proxy/replica_statements.hpp
+++ b/include/gingerdyke/proxy/replica_statements.hpp
@@ -6,6 +6,8 @@
 #include <gingerdyke/proxy/header_names.hpp>
 #include <gingerdyke/proxy/message.hpp>
 #include <optional>
+#include <string>
+#include <vector>
 
 namespace gingerdyke::proxy
 {
@@ -23,6 +25,9 @@
 
 	/// A value that can't be read, for the log; empty: there is none. It changes nothing that was known.
 	std::string unreadable;
+
+	/// Names of headers that may say something of it and are not known.
+	std::vector<std::string> unknown;
 };
 
 /// \brief Reads what a replica says of itself. Of several limits the lowest counts, of several rests the
--- a/src/control/coordinator.cpp
+++ b/src/control/coordinator.cpp
@@ -214,6 +214,10 @@
 		log_findings("operator's row not understood", news.error());
 		return;
 	}
+	if (std::holds_alternative<std::monostate>(*news))
+	{
+		gateway_.unknown().note(proxy::statement_source::operator_row, one.key, layout_.operator_table);
+	}
 	if (const auto* catalog = std::get_if<routing::catalog_ptr>(&*news))
 	{
 		take_catalog(*catalog);
@@ -243,6 +247,7 @@
 		auto entry = read_replica(one);
 		if (entry)
 		{
+			note_unknown_fields(one);
 			gateway_.replicas().put(std::move(*entry), now);
 			continue;
 		}
@@ -252,6 +257,19 @@
 	expire_replicas();
 }
 
+/// Looked at once a replica: each heartbeat of a cold one brings its row again.
+void coordinator::note_unknown_fields(const row& one)
+{
+	if (gateway_.replicas().find(replica_id{one.key}) != nullptr)
+	{
+		return;
+	}
+	for (const auto& name : layout_.unknown_replica_fields(one))
+	{
+		gateway_.unknown().note(proxy::statement_source::replica_entry, name, one.key);
+	}
+}
+
 void coordinator::on_replicas(const std::vector<row>& rows)
 {
 	std::vector<routing::replica> entries;
--- a/src/proxy/exchange_answers.cpp
+++ b/src/proxy/exchange_answers.cpp
@@ -112,6 +112,10 @@
 	const auto& from = *attempt_->to;
 	const auto now = steady_now();
 	const auto said = read_statements(head, shared_.names(), std::chrono::system_clock::now());
+	for (const auto& name : said.unknown)
+	{
+		shared_.unknown().note(statement_source::answer, name, from.id.str());
+	}
 	if (said.leaves)
 	{
 		shared_.note_leaving(from, id_);
--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -57,6 +57,12 @@
 	return limits;
 }
 
+void log_unknown(statement_source source, const std::string& name, const std::string& who)
+{
+	log::write(
+		log::level::warn, "statement not known", {{"where", name_of(source)}, {"name", name}, {"from", who}});
+}
+
 rollout::shift_tuning shift_tuning_for(const fleet_bounds& bounds)
 {
 	rollout::shift_tuning tuning;
@@ -137,7 +143,7 @@
 		  { on_evacuation(domain, is_evacuated); }),
 	  cold_replicas_(vms_, log_cold), announced_(vms_, log_limit), resting_(log_rest),
 	  selector_(replicas_, std::move(own_domain), random, log_ejection), pool_(context, names_.request_id),
-	  suspects_(log_hold), ends_(context, end_hooks()),
+	  suspects_(log_hold), ends_(context, end_hooks()), unknown_(log_unknown),
 	  versions_(std::move(random), log_shift, shift_tuning_for(bounds_))
 {
 }
@@ -296,6 +302,9 @@
 	metrics::write_head(out, "gingerdyke_replica_statements_unreadable_total", "counter",
 		"Answers in which a replica says something of itself that can't be read.");
 	out << "gingerdyke_replica_statements_unreadable_total " << unreadable_statements_ << "\n";
+	metrics::write_head(out, "gingerdyke_statements_unknown_total", "counter",
+		"Statements of replicas, their entries and operators that are not known.");
+	out << "gingerdyke_statements_unknown_total " << unknown_.count() << "\n";
 	metrics::write_head(
 		out, "gingerdyke_requests_suspected", "gauge", "Requests under which replicas ended.");
 	out << "gingerdyke_requests_suspected " << suspects_.size() << "\n";
--- a/src/proxy/replica_statements.cpp
+++ b/src/proxy/replica_statements.cpp
@@ -46,6 +46,19 @@
 	return std::max(std::chrono::duration_cast<duration>(then - time_of_day), duration{0});
 }
 
+bool is_unknown(const std::string& name, const header_names& names)
+{
+	const auto begins_name = [&](const std::string& prefix) {
+		return name.size() > prefix.size() &&
+			   same_name(std::string_view{name}.substr(0, prefix.size()), prefix);
+	};
+	const auto is_same = [&](const std::string& known) { return same_name(name, known); };
+	const auto& prefixes = names.statement_prefixes;
+	const auto& known = names.known_statements;
+	return std::any_of(prefixes.begin(), prefixes.end(), begins_name) &&
+		   std::none_of(known.begin(), known.end(), is_same);
+}
+
 void read_field(replica_statements& into, const header_field& field, bool is_refusal,
 	const header_names& names, std::chrono::system_clock::time_point time_of_day)
 {
@@ -73,6 +86,10 @@
 		}
 		into.rest = std::max(into.rest.value_or(*wait), *wait);
 	}
+	else if (is_unknown(field.name, names))
+	{
+		into.unknown.push_back(field.name);
+	}
 }
 } // namespace
 
--- /dev/null
+++ b/tests/proxy/unknown_statements.cpp
@@ -0,0 +1,56 @@
+// SPDX-License-Identifier: MIT
+// What is said to this program and not known by it: told once each, counted always, bounded.
+#include "../support/controlled_vm.hpp"
+#include <gingerdyke/proxy/replica_statements.hpp>
+#include <gingerdyke/proxy/unknown_statements.hpp>
+#include <names.hpp>
+
+using namespace gingerdyke;
+using namespace gingerdyke::test;
+using proxy::statement_source;
+
+TEST_CASE("each unknown name is told once, and the number of names is bounded", "[statements]")
+{
+	std::size_t told = 0;
+	proxy::unknown_statements unknown{[&](statement_source, const std::string& name, const std::string&)
+		{
+			++told;
+			CHECK(name.size() < 100);
+		}};
+	for (int i = 0; i < 1000; ++i)
+	{
+		unknown.note(
+			statement_source::answer, "Server-" + std::to_string(i % 500) + std::string(1000, 'x'), "r1");
+	}
+	CHECK(told == 64);
+	CHECK(unknown.count() == 1000);
+	unknown.note(statement_source::replica_entry, "server-0", "r1");
+	CHECK(unknown.count() == 1001);
+}
+
+TEST_CASE("headers of an answer with the platform's prefixes that nobody reads are unknown", "[statements]")
+{
+	proxy::answer_head head;
+	head.status = 200;
+	head.fields = {{"X-Gingerdyke-Request-Id", "q"}, {"x-gingerdyke-server-stamp", "s"},
+		{"Server-Limit", "2"}, {"Server-Mood", "good"}, {"X-Gingerdyke-New", "1"}, {"Server", "s"},
+		{"X-Other", "1"}, {"X-Gingerdyke-Weight-Versions", "1"}};
+	const auto read = proxy::read_statements(head, platform::header_names(), {});
+	CHECK(read.unknown == std::vector<std::string>{"Server-Mood", "X-Gingerdyke-New"});
+}
+
+TEST_CASE("fields of an entry and rows of operators that nobody reads are unknown", "[statements]")
+{
+	proxy_world world;
+	platform::standin::registry rows{world.context};
+	rows.put("op", "config", {{"version", 1}, {"routes", json::array()}, {"services", json::array()}});
+	rows.put("op", "forbid/x", json::object());
+	controlled_vm vm{world, rows, "vm1"};
+	world.run_until([&] { return world.gateway().ready(); });
+	CHECK(world.gateway().unknown().count() == 1);
+	rows.put("servers", "r1",
+		{{"service", "x"}, {"address", "127.0.0.1:9"}, {"zone", "a"}, {"version", "v1"}, {"slots", 64},
+			{"state", "ready"}, {"sequence", 4}, {"models", json::array()}, {"mood", "good"}});
+	world.run_until([&] { return world.gateway().replicas().find(replica_id{"r1"}) != nullptr; });
+	CHECK(world.gateway().unknown().count() == 2);
+}
