Clean-up: one question for whether a replica may be sent a request, and one note that one was

exchange asked four modules and told three; gateway::may_send and note_sent do, so that no way passes one of them by. Of several reasons for which no replica takes work now, the one that passes first is told.

--- a/include/gingerdyke/proxy/gateway.hpp
+++ b/include/gingerdyke/proxy/gateway.hpp
@@ -175,6 +175,13 @@
 	/// \brief Answers a caller's request.
 	[[nodiscard]] std::shared_ptr<active_request> handle(request what, std::shared_ptr<answer_sink> to);
 
+	/// \brief Whether a replica may be sent a new request: it is neither evacuated nor at rest, and this VM
+	/// has a share left of what it bears.
+	[[nodiscard]] bool may_send(const routing::replica& to, instant now) const;
+
+	/// \brief Notes a request for a replica, for its shares and its first request after a rest.
+	void note_sent(const routing::replica& to, instant now);
+
 	/// \brief Sets who is told that there is something to report about a new version.
 	void on_evidence(std::function<void()> hook) { evidence_hook_ = std::move(hook); }
 
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -146,9 +146,7 @@
 	{
 		const bool was_tried = std::find(tried_.begin(), tried_.end(), one.id) != tried_.end();
 		return !was_tried && (version.empty() || one.version == version) && versions.is_in_use(one, now) &&
-			   has_room(one) && !shared_.evacuated().contains(one.domain) &&
-			   shared_.cold_replicas().takes(one, now) && shared_.announced().takes(one, now) &&
-			   shared_.resting().takes(one, now) && allowed(one);
+			   has_room(one) && shared_.may_send(one, now) && allowed(one);
 	};
 	auto chosen = shared_.selector().choose(what, now);
 	if (!chosen)
@@ -266,10 +264,8 @@
 	// From here on a replica may run it at any moment, whatever is heard of it.
 	trace_ = trace::may_have_run;
 	attempt_->is_cold = shared_.cold_replicas().is_cold(*to, now);
-	shared_.cold_replicas().note_sent(*to, now);
 	attempt_->is_limited = shared_.announced().is_limited(*to);
-	shared_.announced().note_sent(*to, now);
-	shared_.resting().note_sent(*to, now);
+	shared_.note_sent(*to, now);
 	attempt_->link = shared_.pool().take(to, route_->may_run_again(), now);
 	attempt_->work_ahead = work_before_first_token(*to);
 	const auto weight = model_weight();
--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -1,6 +1,5 @@
 // SPDX-License-Identifier: MIT
 // What all requests of a VM share.
-#include <array>
 #include <gingerdyke/log/log.hpp>
 #include <gingerdyke/metrics/text_format.hpp>
 #include <gingerdyke/proxy/exchange.hpp>
@@ -226,16 +225,21 @@
 
 unavailability gateway::why_unavailable(const service_id& service, instant now) const
 {
-	const std::array<std::pair<const char*, std::optional<duration>>, 3> passing{
-		{{"replicas are cold", cold_replicas_.time_until_warm(service, now)},
-			{"replicas limit their load", announced_.time_until_share(service, now)},
-			{"replicas want rest", resting_.time_until_back(service, now)}}};
-	const auto first = std::min_element(passing.begin(), passing.end(),
-		[](const auto& a, const auto& b)
-		{ return a.second.value_or(duration::max()) < b.second.value_or(duration::max()); });
-	if (first->second)
+	std::optional<unavailability> first;
+	const auto consider = [&](const char* reason, std::optional<duration> wait)
 	{
-		return {first->first, std::max(*first->second, tuning_.retry_after)};
+		if (wait && (!first || *wait < first->retry_after))
+		{
+			first = unavailability{reason, *wait};
+		}
+	};
+	consider("replicas are cold", cold_replicas_.time_until_warm(service, now));
+	consider("replicas limit their load", announced_.time_until_share(service, now));
+	consider("replicas want rest", resting_.time_until_back(service, now));
+	if (first)
+	{
+		first->retry_after = std::max(first->retry_after, tuning_.retry_after);
+		return *first;
 	}
 	const auto& all = replicas_.of(service);
 	const bool is_evacuated = std::any_of(
@@ -248,6 +252,19 @@
 	return {reason, tuning_.retry_after};
 }
 
+bool gateway::may_send(const routing::replica& to, instant now) const
+{
+	return !evacuated_.contains(to.domain) && cold_replicas_.takes(to, now) && announced_.takes(to, now) &&
+		   resting_.takes(to, now);
+}
+
+void gateway::note_sent(const routing::replica& to, instant now)
+{
+	cold_replicas_.note_sent(to, now);
+	announced_.note_sent(to, now);
+	resting_.note_sent(to, now);
+}
+
 std::shared_ptr<active_request> gateway::handle(request what, std::shared_ptr<answer_sink> to)
 {
 	const auto made = std::make_shared<exchange>(*this, std::move(what), std::move(to));
--- a/tests/soak/statement_judge.cpp
+++ b/tests/soak/statement_judge.cpp
@@ -47,7 +47,9 @@
 
 TEST_CASE("soak: a limit holds over all VMs that were told, three seconds after it was named", "[soak]")
 {
+	constexpr std::size_t most = 100;
 	std::vector<told_arrival> arrivals;
+	arrivals.reserve(most);
 	for (int i = 0; i < 60; ++i)
 	{
 		arrivals.push_back(arrival(limited, milliseconds{i * 50}, i % 2 == 0 ? "vm0/1" : "vm1/1"));
