A limit counts beside a statement that can't be read

By reading: an answer whose Retry-After or second limit can't be read dropped its limit, and a limit that can't be read beside a good one left it out. The test failed before (limits known: 0) and passes; an answer that names only limits that can't be read leaves what was known.

--- a/include/gingerdyke/proxy/replica_statements.hpp
+++ b/include/gingerdyke/proxy/replica_statements.hpp
@@ -17,6 +17,9 @@
 	/// Requests a second that it takes from all VMs together; none: it names no limit.
 	std::optional<double> load_limit;
 
+	/// It names a limit, and none that can be read: what was known of one holds on.
+	bool has_unclear_limit{};
+
 	/// It leaves, and takes no new work.
 	bool leaves{};
 
--- a/src/proxy/exchange_answers.cpp
+++ b/src/proxy/exchange_answers.cpp
@@ -131,9 +131,11 @@
 	if (!said.unreadable.empty())
 	{
 		shared_.note_unreadable(from, said.unreadable);
-		return;
 	}
-	shared_.announced().note_answer(from, {said.load_limit, attempt_->sent_at, id_}, now);
+	if (!said.has_unclear_limit)
+	{
+		shared_.announced().note_answer(from, {said.load_limit, attempt_->sent_at, id_}, now);
+	}
 }
 
 rollout::answer_sample exchange::sample_of(duration took) const
--- a/src/proxy/replica_statements.cpp
+++ b/src/proxy/replica_statements.cpp
@@ -102,6 +102,7 @@
 	{
 		read_field(read, one, is_refusal, names, time_of_day);
 	}
+	read.has_unclear_limit = !read.load_limit && find_field(head.fields, names.load_limit) != nullptr;
 	return read;
 }
 } // namespace gingerdyke::proxy
--- a/tests/proxy/named_limit.cpp
+++ b/tests/proxy/named_limit.cpp
@@ -77,3 +77,12 @@
 	}
 	CHECK(world.gateway().announced().size() == 0);
 }
+
+TEST_CASE("a limit counts beside another one that can't be read", "[exchange][limit]")
+{
+	proxy_world world;
+	scripted_replica limited{world.context, answers("200 OK", "Load-Limit: many\r\nLoad-Limit: 0.5\r\n")};
+	world.start({{"plain", &limited}});
+	static_cast<void>(world.ask(request_to("GET", "/safe/a")));
+	CHECK(world.gateway().announced().size() == 1);
+}
--- a/tests/proxy/replica_statements.cpp
+++ b/tests/proxy/replica_statements.cpp
@@ -28,7 +28,10 @@
 	const auto mixed = read(200, {{"Load-Limit", "many"}, {"Load-Limit", "3"}});
 	CHECK(mixed.load_limit == 3);
 	CHECK(mixed.unreadable == "many");
+	CHECK_FALSE(mixed.has_unclear_limit);
+	CHECK(read(200, {{"Load-Limit", "many"}}).has_unclear_limit);
 	CHECK_FALSE(read(200, {}).load_limit);
+	CHECK_FALSE(read(503, {{"Retry-After", "soon"}}).has_unclear_limit);
 }
 
 TEST_CASE("only 1 says that a replica leaves", "[statements]")
