--- a/src/routing/rest_periods.cpp
+++ b/src/routing/rest_periods.cpp
@@ -16,6 +16,10 @@
 
 void rest_periods::note_rest(const replica& from, duration span, const std::string& request, instant now)
 {
+	if (span <= duration{0})
+	{
+		return;
+	}
 	const auto left = std::min(span, tuning_.longest);
 	const auto longest_spread = std::min(scaled(left, tuning_.spread), tuning_.longest_spread);
 	const auto until = now + left + scaled(longest_spread, unit_of(stable_hash(request)));
@@ -23,7 +27,7 @@
 	const bool is_told = before != nullptr && before->until > now;
 	const auto kept = before == nullptr ? until : std::max(before->until, until);
 	states_.insert_or_assign(from.id, state{from.incarnation, from.service, kept, {}});
-	if (!is_told && left > duration{0})
+	if (!is_told)
 	{
 		began_(from, request, left);
 	}
--- a/tests/routing/rest_periods.cpp
+++ b/tests/routing/rest_periods.cpp
@@ -84,6 +84,8 @@
 	const auto one = make_replica("r1");
 	rests.note_rest(one, seconds{0}, "q1", at(seconds{0}));
 	CHECK(rests.takes(one, at(seconds{0})));
+	rests.note_sent(one, at(seconds{0}));
+	CHECK(rests.takes(one, at(seconds{0})));
 	rests.note_rest(one, std::chrono::hours{100}, "q2", at(seconds{0}));
 	CHECK_FALSE(rests.takes(one, at(std::chrono::minutes{9})));
 	CHECK(rests.takes(one, at(std::chrono::minutes{10})));
