--- a/include/gingerdyke/base/ids.hpp
+++ b/include/gingerdyke/base/ids.hpp
@@ -39,6 +39,7 @@
 using cascade_id = string_id<struct cascade_tag>;
 using operator_id = string_id<struct operator_tag>;
 using failure_domain_id = string_id<struct failure_domain_tag>;
+using region_id = string_id<struct region_tag>;
 using vm_id = string_id<struct vm_tag>;
 using request_id = string_id<struct request_tag>;
 using row_id = string_id<struct row_tag>;
--- a/include/gingerdyke/control/coordinator.hpp
+++ b/include/gingerdyke/control/coordinator.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <gingerdyke/base/suspend_detector.hpp>
+#include <gingerdyke/control/coordinator_hooks.hpp>
 #include <gingerdyke/control/relay_server.hpp>
 #include <gingerdyke/control/report_board.hpp>
 #include <gingerdyke/control/shared_store.hpp>
@@ -95,7 +96,8 @@
 	/// \param self This VM, as other VMs reach it.
 	/// \param reporter Name under which this VM reports evidence: its name and incarnation.
 	coordinator(proxy::gateway& gateway, row_store& registry, registry_layout layout, peer self,
-		std::string reporter, const random_source& random, coordinator_tuning tuning = {});
+		std::string reporter, const random_source& random, coordinator_tuning tuning = {},
+		coordinator_hooks hooks = {});
 
 	/// \brief Starts to listen for other VMs and to follow the registry.
 	/// \returns The error that prevents listening; none on success.
@@ -113,6 +115,7 @@
 	void on_operator_rows(const std::vector<row>& rows);
 	void on_operator_row(const row& table_row);
 	void on_replica_rows(const std::vector<row>& rows);
+	void apply_replica_row(const row& table_row, routing::replica_set& replicas);
 	void on_replicas(const std::vector<row>& rows);
 	void record_unknown_fields(const row& table_row);
 	[[nodiscard]] std::optional<routing::replica> read_replica(const row& table_row) const;
@@ -152,6 +155,7 @@
 	peer self_;
 	std::string reporter_;
 	coordinator_tuning tuning_;
+	coordinator_hooks hooks_;
 	source_selector source_selector_;
 	shared_store shared_store_;
 	relay_server relay_server_;
--- a/include/gingerdyke/control/peer_report.hpp
+++ b/include/gingerdyke/control/peer_report.hpp
@@ -6,6 +6,8 @@
 #include <gingerdyke/rollout/version_shift.hpp>
 #include <gingerdyke/routing/announced_limits.hpp>
 #include <gingerdyke/routing/replica_selector.hpp>
+#include <gingerdyke/usage/usage_cell.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -33,6 +35,12 @@
 
 	/// Rate limits that replicas announced to this VM.
 	std::vector<routing::limit_update> limits;
+
+	/// Requests that began running on this VM, for windows that the polled VM has not stored yet.
+	std::vector<usage::usage_cell> usage{};
+
+	/// How far this VM's time of day is ahead of the registry's steady clock; none if unknown.
+	std::optional<duration> clock_offset{};
 };
 
 /// \brief State collected by the polled VM from all VMs that report to it.
@@ -50,5 +58,11 @@
 	/// Rate limits announced by replicas to the polled VM and to the VMs that report to it, except the one
 	/// that receives the summary.
 	std::vector<routing::limit_update> limits;
+
+	/// The polled VM has stored the usage of all windows before this one; none if it stores no usage.
+	std::optional<usage::window_index> usage_stored_before{};
+
+	/// Median of the clock offsets reported to the polled VM; none if unknown.
+	std::optional<duration> clock_offset{};
 };
 } // namespace gingerdyke::control
--- a/include/gingerdyke/control/relay_server.hpp
+++ b/include/gingerdyke/control/relay_server.hpp
@@ -59,19 +59,25 @@
 
 	void accept();
 	void on_frame(const std::shared_ptr<frame_link>& from, std::string_view frame);
-	[[nodiscard]] bool can_respond(const relay_poll& poll) const;
-	[[nodiscard]] duration time_until_too_old(const relay_poll& poll) const;
-	[[nodiscard]] instant next_check_at(const waiting_poll& waiting) const;
+	[[nodiscard]] static bool can_respond(const relay_poll& poll, const table_cache* cache, instant now);
+	[[nodiscard]] static duration time_until_too_old(
+		const relay_poll& poll, const table_cache* cache, instant now);
+	[[nodiscard]] static instant next_check_at(
+		const waiting_poll& waiting, const table_cache* cache, instant now);
 	void respond(const waiting_poll& to);
 	void add_rows(const table_cache& from, const relay_poll& poll, relay_response& to);
-	void arm_timer();
+	void arm_timer(instant due);
 	void respond_to_due_polls();
+	[[nodiscard]] std::optional<instant> respond_to_due_polls_of(const std::string& table, instant now);
 
 	proxy::asio::io_context& context_;
 	relay_server_hooks hooks_;
 	proxy::tcp::acceptor acceptor_;
 	proxy::boot_timer timer_;
-	std::list<waiting_poll> waiting_polls_;
+	std::map<std::string, std::list<waiting_poll>> waiting_polls_;
+
+	/// When the held polls are checked next; none if none is held.
+	std::optional<instant> check_at_;
 	std::map<std::string, packed_table> packed_tables_;
 	std::list<std::shared_ptr<frame_link>> connections_;
 };
--- a/include/gingerdyke/control/row_store.hpp
+++ b/include/gingerdyke/control/row_store.hpp
@@ -100,6 +100,9 @@
 	/// False if a condition did not hold; `rows` then holds the current rows.
 	bool committed{};
 	std::vector<row> rows;
+
+	/// Newest version that the registry had when it answered: at least that of the rows just written.
+	row_version newest{};
 };
 
 template <typename T>
--- /dev/null
+++ b/include/gingerdyke/control/scaling_host.hpp
@@ -0,0 +1,93 @@
+// SPDX-License-Identifier: MIT
+// Orders replicas while this VM holds that duty.
+#pragma once
+
+#include <gingerdyke/control/duty_receiver.hpp>
+#include <gingerdyke/control/lease_keeper.hpp>
+#include <gingerdyke/proxy/gateway.hpp>
+#include <gingerdyke/scaling/capacity_plan.hpp>
+#include <gingerdyke/scaling/load_target.hpp>
+#include <gingerdyke/scaling/order_book.hpp>
+#include <gingerdyke/scaling/recent_maximum.hpp>
+
+namespace gingerdyke::control
+{
+/// \brief Tuning of `scaling_host`.
+struct scaling_host_tuning
+{
+	/// Interval at which the load is measured and numbers are decided.
+	duration interval = std::chrono::seconds{1};
+
+	/// Pause between two reductions of a service. Each takes warm replicas away, and its effect on the load
+	/// shows only after requests in progress have ended.
+	duration reduction_pause = std::chrono::seconds{4};
+
+	/// Time for which the replicas must not have changed before the first decision: after a start of all, they
+	/// register one after the other.
+	duration settling_time = std::chrono::milliseconds{1500};
+
+	/// Time for which fewer replicas on demand must suffice before some are given back.
+	duration on_demand_memory = std::chrono::seconds{4};
+
+	/// Largest reduction at a time, relative to the number needed before.
+	double max_reduction = 0.15;
+};
+
+/// \brief Measures load and orders replicas.
+class scaling_host
+{
+  public:
+	scaling_host(proxy::gateway& gateway, duty_receiver& receiver, lease_keeper& lease, vm_id vm,
+		scaling_host_tuning tuning = {});
+
+	/// \brief To be called when this VM has taken the lease.
+	void on_lease_taken();
+
+	/// \brief To be called when this VM may act as holder of the duty.
+	void act();
+
+	void stop();
+
+  private:
+	struct service_state
+	{
+		scaling::load_target load;
+
+		/// Replicas that have to be left after the loss of a failure domain; none before the first decision.
+		std::optional<double> needed;
+		instant reduced_at;
+
+		/// Replicas that run, and since when.
+		unsigned running{};
+		instant unchanged_since;
+
+		/// Replicas on demand that were lately needed in each failure domain.
+		std::map<failure_domain_id, scaling::recent_maximum> on_demand;
+	};
+
+	void tick();
+	void schedule();
+	void decide(const routing::service& service, instant now);
+	[[nodiscard]] bool is_settled(
+		service_state& state, const std::vector<scaling::domain_capacity>& domains, instant now) const;
+	void order_all(const routing::service& service, service_state& state,
+		const std::vector<scaling::domain_capacity>& domains, instant now);
+	void update_need(service_state& state, std::size_t domains, bool is_shifting, instant now) const;
+	[[nodiscard]] std::vector<scaling::domain_capacity> capacity_of(
+		const routing::service& service, instant now) const;
+	[[nodiscard]] bool takes_requests(const routing::replica& replica, instant now) const;
+	[[nodiscard]] scaling::service_load load_of(const routing::service& service, instant now);
+	void order(const scaling::replica_order& order, unsigned running, instant now);
+	void on_ordered(const scaling::replica_order& order, duty_outcome outcome);
+
+	proxy::gateway& gateway_;
+	duty_receiver& receiver_;
+	lease_keeper& lease_;
+	vm_id vm_;
+	scaling_host_tuning tuning_;
+	scaling::order_book orders_;
+	std::map<service_id, service_state> services_;
+	proxy::boot_timer timer_;
+	bool is_scheduled_ = false;
+};
+} // namespace gingerdyke::control
--- a/include/gingerdyke/control/table_cache.hpp
+++ b/include/gingerdyke/control/table_cache.hpp
@@ -5,6 +5,7 @@
 #include <gingerdyke/control/row_store.hpp>
 #include <map>
 #include <optional>
+#include <set>
 
 namespace gingerdyke::control
 {
@@ -49,11 +50,25 @@
 	[[nodiscard]] const std::string& table() const noexcept { return table_; }
 
   private:
+	/// Orders rows by version; rows of one transaction share theirs.
+	struct by_version
+	{
+		bool operator()(const row* a, const row* b) const noexcept
+		{
+			return a->version != b->version ? a->version < b->version : a->key < b->key;
+		}
+	};
+
 	void put(const row& table_row);
+	void drop(const std::string& key);
 	void prune_tombstones();
 
 	std::string table_;
 	std::map<std::string, row> rows_;
+
+	/// The same rows by version: a VM that polls has most of them already.
+	std::set<const row*, by_version> rows_by_version_;
+	std::size_t tombstones_ = 0;
 	row_version newest_;
 	row_version newest_change_;
 
--- a/include/gingerdyke/proxy/exchange.hpp
+++ b/include/gingerdyke/proxy/exchange.hpp
@@ -108,6 +108,7 @@
 	void on_connected();
 	[[nodiscard]] bool is_still_sendable() const;
 	void on_head(response_head head);
+	void record_started();
 	void record_statements(const response_head& head);
 	void on_not_run();
 	void fail_refused();
@@ -171,6 +172,7 @@
 	unsigned failed_connections_ = 0;
 	duration first_byte_time_{};
 	std::optional<escalation_choice> escalation_choice_;
+	bool is_counted_ = false;
 	bool started_ = false;
 	bool response_started_ = false;
 	bool finished_ = false;
--- a/include/gingerdyke/proxy/gateway.hpp
+++ b/include/gingerdyke/proxy/gateway.hpp
@@ -98,6 +98,9 @@
 	/// A configuration change must be in force on all VMs within this time; none: no such limit.
 	std::optional<duration> change_limit;
 
+	/// Region of each failure domain.
+	routing::region_map regions;
+
 	/// Fraction of all requests during a version shift that a bad version may receive; none: a default
 	/// applies.
 	std::optional<double> exposure_limit;
@@ -136,6 +139,10 @@
 	/// \brief Replaces all replicas by the entries of the registry.
 	void set_replicas(std::vector<routing::replica> entries, instant now);
 
+	/// \brief Applies changes of entries together: what depends on all replicas of a service is computed once.
+	/// \param apply Applies the changes to `replicas()`.
+	void change_replicas(const std::function<void(routing::replica_set&)>& apply);
+
 	/// \brief Records that the configuration was the newest at the time when a call to the registry was sent.
 	void confirm_catalog(instant sent_at);
 
@@ -181,6 +188,15 @@
 	[[nodiscard]] std::shared_ptr<active_request> handle(
 		request incoming, std::shared_ptr<response_sink> output);
 
+	/// \brief Whether a replica lies in a region in which a request may be served.
+	/// \param workspace The workspace that the request is of; null if it is of none.
+	[[nodiscard]] bool is_region_allowed(
+		const routing::replica& to, const routing::route& route, const routing::workspace* workspace) const
+	{
+		return bounds_.regions.allows(to.domain, route.regions) &&
+			   (workspace == nullptr || bounds_.regions.allows(to.domain, workspace->regions));
+	}
+
 	/// \brief Whether a replica can be sent a new request: its failure domain is not evacuated, it has not
 	/// asked this VM to back off, and this VM has some of its share of the replica's cold limit and load
 	/// limit left.
@@ -193,6 +209,21 @@
 	/// \brief Sets the hook that is called when there is new evidence on a version to report to other VMs.
 	void on_evidence(std::function<void()> hook) { evidence_hook_ = std::move(hook); }
 
+	/// \brief Sets the hook that is called with the workspace of each request that began running.
+	void on_request_started(std::function<void(const workspace_id&)> hook)
+	{
+		request_started_hook_ = std::move(hook);
+	}
+
+	/// \brief Records that a request of a workspace began running on a replica.
+	void record_started(const workspace_id& workspace) const
+	{
+		if (request_started_hook_)
+		{
+			request_started_hook_(workspace);
+		}
+	}
+
 	/// \brief Records a response as evidence for the version shift of the replica's service.
 	void record_response(const routing::replica& from, const rollout::response_sample& sample);
 
@@ -249,6 +280,9 @@
 
   private:
 	void on_replica_change(const routing::replica& instance, routing::replica_change change);
+	void log_replica_change(const routing::replica& instance, routing::replica_change change);
+	void log_counted_changes();
+	void update_version_counts();
 	void on_evacuation(const failure_domain_id& domain, bool is_evacuated);
 	void record_cold_state(const routing::replica& instance, routing::replica_change change, instant now);
 	[[nodiscard]] replica_exit_detector::hooks exit_detector_hooks();
@@ -276,6 +310,14 @@
 	std::uint64_t malformed_statements_ = 0;
 	unknown_statements unknown_names_;
 
+	/// Services whose replicas changed since the counts by version were updated.
+	std::set<service_id> changed_services_;
+	bool is_changing_replicas_ = false;
+
+	/// Changes since the last line about them that were not logged one by one.
+	std::map<routing::replica_change, std::size_t> counted_changes_;
+	std::size_t logged_changes_ = 0;
+
 	/// Replicas whose malformed statements have been logged already.
 	std::set<replica_id> logged_malformed_replicas_;
 	rollout::version_shift versions_;
@@ -286,6 +328,7 @@
 	std::optional<instant> replicas_confirmed_at_;
 	std::function<void()> evidence_hook_;
 	std::function<void()> suspicion_hook_;
+	std::function<void(const workspace_id&)> request_started_hook_;
 	std::vector<std::function<void()>> ready_hooks_;
 	std::optional<instant> stop_started_at_;
 
--- a/include/gingerdyke/routing/catalog.hpp
+++ b/include/gingerdyke/routing/catalog.hpp
@@ -5,6 +5,8 @@
 #include <cstddef>
 #include <gingerdyke/base/ids.hpp>
 #include <gingerdyke/base/units.hpp>
+#include <gingerdyke/routing/region_map.hpp>
+#include <gingerdyke/scaling/scaling_limits.hpp>
 #include <memory>
 #include <optional>
 #include <string>
@@ -68,6 +70,9 @@
 	/// Priority, 0 is the highest; a workspace's own priority overrides it.
 	unsigned priority{};
 
+	/// Regions in which its requests may be served.
+	allowed_regions regions{};
+
 	/// Models that may answer, smallest first; empty: the client names the model.
 	std::vector<model_id> models;
 
@@ -113,6 +118,9 @@
 	/// Load limit of a cold replica; none: no limit configured.
 	std::optional<cold_limit> cold;
 
+	/// Limits on the number of its replicas; none: the number is not up to the router.
+	std::optional<scaling::scaling_limits> scaling{};
+
 	/// \brief Price of a model relative to the most expensive one of the service, which is about its
 	/// relative compute time too. Returns 1 if the model or its price is not known.
 	[[nodiscard]] double relative_cost(const model_id& model) const;
@@ -125,6 +133,9 @@
 
 	/// Overrides the route's priority if set.
 	std::optional<unsigned> priority;
+
+	/// Regions in which its requests may be served, in addition to the limit of their route.
+	allowed_regions regions{};
 };
 
 /// \brief Limits on the size of a client's request and on the time that a client may take.
@@ -174,6 +185,8 @@
 	/// \brief Finds a service by its id, or null.
 	[[nodiscard]] const service* find_service(const service_id& id) const;
 
+	[[nodiscard]] const std::vector<route>& routes() const noexcept { return data_.routes; }
+
 	[[nodiscard]] const std::vector<service>& services() const noexcept { return data_.services; }
 
 	[[nodiscard]] const caller_limits& limits() const noexcept { return data_.limits; }
--- a/include/gingerdyke/routing/replica_selector.hpp
+++ b/include/gingerdyke/routing/replica_selector.hpp
@@ -21,6 +21,15 @@
 	unsigned local_samples = 6;
 	unsigned global_samples = 3;
 
+	/// Number of replicas that one choice examines, beside those preferred by affinity. Of a service with
+	/// more, as many are drawn at random: to examine thousands takes longer than the rest of a request, and
+	/// the choice among the samples above needs no more.
+	std::size_t max_examined = 256;
+
+	/// Number of replicas preferred by affinity that are examined in a service with more than
+	/// `max_examined`, in case the first ones can't be used.
+	std::size_t examined_preferred = 4;
+
 	/// The replica preferred by affinity is not used if another replica has less work by this many prompt
 	/// tokens, as processed by the request's model, plus those of the shared prefix that the other replica
 	/// would have to process again. With a smaller margin, small changes of load make engines process shared
@@ -188,6 +197,9 @@
 	using candidates = std::vector<const replica_ptr*>;
 
 	[[nodiscard]] candidates usable(const selection& request, instant now) const;
+	[[nodiscard]] candidates usable_among(
+		const candidates& examined, const selection& request, instant now) const;
+	[[nodiscard]] candidates examined_of(const selection& request) const;
 	[[nodiscard]] replica_ptr choose_by_work(
 		const candidates& from, const selection& request, instant now) const;
 	[[nodiscard]] candidates in_own_domain(const candidates& from) const;
--- a/include/gingerdyke/routing/replica_set.hpp
+++ b/include/gingerdyke/routing/replica_set.hpp
@@ -36,6 +36,9 @@
 	/// The replica accepts no new requests and will exit.
 	bool is_draining{};
 
+	/// Spot capacity, which the platform may take back.
+	bool is_spot{};
+
 	/// Remaining warm-up time when the entry was written; none: the entry does not state one.
 	std::optional<duration> remaining_warmup;
 
--- a/src/control/coordinator.cpp
+++ b/src/control/coordinator.cpp
@@ -41,9 +41,9 @@
 }
 
 coordinator::coordinator(proxy::gateway& gateway, row_store& registry, registry_layout layout, peer self,
-	std::string reporter, const random_source& random, coordinator_tuning tuning)
+	std::string reporter, const random_source& random, coordinator_tuning tuning, coordinator_hooks hooks)
 	: gateway_(gateway), layout_(std::move(layout)), self_(std::move(self)), reporter_(std::move(reporter)),
-	  tuning_(std::move(tuning)), source_selector_(self_),
+	  tuning_(std::move(tuning)), hooks_(std::move(hooks)), source_selector_(self_),
 	  shared_store_(gateway.context(), registry, source_selector_, store_hooks(), sharing_tuning()),
 	  relay_server_(gateway.context(), server_hooks()),
 	  suspect_rows_(gateway.context(), shared_store_, gateway.suspects(), layout_.own_table),
@@ -58,6 +58,10 @@
 				  gateway_.confirm_catalog(newest_at);
 				  gateway_.versions().update_registry_time(at, proxy::steady_now());
 				  suspect_rows_.record_registry_time(at, proxy::steady_now());
+				  if (hooks_.registry_time_received)
+				  {
+					  hooks_.registry_time_received(at);
+				  }
 			  },
 			  // The responses to the other pending calls may be lost as well, so they are repeated.
 			  [this](store_error)
@@ -245,22 +249,30 @@
 
 void coordinator::on_replica_rows(const std::vector<row>& rows)
 {
-	const auto now = proxy::steady_now();
-	for (const auto& table_row : rows)
-	{
-		auto entry = read_replica(table_row);
-		if (entry)
+	gateway_.change_replicas(
+		[&](routing::replica_set& replicas)
 		{
-			record_unknown_fields(table_row);
-			gateway_.replicas().put(std::move(*entry), now);
-			continue;
-		}
-		gateway_.replicas().remove(replica_id{table_row.key}, now);
-	}
+			for (const auto& table_row : rows)
+			{
+				apply_replica_row(table_row, replicas);
+			}
+		});
 	relay_server_.on_change(layout_.replica_table);
 	expire_replicas();
 }
 
+void coordinator::apply_replica_row(const row& table_row, routing::replica_set& replicas)
+{
+	const auto now = proxy::steady_now();
+	if (auto entry = read_replica(table_row))
+	{
+		record_unknown_fields(table_row);
+		replicas.put(std::move(*entry), now);
+		return;
+	}
+	replicas.remove(replica_id{table_row.key}, now);
+}
+
 /// Checked once per replica, as each heartbeat of a cold replica delivers its row again.
 void coordinator::record_unknown_fields(const row& table_row)
 {
@@ -349,6 +361,10 @@
 		peers.push_back(vm);
 		members.push_back({id, vm.domain});
 	}
+	if (hooks_.vms_changed)
+	{
+		hooks_.vms_changed(peers);
+	}
 	source_selector_.set_peers(std::move(peers));
 	gateway_.set_vm_count(vms_.size());
 	gateway_.vms().set(self_.vm, members, proxy::steady_now());
--- a/src/control/coordinator_peers.cpp
+++ b/src/control/coordinator_peers.cpp
@@ -24,6 +24,10 @@
 		reads_registry_ = reads_registry;
 		suspect_rows_.record_reads_registry(reads_registry);
 		suspect_rows_.schedule_store();
+		if (hooks_.reader_role_changed)
+		{
+			hooks_.reader_role_changed(reads_registry);
+		}
 		follow_evidence();
 		schedule_write();
 	};
@@ -71,9 +75,14 @@
 	}
 	const auto& versions = gateway_.versions();
 	const auto now = proxy::steady_now();
-	return peer_report{reporter_, gateway_.selector().outstanding_work(), versions.own_evidence(),
+	peer_report report{reporter_, gateway_.selector().outstanding_work(), versions.own_evidence(),
 		versions.suspensions(), gateway_.suspects().recent_changes(1, now),
 		gateway_.load_limits().local_updates(now)};
+	if (hooks_.extend_report)
+	{
+		hooks_.extend_report(report);
+	}
+	return report;
 }
 
 void coordinator::on_peer_report(const peer_report& report)
@@ -89,6 +98,10 @@
 	apply_suspects(report.suspects);
 	reports_.set_limits(report.reporter, report.limits, now);
 	apply_limits(report.limits);
+	if (hooks_.report_received)
+	{
+		hooks_.report_received(report);
+	}
 	if (!report.evidence.empty())
 	{
 		schedule_write();
@@ -102,8 +115,13 @@
 	reports_.set_limits(reporter_, gateway_.load_limits().local_updates(now), now);
 	// Requests with a single exit are only of use to the VM that aggregates them.
 	constexpr std::size_t min_exits = 2;
-	return {reports_.work_excluding(reporter, now), gateway_.versions().suspensions(),
+	peer_summary summary{reports_.work_excluding(reporter, now), gateway_.versions().suspensions(),
 		gateway_.suspects().recent_changes(min_exits, now), reports_.limits_excluding(reporter, now)};
+	if (hooks_.extend_summary)
+	{
+		hooks_.extend_summary(summary);
+	}
+	return summary;
 }
 
 void coordinator::on_peer_summary(const peer_summary& summary)
@@ -112,6 +130,10 @@
 	apply_suspensions(summary.suspended);
 	apply_suspects(summary.suspects);
 	apply_limits(summary.limits);
+	if (hooks_.summary_received)
+	{
+		hooks_.summary_received(summary);
+	}
 }
 
 void coordinator::apply_limits(const std::vector<routing::limit_update>& limits)
--- a/src/control/relay_server.cpp
+++ b/src/control/relay_server.cpp
@@ -67,44 +67,45 @@
 	{
 		hooks_.report_received(*poll->report);
 	}
-	waiting_poll waiting{*poll, from, proxy::steady_now() + std::clamp(poll->wait, duration{0}, max_wait)};
-	if (can_respond(*poll) || waiting.poll.wait <= duration{0})
+	const auto now = proxy::steady_now();
+	const auto* cache = hooks_.find_table(poll->table);
+	waiting_poll waiting{*poll, from, now + std::clamp(poll->wait, duration{0}, max_wait)};
+	if (can_respond(*poll, cache, now) || waiting.poll.wait <= duration{0})
 	{
 		respond(waiting);
 		return;
 	}
-	waiting_polls_.push_back(std::move(waiting));
-	arm_timer();
+	const auto due = next_check_at(waiting, cache, now);
+	waiting_polls_[poll->table].push_back(std::move(waiting));
+	arm_timer(due);
 }
 
-bool relay_server::can_respond(const relay_poll& poll) const
+bool relay_server::can_respond(const relay_poll& poll, const table_cache* cache, instant now)
 {
-	const auto* cache = hooks_.find_table(poll.table);
 	if (cache == nullptr || !cache->is_loaded())
 	{
 		return false;
 	}
-	return time_until_too_old(poll) < duration{0} || !poll.after || cache->has_changes_after(*poll.after);
+	return time_until_too_old(poll, cache, now) < duration{0} || !poll.after ||
+		   cache->has_changes_after(*poll.after);
 }
 
 /// Returns how long until this VM's copy exceeds the poll's maximum age, unless it is confirmed before then.
-duration relay_server::time_until_too_old(const relay_poll& poll) const
+duration relay_server::time_until_too_old(const relay_poll& poll, const table_cache* cache, instant now)
 {
-	const auto* cache = hooks_.find_table(poll.table);
 	if (cache == nullptr || !cache->is_loaded() || !poll.max_age)
 	{
 		return duration::max();
 	}
-	return *poll.max_age - cache->age(proxy::steady_now());
+	return *poll.max_age - cache->age(now);
 }
 
 /// Returns when a held poll has to be checked next. If the copy grows too old during the wait, the poll is
 /// answered at that time, so that the caller can ask another source.
-instant relay_server::next_check_at(const waiting_poll& waiting) const
+instant relay_server::next_check_at(const waiting_poll& waiting, const table_cache* cache, instant now)
 {
 	constexpr duration just_after = std::chrono::milliseconds{1};
-	const auto now = proxy::steady_now();
-	const auto too_old_in = time_until_too_old(waiting.poll);
+	const auto too_old_in = time_until_too_old(waiting.poll, cache, now);
 	return too_old_in < waiting.until - now ? now + too_old_in + just_after : waiting.until;
 }
 
@@ -153,38 +154,36 @@
 
 void relay_server::on_change(const std::string& table)
 {
-	for (auto waiting = waiting_polls_.begin(); waiting != waiting_polls_.end();)
-	{
-		if (waiting->poll.table == table && can_respond(waiting->poll))
-		{
-			respond(*waiting);
-			waiting = waiting_polls_.erase(waiting);
-		}
-		else
+	const auto* cache = hooks_.find_table(table);
+	const auto now = proxy::steady_now();
+	std::erase_if(waiting_polls_[table],
+		[&](const waiting_poll& waiting)
 		{
-			++waiting;
-		}
-	}
+			const bool is_answered = can_respond(waiting.poll, cache, now);
+			if (is_answered)
+			{
+				respond(waiting);
+			}
+			return is_answered;
+		});
 }
 
-void relay_server::arm_timer()
+/// The timer only moves forward: one that fires before a poll is due costs a check, and hundreds of held polls
+/// would otherwise be examined for each one that arrives.
+void relay_server::arm_timer(instant due)
 {
-	std::optional<instant> next;
-	for (const auto& waiting : waiting_polls_)
-	{
-		const auto due = next_check_at(waiting);
-		next = std::min(next.value_or(due), due);
-	}
-	if (!next)
+	if (check_at_ && *check_at_ <= due)
 	{
 		return;
 	}
-	timer_.expires_after(std::max(*next - proxy::steady_now(), duration{0}));
+	check_at_ = due;
+	timer_.expires_after(std::max(due - proxy::steady_now(), duration{0}));
 	timer_.async_wait(
 		[this](const proxy::error_code& error)
 		{
 			if (!error)
 			{
+				check_at_.reset();
 				respond_to_due_polls();
 			}
 		});
@@ -192,20 +191,41 @@
 
 void relay_server::respond_to_due_polls()
 {
+	// Polls that are due soon after each other are checked together.
+	constexpr duration min_interval = std::chrono::milliseconds{10};
 	const auto now = proxy::steady_now();
-	for (auto waiting = waiting_polls_.begin(); waiting != waiting_polls_.end();)
+	std::optional<instant> next;
+	for (auto& [table, waiting] : waiting_polls_)
 	{
-		if (waiting->until <= now || can_respond(waiting->poll))
-		{
-			respond(*waiting);
-			waiting = waiting_polls_.erase(waiting);
-		}
-		else
+		if (const auto due = respond_to_due_polls_of(table, now))
 		{
-			++waiting;
+			next = std::min(next.value_or(*due), *due);
 		}
 	}
-	arm_timer();
+	if (next)
+	{
+		arm_timer(std::max(*next, now + min_interval));
+	}
+}
+
+/// Returns when the next of the polls that are still held is due.
+std::optional<instant> relay_server::respond_to_due_polls_of(const std::string& table, instant now)
+{
+	const auto* cache = hooks_.find_table(table);
+	std::optional<instant> next;
+	std::erase_if(waiting_polls_[table],
+		[&](const waiting_poll& waiting)
+		{
+			if (waiting.until <= now || can_respond(waiting.poll, cache, now))
+			{
+				respond(waiting);
+				return true;
+			}
+			const auto due = next_check_at(waiting, cache, now);
+			next = std::min(next.value_or(due), due);
+			return false;
+		});
+	return next;
 }
 
 void relay_server::stop()
--- a/src/control/report_message.cpp
+++ b/src/control/report_message.cpp
@@ -294,6 +294,32 @@
 	}
 	return all;
 }
+
+std::vector<wire::RelayUsage> to_wire(const std::vector<usage::usage_cell>& cells)
+{
+	std::vector<wire::RelayUsage> all;
+	all.reserve(cells.size());
+	for (const auto& cell : cells)
+	{
+		auto& added = all.emplace_back();
+		added.window = cell.window.value();
+		added.workspace = cell.workspace.str();
+		added.requests = static_cast<std::int64_t>(cell.requests);
+	}
+	return all;
+}
+
+std::vector<usage::usage_cell> from_wire(const std::vector<wire::RelayUsage>& cells)
+{
+	std::vector<usage::usage_cell> all;
+	all.reserve(cells.size());
+	for (const auto& cell : cells)
+	{
+		all.push_back({usage::window_index{cell.window}, workspace_id{cell.workspace},
+			static_cast<std::uint64_t>(cell.requests)});
+	}
+	return all;
+}
 } // namespace
 
 wire::RelayReport to_wire(const peer_report& report)
@@ -317,13 +343,25 @@
 	{
 		message.__set_limits(to_wire(report.limits));
 	}
+	if (!report.usage.empty())
+	{
+		message.__set_usage(to_wire(report.usage));
+	}
+	if (report.clock_offset)
+	{
+		message.__set_clock_offset_us(report.clock_offset->count());
+	}
 	return message;
 }
 
 peer_report from_wire(const wire::RelayReport& message)
 {
 	peer_report report{message.reporter, from_wire(message.work), {}, from_wire(message.suspended),
-		from_wire(message.suspects), from_wire(message.limits)};
+		from_wire(message.suspects), from_wire(message.limits), from_wire(message.usage), {}};
+	if (message.__isset.clock_offset_us)
+	{
+		report.clock_offset = duration{message.clock_offset_us};
+	}
 	for (const auto& evidence : message.evidence)
 	{
 		report.evidence.push_back(from_wire(evidence));
@@ -344,12 +382,29 @@
 	{
 		message.__set_limits(to_wire(summary.limits));
 	}
+	if (summary.usage_stored_before)
+	{
+		message.__set_usage_stored_before(summary.usage_stored_before->value());
+	}
+	if (summary.clock_offset)
+	{
+		message.__set_clock_offset_us(summary.clock_offset->count());
+	}
 	return message;
 }
 
 peer_summary from_wire(const wire::RelaySummary& message)
 {
-	return {from_wire(message.work), from_wire(message.suspended), from_wire(message.suspects),
-		from_wire(message.limits)};
+	peer_summary summary{from_wire(message.work), from_wire(message.suspended), from_wire(message.suspects),
+		from_wire(message.limits), {}, {}};
+	if (message.__isset.usage_stored_before)
+	{
+		summary.usage_stored_before = usage::window_index{message.usage_stored_before};
+	}
+	if (message.__isset.clock_offset_us)
+	{
+		summary.clock_offset = duration{message.clock_offset_us};
+	}
+	return summary;
 }
 } // namespace gingerdyke::control
--- /dev/null
+++ b/src/control/scaling_host.cpp
@@ -0,0 +1,249 @@
+// SPDX-License-Identifier: MIT
+// Orders replicas while this VM holds that duty.
+#include <algorithm>
+#include <gingerdyke/control/scaling_host.hpp>
+#include <gingerdyke/log/log.hpp>
+
+namespace gingerdyke::control
+{
+using scaling::capacity_kind;
+using scaling::domain_capacity;
+using scaling::replica_order;
+
+scaling_host::scaling_host(proxy::gateway& gateway, duty_receiver& receiver, lease_keeper& lease, vm_id vm,
+	scaling_host_tuning tuning)
+	: gateway_(gateway), receiver_(receiver), lease_(lease), vm_(std::move(vm)), tuning_(tuning),
+	  timer_(gateway.context())
+{
+}
+
+/// A predecessor's orders aren't known; each number is ordered once.
+void scaling_host::on_lease_taken()
+{
+	orders_.clear();
+	services_.clear();
+}
+
+void scaling_host::act()
+{
+	if (!is_scheduled_)
+	{
+		tick();
+	}
+}
+
+void scaling_host::schedule()
+{
+	is_scheduled_ = true;
+	timer_.expires_after(tuning_.interval);
+	timer_.async_wait(
+		[this](const proxy::error_code& error)
+		{
+			if (!error)
+			{
+				is_scheduled_ = false;
+				tick();
+			}
+		});
+}
+
+void scaling_host::tick()
+{
+	if (!lease_.may_act())
+	{
+		return;
+	}
+	const auto catalog = gateway_.catalog();
+	const auto now = proxy::steady_now();
+	if (catalog && gateway_.replicas().is_loaded())
+	{
+		for (const auto& service : catalog->services())
+		{
+			if (service.scaling)
+			{
+				decide(service, now);
+			}
+		}
+	}
+	schedule();
+}
+
+std::vector<domain_capacity> scaling_host::capacity_of(const routing::service& service, instant now) const
+{
+	std::vector<domain_capacity> domains;
+	for (const auto& [domain, price] : service.scaling->domain_prices)
+	{
+		domain_capacity state{domain, 0, 0, false, gateway_.evacuated().contains(domain)};
+		state.has_spot = orders_.is_available({service.id, domain, capacity_kind::spot});
+		for (const auto& replica : gateway_.replicas().of_service(service.id))
+		{
+			if (replica->domain == domain && takes_requests(*replica, now))
+			{
+				++(replica->is_spot ? state.spot : state.on_demand);
+			}
+		}
+		domains.push_back(std::move(state));
+	}
+	return domains;
+}
+
+/// The replicas of a version on trial take requests only as far as the trial needs them.
+bool scaling_host::takes_requests(const routing::replica& replica, instant now) const
+{
+	return gateway_.replicas().accepts_requests(replica) && gateway_.versions().is_in_use(replica, now);
+}
+
+scaling::service_load scaling_host::load_of(const routing::service& service, instant now)
+{
+	scaling::service_load load;
+	double work = 0;
+	for (const auto& replica : gateway_.replicas().of_service(service.id))
+	{
+		if (takes_requests(*replica, now))
+		{
+			++load.replicas;
+			work += gateway_.selector().work_at(*replica, now);
+		}
+	}
+	if (load.replicas > 0)
+	{
+		load.mean_wait = gateway_.first_token_times(service.id).expected(work / load.replicas, now);
+	}
+	for (const auto& route : gateway_.catalog()->routes())
+	{
+		const bool leads_here = std::any_of(route.services.begin(), route.services.end(),
+			[&](const auto& split) { return split.service == service.id; });
+		if (leads_here && (load.objective == duration{0} || route.latency_objective < load.objective))
+		{
+			load.objective = route.latency_objective;
+		}
+	}
+	return load;
+}
+
+bool scaling_host::is_settled(
+	service_state& state, const std::vector<domain_capacity>& domains, instant now) const
+{
+	unsigned running = 0;
+	for (const auto& domain : domains)
+	{
+		running += domain.on_demand + domain.spot;
+	}
+	if (state.running != running)
+	{
+		state.running = running;
+		state.unchanged_since = now;
+	}
+	return running > 0 && now - state.unchanged_since >= tuning_.settling_time;
+}
+
+/// Grows at once and shrinks in steps, not during a shift of versions. Before the load is known, the replicas
+/// that run are taken as needed.
+void scaling_host::update_need(service_state& state, std::size_t domains, bool is_shifting, instant now) const
+{
+	if (!state.needed)
+	{
+		// The share of them that is left when spot replicas in all failure domains replace them.
+		const auto count = static_cast<double>(domains);
+		state.needed = state.running * std::max(1.0, count - 1) / count;
+		state.reduced_at = now;
+	}
+	state.needed = std::max(*state.needed, state.load.needed_now().value_or(0));
+	const auto needed = state.load.needed(now);
+	const bool may_reduce = !is_shifting && now - state.reduced_at >= tuning_.reduction_pause;
+	if (needed && *needed < *state.needed && may_reduce)
+	{
+		state.needed = std::max(*needed, *state.needed * (1 - tuning_.max_reduction));
+		state.reduced_at = now;
+	}
+}
+
+void scaling_host::decide(const routing::service& service, instant now)
+{
+	auto& state = services_[service.id];
+	const auto domains = capacity_of(service, now);
+	state.load.record(load_of(service, now), now);
+	if (!is_settled(state, domains, now) && !state.needed)
+	{
+		return;
+	}
+	update_need(state, domains.size(), gateway_.versions().is_shifting(), now);
+	order_all(service, state, domains, now);
+}
+
+/// Where spot replicas were refused, as many are asked for again from time to time as if there were some; the
+/// other numbers don't count on them.
+void scaling_host::order_all(const routing::service& service, service_state& state,
+	const std::vector<domain_capacity>& domains, instant now)
+{
+	auto with_spot = domains;
+	for (auto& domain : with_spot)
+	{
+		domain.has_spot = true;
+	}
+	const auto targets = plan_capacity(*state.needed, *service.scaling, domains);
+	const auto hoped = plan_capacity(*state.needed, *service.scaling, with_spot);
+	for (std::size_t index = 0; index < targets.size(); ++index)
+	{
+		const auto& target = targets[index];
+		const auto spot = domains[index].has_spot ? target.spot : hoped[index].spot;
+		const auto on_demand =
+			state.on_demand[target.domain].record(target.on_demand, now, tuning_.on_demand_memory);
+		order({{service.id, target.domain, capacity_kind::spot}, spot}, domains[index].spot, now);
+		order({{service.id, target.domain, capacity_kind::on_demand}, on_demand}, domains[index].on_demand,
+			now);
+	}
+}
+
+void scaling_host::order(const replica_order& order, unsigned running, instant now)
+{
+	const bool is_needless = order.replicas == 0 && running == 0 && !orders_.accepted(order.pool);
+	if (is_needless || !orders_.is_due(order, running, now) || !lease_.may_act())
+	{
+		return;
+	}
+	orders_.record_sent(order);
+	lease_.record_call_started();
+	receiver_.order_replicas({vm_, lease_.token()}, order,
+		[this, order](duty_outcome outcome) { on_ordered(order, outcome); });
+}
+
+void scaling_host::on_ordered(const replica_order& order, duty_outcome outcome)
+{
+	const auto now = proxy::steady_now();
+	lease_.record_call_ended();
+	const auto& state = services_[order.pool.service];
+	log::write(log::level::info, "replicas ordered",
+		{{"service", order.pool.service.str()}, {"failure_domain", order.pool.domain.str()},
+			{"kind", scaling::name_of(order.pool.kind)}, {"replicas", order.replicas},
+			{"needed", state.needed.value_or(0)}, {"needed_now", state.load.needed_now().value_or(0)},
+			{"outcome", name_of(outcome)}});
+	switch (outcome)
+	{
+	case duty_outcome::accepted:
+		orders_.record_accepted(order, now);
+		break;
+	case duty_outcome::rejected:
+		// For spot replicas this means that there are none. If it is a higher token, the next renewal of the
+		// lease fails.
+		orders_.record_exhausted(order, now);
+		if (order.pool.kind == capacity_kind::on_demand)
+		{
+			lease_.on_token_rejected();
+		}
+		break;
+	case duty_outcome::busy:
+	case duty_outcome::unavailable:
+		orders_.record_failed(order, now);
+		break;
+	case duty_outcome::unknown:
+		orders_.record_unknown(order, now);
+		break;
+	}
+}
+
+void scaling_host::stop()
+{
+	timer_.cancel();
+}
+} // namespace gingerdyke::control
--- a/src/control/table_cache.cpp
+++ b/src/control/table_cache.cpp
@@ -42,7 +42,9 @@
 	{
 		history_start_ = newest;
 	}
+	rows_by_version_.clear();
 	rows_.clear();
+	tombstones_ = 0;
 	for (const auto& [key, table_row] : next)
 	{
 		put(table_row);
@@ -77,18 +79,35 @@
 
 void table_cache::put(const row& table_row)
 {
-	rows_[table_row.key] = table_row;
+	drop(table_row.key);
+	const auto& stored = rows_.emplace(table_row.key, table_row).first->second;
+	rows_by_version_.insert(&stored);
+	tombstones_ += stored.removed ? 1 : 0;
 	newest_change_ = std::max(newest_change_, table_row.version);
 }
 
+void table_cache::drop(const std::string& key)
+{
+	const auto known = rows_.find(key);
+	if (known == rows_.end())
+	{
+		return;
+	}
+	rows_by_version_.erase(&known->second);
+	tombstones_ -= known->second.removed ? 1 : 0;
+	rows_.erase(known);
+}
+
 void table_cache::prune_tombstones()
 {
-	const auto is_removed = [](const auto& entry) { return entry.second.removed; };
-	if (static_cast<std::size_t>(std::count_if(rows_.begin(), rows_.end(), is_removed)) > max_tombstones)
+	if (tombstones_ <= max_tombstones)
 	{
-		std::erase_if(rows_, is_removed);
-		history_start_ = std::max(newest_, newest_change_);
+		return;
 	}
+	std::erase_if(rows_by_version_, [](const row* entry) { return entry->removed; });
+	std::erase_if(rows_, [](const auto& entry) { return entry.second.removed; });
+	tombstones_ = 0;
+	history_start_ = std::max(newest_, newest_change_);
 }
 
 void table_cache::confirm(instant at, registry_time registry_now, instant now)
@@ -129,15 +148,14 @@
 	{
 		return tl::make_unexpected(store_error::history_gone);
 	}
-	for (const auto& [key, table_row] : rows_)
+	const row first{{}, {}, {}, after.value_or(row_version{}) + row_version{after ? 1 : 0}, false};
+	for (auto entry = rows_by_version_.lower_bound(&first); entry != rows_by_version_.end(); ++entry)
 	{
-		const bool is_included = after ? table_row.version > *after : !table_row.removed;
-		if (is_included)
+		if (after || !(*entry)->removed)
 		{
-			batch->rows.push_back(table_row);
+			batch->rows.push_back(**entry);
 		}
 	}
-	std::sort(batch->rows.begin(), batch->rows.end(), has_lower_version);
 	return batch;
 }
 } // namespace gingerdyke::control
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -148,6 +148,7 @@
 		const bool was_tried =
 			std::find(tried_replicas_.begin(), tried_replicas_.end(), candidate.id) != tried_replicas_.end();
 		return !was_tried && (version.empty() || candidate.version == version) &&
+			   shared_.is_region_allowed(candidate, *route_, workspace_) &&
 			   versions.is_in_use(candidate, now) && has_free_connection(candidate) &&
 			   shared_.may_send(candidate, now) && allowed(candidate);
 	};
--- a/src/proxy/exchange_responses.cpp
+++ b/src/proxy/exchange_responses.cpp
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <gingerdyke/proxy/exchange.hpp>
 #include <gingerdyke/proxy/replica_statements.hpp>
+#include <utility>
 
 namespace gingerdyke::proxy
 {
@@ -70,6 +71,7 @@
 		on_fault(upstream_fault::invalid_response);
 		return;
 	}
+	record_started();
 	const bool failed = received.status >= first_server_error;
 	auto sample = sample_for(attempt_->first_byte);
 	sample.failed = failed;
@@ -103,6 +105,15 @@
 	}
 }
 
+/// A request counts once, however many replicas run it.
+void exchange::record_started()
+{
+	if (workspace_ != nullptr && !std::exchange(is_counted_, true))
+	{
+		shared_.record_started(workspace_->id);
+	}
+}
+
 /// Ignores statements of another process that now has the replica's address.
 void exchange::record_statements(const response_head& head)
 {
--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -4,6 +4,7 @@
 #include <gingerdyke/metrics/text_format.hpp>
 #include <gingerdyke/proxy/exchange.hpp>
 #include <gingerdyke/proxy/gateway.hpp>
+#include <utility>
 
 namespace gingerdyke::proxy
 {
@@ -15,13 +16,6 @@
 		{{"replica", id.str()}, {"failure_rate", rate}, {"for_ms", to_milliseconds(span)}});
 }
 
-void log_replica_change(const routing::replica& instance, routing::replica_change change)
-{
-	log::write(log::level::info, "replica",
-		{{"replica", instance.id.str()}, {"service", instance.service.str()}, {"address", instance.at.str()},
-			{"version", instance.version}, {"change", routing::name_of(change)}});
-}
-
 void log_cold_replica(const routing::replica& instance, routing::cold_reason reason, duration left)
 {
 	log::write(log::level::info, "replica is cold",
@@ -165,10 +159,55 @@
 
 void gateway::set_replicas(std::vector<routing::replica> entries, instant now)
 {
-	replicas_.replace_all(std::move(entries), now);
+	change_replicas([&](routing::replica_set& all) { all.replace_all(std::move(entries), now); });
 	run_ready_hooks();
 }
 
+void gateway::change_replicas(const std::function<void(routing::replica_set&)>& apply)
+{
+	const bool is_nested = std::exchange(is_changing_replicas_, true);
+	apply(replicas_);
+	is_changing_replicas_ = is_nested;
+	if (!is_nested)
+	{
+		update_version_counts();
+		log_counted_changes();
+	}
+}
+
+void gateway::update_version_counts()
+{
+	for (const auto& service : std::exchange(changed_services_, {}))
+	{
+		versions_.set_replicas(service, replicas_.of_service(service));
+	}
+}
+
+/// When thousands of replicas start at once, each VM would write thousands of lines: within one set of changes
+/// only the first ones are logged one by one.
+void gateway::log_replica_change(const routing::replica& instance, routing::replica_change change)
+{
+	constexpr std::size_t max_lines = 20;
+	if (is_changing_replicas_ && ++logged_changes_ > max_lines)
+	{
+		++counted_changes_[change];
+		return;
+	}
+	log::write(log::level::info, "replica",
+		{{"replica", instance.id.str()}, {"service", instance.service.str()}, {"address", instance.at.str()},
+			{"version", instance.version}, {"change", routing::name_of(change)}});
+}
+
+void gateway::log_counted_changes()
+{
+	logged_changes_ = 0;
+	for (const auto& [change, count] : std::exchange(counted_changes_, {}))
+	{
+		log::write(log::level::info, "more replicas changed",
+			{{"change", routing::name_of(change)}, {"count", count}});
+	}
+}
+
 /// Posted, because the caller of this function may still have to set the time at which the data was
 /// confirmed.
 void gateway::run_ready_hooks()
@@ -482,6 +521,10 @@
 	{
 		pool_.close_idle_connections(instance.id);
 	}
-	versions_.set_replicas(instance.service, replicas_.of_service(instance.service));
+	changed_services_.insert(instance.service);
+	if (!is_changing_replicas_)
+	{
+		update_version_counts();
+	}
 }
 } // namespace gingerdyke::proxy
--- a/src/routing/replica_selector.cpp
+++ b/src/routing/replica_selector.cpp
@@ -25,7 +25,108 @@
 	return request.is_engine ? choose_by_work(eligible, request, now) : choose_by_load(eligible);
 }
 
+namespace
+{
+/// Score of a replica for a shared prefix; all VMs prefer the replica with the highest (rendezvous hashing).
+std::uint64_t preference(const replica& candidate, std::uint64_t affinity)
+{
+	return mix_hash(affinity, stable_hash(candidate.id.str()));
+}
+
+std::vector<const replica_ptr*> pointers_to(const std::vector<replica_ptr>& replicas)
+{
+	std::vector<const replica_ptr*> pointers;
+	pointers.reserve(replicas.size());
+	for (const auto& one : replicas)
+	{
+		pointers.push_back(&one);
+	}
+	return pointers;
+}
+
+/// The few replicas with the highest scores, the highest first.
+class preferred_replicas
+{
+  public:
+	preferred_replicas(std::uint64_t affinity, std::size_t count) : affinity_(affinity), count_(count) {}
+
+	void consider(const replica_ptr& candidate)
+	{
+		const auto score = preference(*candidate, affinity_);
+		if (best_.size() == count_ && score <= best_.back().score)
+		{
+			return;
+		}
+		const auto place = std::find_if(
+			best_.begin(), best_.end(), [&](const scored_replica& other) { return score > other.score; });
+		best_.insert(place, {score, &candidate});
+		best_.resize(std::min(best_.size(), count_));
+	}
+
+	void append_to(std::vector<const replica_ptr*>& output) const
+	{
+		for (const auto& preferred : best_)
+		{
+			output.push_back(preferred.replica);
+		}
+	}
+
+  private:
+	struct scored_replica
+	{
+		std::uint64_t score{};
+		const replica_ptr* replica{};
+	};
+
+	std::uint64_t affinity_;
+	std::size_t count_;
+	std::vector<scored_replica> best_;
+};
+} // namespace
+
 replica_selector::candidates replica_selector::usable(const selection& request, instant now) const
+{
+	const auto& all = replicas_.of_service(request.service);
+	if (all.size() > tuning_.max_examined)
+	{
+		auto found = usable_among(examined_of(request), request, now);
+		if (!found.empty())
+		{
+			return found;
+		}
+	}
+	return usable_among(pointers_to(all), request, now);
+}
+
+/// The part of a large service's replicas that is examined. A replica may be drawn twice.
+replica_selector::candidates replica_selector::examined_of(const selection& request) const
+{
+	const auto& all = replicas_.of_service(request.service);
+	candidates examined;
+	if (request.affinity != 0)
+	{
+		preferred_replicas everywhere{request.affinity, tuning_.examined_preferred};
+		preferred_replicas local{request.affinity, tuning_.examined_preferred};
+		for (const auto& candidate : all)
+		{
+			everywhere.consider(candidate);
+			if (candidate->domain == own_domain_)
+			{
+				local.consider(candidate);
+			}
+		}
+		everywhere.append_to(examined);
+		local.append_to(examined);
+	}
+	for (std::size_t drawn = 0; drawn < tuning_.max_examined; ++drawn)
+	{
+		examined.push_back(&all[random_below(random_, all.size())]);
+	}
+	return examined;
+}
+
+replica_selector::candidates replica_selector::usable_among(
+	const candidates& examined, const selection& request, instant now) const
 {
 	candidates available;
 	candidates reachable;
@@ -33,8 +134,9 @@
 	// If a replica removes its registry entry without having announced that it is draining, the missing
 	// entry is the only sign that it will exit.
 	const bool excludes_suspected = replicas_.excludes_suspected(request.service);
-	for (const auto& candidate : replicas_.of_service(request.service))
+	for (const auto* entry : examined)
 	{
+		const auto& candidate = *entry;
 		const bool is_excluded = excludes_suspected && replicas_.is_suspected(candidate->id);
 		if (candidate->is_draining || is_excluded || !request.usable(*candidate))
 		{
@@ -42,14 +144,14 @@
 		}
 		if (is_domain_unreachable(candidate->domain, now))
 		{
-			unreachable.push_back(&candidate);
+			unreachable.push_back(entry);
 			continue;
 		}
-		reachable.push_back(&candidate);
+		reachable.push_back(entry);
 		const auto* stats = find_stats(candidate->id);
 		if (stats == nullptr || stats->ejected_until <= now)
 		{
-			available.push_back(&candidate);
+			available.push_back(entry);
 		}
 	}
 	if (reachable.empty())
@@ -64,14 +166,14 @@
 
 namespace
 {
-/// Returns the replica that all VMs prefer for the same shared prefix (rendezvous hashing).
+/// Returns the replica that all VMs prefer for the same shared prefix.
 const replica_ptr* preferred(const std::vector<const replica_ptr*>& from, std::uint64_t affinity)
 {
 	const replica_ptr* best = nullptr;
 	std::uint64_t best_score = 0;
 	for (const auto* candidate : from)
 	{
-		const auto score = mix_hash(affinity, stable_hash((*candidate)->id.str()));
+		const auto score = preference(**candidate, affinity);
 		if (best == nullptr || score > best_score)
 		{
 			best = candidate;
--- a/src/routing/replica_set.cpp
+++ b/src/routing/replica_set.cpp
@@ -217,10 +217,14 @@
 	{
 		return false;
 	}
-	const auto& all = of_service(service);
-	const auto missing = std::count_if(
-		all.begin(), all.end(), [this](const auto& candidate) { return is_suspected(candidate->id); });
-	return static_cast<double>(missing) <= tuning_.max_excluded_share * static_cast<double>(all.size());
+	const auto missing = std::count_if(suspected_.begin(), suspected_.end(),
+		[&](const auto& entry)
+		{
+			const auto candidate = find(entry.first);
+			return candidate && candidate->service == service;
+		});
+	const auto all = of_service(service).size();
+	return static_cast<double>(missing) <= tuning_.max_excluded_share * static_cast<double>(all);
 }
 
 const std::vector<replica_ptr>& replica_set::of_service(const service_id& service) const
--- a/tests/control/table_cache.cpp
+++ b/tests/control/table_cache.cpp
@@ -20,6 +20,32 @@
 	CHECK(cache.read(row_version{2}, start).error() == store_error::history_gone);
 }
 
+TEST_CASE("changes are found among many rows without reading the others", "[cache]")
+{
+	table_cache cache{"t"};
+	std::vector<row> rows;
+	for (int i = 0; i < 2000; ++i)
+	{
+		rows.push_back(make_row(("r" + std::to_string(i)).c_str(), i + 1));
+	}
+	cache.replace(rows, row_version{2000});
+	cache.confirm(start, registry_time{1000}, start);
+	cache.apply({make_row("r7", 2001), make_row("r7", 2002), make_row("r9", 2002, "", true)}, row_version{2002});
+	CHECK(keys_of(cache.read(row_version{2000}, start)) == std::vector<std::string>{"r7", "-r9"});
+	CHECK(keys_of(cache.read(row_version{2002}, start)).empty());
+	CHECK(cache.read(std::nullopt, start)->rows.size() == 1999);
+	// Removals beyond the number that is kept drop the history.
+	std::vector<row> removed;
+	for (int i = 0; i < 2000; ++i)
+	{
+		removed.push_back(make_row(("r" + std::to_string(i)).c_str(), 3000 + i, "", true));
+	}
+	cache.apply(removed, row_version{5000});
+	cache.apply({make_row("x", 5001), make_row("x", 5002, "", true)}, row_version{5002});
+	CHECK(cache.read(row_version{2002}, start).error() == store_error::history_gone);
+	CHECK(keys_of(cache.read(row_version{5002}, start)).empty());
+}
+
 TEST_CASE("rows missing from a repeated full read are reported as removed", "[cache]")
 {
 	table_cache cache{"t"};
--- a/tests/platform/platform.cpp
+++ b/tests/platform/platform.cpp
@@ -226,3 +226,52 @@
 	reader_world.run_until(
 		[&] { return registry.value("status", "rollout/x").at("state") == "rolled_back"; });
 }
+
+TEST_CASE("the limits and prices of a service's replicas are decoded", "[platform]")
+{
+	auto value = configuration(7);
+	value["services"][0]["scale"] = {{"min", 1}, {"max", 40}, {"boot_s", 4.0}, {"spot_price", 0.18},
+		{"zone_prices", {{"a", 1.0}, {"b", 0.8}}}};
+	const auto read = platform::read_configuration(row_of("config", value));
+	REQUIRE(read);
+	const auto& limits = (*read)->find_service(service_id{"x"})->scaling;
+	REQUIRE(limits);
+	CHECK(limits->max_replicas == 40);
+	CHECK(limits->boot_time == std::chrono::seconds{4});
+	CHECK(limits->domain_prices.at(failure_domain_id{"b"}) == 0.8);
+}
+
+TEST_CASE("regions in which a route or workspace may be served are decoded", "[platform]")
+{
+	auto value = configuration(7);
+	value["routes"][0]["allowed_regions"] = {"north"};
+	value["tenants"][0]["allowed_regions"] = {"north", "south"};
+	const auto read = platform::read_configuration(row_of("config", value));
+	REQUIRE(read);
+	CHECK((*read)->find_route("h", "/a/b")->regions == routing::allowed_regions{region_id{"north"}});
+	CHECK((*read)->find_workspace("k1")->regions.size() == 2);
+}
+
+TEST_CASE("spot capacity is decoded from a replica's entry", "[platform]")
+{
+	auto value = replica();
+	CHECK_FALSE(platform::read_replica(row_of("r1", value))->is_spot);
+	value["spot"] = true;
+	CHECK(platform::read_replica(row_of("r1", value))->is_spot);
+}
+
+TEST_CASE("the duties that a deployment has are read from its settings", "[platform]")
+{
+	const json duties{{"address", "127.0.0.1:7"}, {"names", {"usage_report", "unknown"}}, {"lease_ms", 3000},
+		{"usage_window_s", 5}, {"usage_due_s", 10}, {"tokens_checked", false}};
+	const json value{{"vm", "n"}, {"failure_domain", "a"}, {"serve", "127.0.0.1:1"}, {"ready", "127.0.0.1:2"},
+		{"registry", "127.0.0.1:3"}, {"relay", "127.0.0.1:4"}, {"stop_limit_ms", 8000},
+		{"attempts", {{"ratio", 0.9}, {"window_s", 10}, {"slack", 50}}}, {"duties", duties}};
+	const auto settings = platform::read_settings(json_source::from_value("f", value));
+	REQUIRE(settings);
+	CHECK(settings->duty_address->port == 7);
+	CHECK(settings->duties.usage_duty);
+	CHECK_FALSE(settings->duties.scaling_duty);
+	CHECK(settings->duties.lease.settling_time == std::chrono::seconds{3});
+	CHECK(settings->duties.usage.reporting.window_length == std::chrono::seconds{5});
+}
--- a/thrift/relay.thrift
+++ b/thrift/relay.thrift
@@ -80,6 +80,13 @@
 	4: required i64 age_us
 }
 
+// Requests of a workspace that began running in a window of time, as one process counted them.
+struct RelayUsage {
+	1: required i64 window
+	2: required string workspace
+	3: required i64 requests
+}
+
 // What a VM tells the one that it reads from.
 struct RelayReport {
 	1: required string reporter
@@ -88,6 +95,8 @@
 	4: optional list<RelaySuspension> suspended
 	5: optional list<RelaySuspicion> suspects
 	6: optional list<RelayLimit> limits
+	7: optional list<RelayUsage> usage
+	8: optional i64 clock_offset_us
 }
 
 // What a VM is told in return.
@@ -96,6 +105,8 @@
 	2: required list<RelaySuspension> suspended
 	3: optional list<RelaySuspicion> suspects
 	4: optional list<RelayLimit> limits
+	5: optional i64 usage_stored_before
+	6: optional i64 clock_offset_us
 }
 
 struct RelayPoll {
