Ordered replicas: refused pools are probed, the next holder knows the need; usage is collected for longer

A spot pool that refused an order is asked again every 2 to 4 s while the other numbers don't count on it. What a holder found needed is stored under its lease: a successor that starts amid a fault took the few replicas that ran as all that was needed. Usage is collected for 7.5 s of the 10 s after a window, so that a failure domain that was cut off can still tell its counts.

--- a/include/gingerdyke/scaling/load_target.hpp
+++ b/include/gingerdyke/scaling/load_target.hpp
@@ -18,8 +18,8 @@
 	/// several service times.
 	double utilization = 0.7;
 
-	/// Time over which the need is smoothed: requests arrive in clumps, and reports of work are some tenths of
-	/// a second old.
+	/// Time over which the need is smoothed: requests arrive in clumps, and reports of work are some tenths
+	/// of a second old.
 	duration smoothing = std::chrono::seconds{2};
 
 	/// Time over which the highest need counts. Replicas that were given back too early are missed for as
@@ -40,9 +40,9 @@
 	duration objective{};
 };
 
-/// \brief Derives the number of replicas from the mean wait W. At a queue with random arrivals and utilization
-/// u, a request waits longer than t with a probability of about u exp(-u t / W) (exact for M/M/1; Kingman's
-/// approximation otherwise). The mean wait falls at least in proportion to the number of replicas.
+/// \brief Derives the number of replicas from the mean wait W. At a queue with random arrivals and
+/// utilization u, a request waits longer than t with a probability of about u exp(-u t / W) (exact for M/M/1;
+/// Kingman's approximation otherwise). The mean wait falls at least in proportion to the number of replicas.
 class load_target
 {
   public:
--- a/include/gingerdyke/scaling/order_book.hpp
+++ b/include/gingerdyke/scaling/order_book.hpp
@@ -16,7 +16,8 @@
 	/// ordered once more.
 	duration late_execution = std::chrono::seconds{6};
 
-	/// Time after which an accepted order that was not filled is repeated: longer than replicas take to start.
+	/// Time after which an accepted order that was not filled is repeated: longer than replicas take to
+	/// start.
 	duration filling_time = std::chrono::seconds{6};
 
 	/// Delay before an order that failed is repeated.
@@ -24,7 +25,7 @@
 
 	/// Back-off of a pool that could not provide replicas, doubled each time up to the maximum.
 	duration initial_backoff = std::chrono::seconds{2};
-	duration max_backoff = std::chrono::seconds{8};
+	duration max_backoff = std::chrono::seconds{4};
 };
 
 /// \brief Keeps the orders of a holder.
--- a/include/gingerdyke/usage/report_schedule.hpp
+++ b/include/gingerdyke/usage/report_schedule.hpp
@@ -25,7 +25,7 @@
 	duration due_after = std::chrono::seconds{10};
 
 	/// Share of `due_after` that is waited for counts of VMs that are late; the rest is for repeating calls.
-	double collecting_share = 0.6;
+	double collecting_share = 0.75;
 
 	/// \brief How long after a window's end its report is made.
 	[[nodiscard]] duration collecting_time() const { return scaled(due_after, collecting_share); }
--- a/src/control/duty_host.cpp
+++ b/src/control/duty_host.cpp
@@ -48,7 +48,8 @@
 		scaling_lease_.emplace(gateway.context(), registry, settings_.duty_table, *settings_.scaling_duty,
 			holder, settings_.lease,
 			lease_keeper_hooks{[this] { scaling_->on_lease_taken(); }, [this] { scaling_->act(); }});
-		scaling_.emplace(gateway, receiver, *scaling_lease_, self_.vm, settings_.scaling);
+		scaling_.emplace(
+			gateway, registry, receiver, *scaling_lease_, self_.vm, settings_.duty_table, settings_.scaling);
 	}
 }
 
--- a/src/control/lease_keeper.cpp
+++ b/src/control/lease_keeper.cpp
@@ -145,8 +145,8 @@
 	return true;
 }
 
-void lease_keeper::write(const duty::lease_write& due, std::vector<row_change::put> rows,
-	std::function<void(bool committed)> done)
+void lease_keeper::write(
+	const duty::lease_write& due, std::vector<row_change::put> rows, std::function<void(bool committed)> done)
 {
 	row_change change;
 	change.conditions.push_back({table_, key(), due.expected});
@@ -179,7 +179,8 @@
 	}
 	else
 	{
-		const auto current = result->rows.empty() ? std::nullopt : std::optional{read_lease(result->rows.front())};
+		const auto current =
+			result->rows.empty() ? std::nullopt : std::optional{read_lease(result->rows.front())};
 		lease_.on_conflict(current && *current ? std::optional{**current} : std::nullopt, now);
 	}
 	log_change();
--- a/src/control/scaling_host.cpp
+++ b/src/control/scaling_host.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: MIT
 // Orders replicas while this VM holds that duty.
 #include <algorithm>
+#include <cmath>
+#include <gingerdyke/control/row_json.hpp>
 #include <gingerdyke/control/scaling_host.hpp>
 #include <gingerdyke/log/log.hpp>
 
@@ -10,18 +12,98 @@
 using scaling::domain_capacity;
 using scaling::replica_order;
 
-scaling_host::scaling_host(proxy::gateway& gateway, duty_receiver& receiver, lease_keeper& lease, vm_id vm,
-	scaling_host_tuning tuning)
-	: gateway_(gateway), receiver_(receiver), lease_(lease), vm_(std::move(vm)), tuning_(tuning),
-	  timer_(gateway.context())
+std::string write_need(double needed)
 {
+	return json{{"needed", needed}}.dump();
 }
 
-/// A predecessor's orders aren't known; each number is ordered once.
+checked<double> read_need(const row& from)
+{
+	return parse_row_value<double>(
+		from, [](const json& value) -> checked<double> { return value.at("needed").get<double>(); });
+}
+
+scaling_host::scaling_host(proxy::gateway& gateway, row_store& registry, duty_receiver& receiver,
+	lease_keeper& lease, vm_id vm, std::string table, scaling_host_tuning tuning)
+	: gateway_(gateway), registry_(registry), receiver_(receiver), lease_(lease), vm_(std::move(vm)),
+	  table_(std::move(table)), tuning_(tuning), timer_(gateway.context())
+{
+}
+
+/// A predecessor's orders aren't known; each number is ordered once. What it found needed is read: replicas
+/// may be missing at this moment because of the same fault that ended the predecessor.
 void scaling_host::on_lease_taken()
 {
 	orders_.clear();
 	services_.clear();
+	knows_needs_ = false;
+	read_needs();
+}
+
+void scaling_host::read_needs()
+{
+	registry_.read_all(table_,
+		[this](const store_result<row_batch>& result)
+		{
+			if (result)
+			{
+				on_needs(result->rows);
+			}
+			else if (lease_.may_act())
+			{
+				read_needs();
+			}
+		});
+}
+
+void scaling_host::on_needs(const std::vector<row>& rows)
+{
+	knows_needs_ = true;
+	for (const auto& table_row : rows)
+	{
+		if (!table_row.key.starts_with(need_key_prefix) || table_row.removed)
+		{
+			continue;
+		}
+		const auto needed = read_need(table_row);
+		if (!needed)
+		{
+			log::write(
+				log::level::error, "invalid number of replicas", {{"findings", to_text(needed.error())}});
+			continue;
+		}
+		auto& state = services_[service_id{table_row.key.substr(need_key_prefix.size())}];
+		state.needed = *needed;
+		state.stored_need = *needed;
+		state.reduced_at = proxy::steady_now();
+	}
+}
+
+/// A write that fails is repeated with the next decision.
+void scaling_host::store_needs()
+{
+	std::vector<row_change::put> rows;
+	for (const auto& [service, state] : services_)
+	{
+		const auto needed = state.needed.value_or(state.stored_need);
+		if (std::abs(needed - state.stored_need) > tuning_.min_stored_change * needed)
+		{
+			rows.push_back({table_, std::string{need_key_prefix} + service.str(), write_need(needed)});
+		}
+	}
+	if (rows.empty())
+	{
+		return;
+	}
+	lease_.write_with(std::move(rows),
+		[this, services = services_](bool committed)
+		{
+			for (const auto& [service, state] : services)
+			{
+				services_[service].stored_need =
+					committed ? state.needed.value_or(0) : services_[service].stored_need;
+			}
+		});
 }
 
 void scaling_host::act()
@@ -53,6 +135,11 @@
 	{
 		return;
 	}
+	if (!knows_needs_)
+	{
+		schedule();
+		return;
+	}
 	const auto catalog = gateway_.catalog();
 	const auto now = proxy::steady_now();
 	if (catalog && gateway_.replicas().is_loaded())
@@ -64,6 +151,7 @@
 				decide(service, now);
 			}
 		}
+		store_needs();
 	}
 	schedule();
 }
@@ -204,8 +292,8 @@
 	}
 	orders_.record_sent(order);
 	lease_.record_call_started();
-	receiver_.order_replicas({vm_, lease_.token()}, order,
-		[this, order](duty_outcome outcome) { on_ordered(order, outcome); });
+	receiver_.order_replicas(
+		{vm_, lease_.token()}, order, [this, order](duty_outcome outcome) { on_ordered(order, outcome); });
 }
 
 void scaling_host::on_ordered(const replica_order& order, duty_outcome outcome)
--- a/src/control/usage_host.cpp
+++ b/src/control/usage_host.cpp
@@ -188,8 +188,8 @@
 	return window_at(now - wait, settings_.reporting.window_length);
 }
 
-/// A VM that has just begun to read the registry stores soon what its predecessor may not have stored, but not
-/// before the others have reported to it.
+/// A VM that has just begun to read the registry stores soon what its predecessor may not have stored, but
+/// not before the others have reported to it.
 void usage_host::schedule_storing()
 {
 	const auto now = clock_.time(proxy::steady_now());
@@ -274,7 +274,8 @@
 				const auto stored = read_usage_report(table_row);
 				if (!stored)
 				{
-					log::write(log::level::error, "invalid usage report", {{"findings", to_text(stored.error())}});
+					log::write(
+						log::level::error, "invalid usage report", {{"findings", to_text(stored.error())}});
 					continue;
 				}
 				reports_.on_stored(*stored);
@@ -327,8 +328,8 @@
 				const auto collected = read_collected_usage(table_row);
 				if (!collected)
 				{
-					log::write(
-						log::level::error, "invalid collected usage", {{"findings", to_text(collected.error())}});
+					log::write(log::level::error, "invalid collected usage",
+						{{"findings", to_text(collected.error())}});
 					continue;
 				}
 				for (const auto& reported : *collected)
@@ -347,21 +348,21 @@
 	{
 		return;
 	}
-	const bool started = lease_.write_with(
-		{{settings_.duty_table, usage_report_key, write_usage_report(report)}},
-		[this, report](bool committed)
-		{
-			is_busy_ = false;
-			if (!committed)
+	const bool started =
+		lease_.write_with({{settings_.duty_table, usage_report_key, write_usage_report(report)}},
+			[this, report](bool committed)
 			{
-				// It may have been stored all the same.
-				knows_stored_report_ = false;
-				act_after(settings_.retry_delay);
-				return;
-			}
-			reports_.on_stored(report);
-			act();
-		});
+				is_busy_ = false;
+				if (!committed)
+				{
+					// It may have been stored all the same.
+					knows_stored_report_ = false;
+					act_after(settings_.retry_delay);
+					return;
+				}
+				reports_.on_stored(report);
+				act();
+			});
 	is_busy_ = started;
 	if (!started)
 	{
--- a/src/duty/lease.cpp
+++ b/src/duty/lease.cpp
@@ -116,8 +116,8 @@
 	return start(record(last_token + epoch{1}, false), known_ ? known_->version : row_version{}, now);
 }
 
-/// From here on this VM doesn't act under the token, unless a later renewal succeeds: that one would show that
-/// the release has not been committed, and it could not be any more.
+/// From here on this VM doesn't act under the token, unless a later renewal succeeds: that one would show
+/// that the release has not been committed, and it could not be any more.
 std::optional<lease_write> lease::start_release(instant now, bool may_release)
 {
 	if (!may_release)
@@ -161,8 +161,8 @@
 	}
 	const bool is_taken = !held_ || held_->token != written.token;
 	const auto act_from = is_taken ? now + tuning_.settling_time : held_->act_from;
-	held_ = holding{
-		written.token, version, act_from, sent_at + validity(), sent_at + tuning_.renewal_interval};
+	held_ =
+		holding{written.token, version, act_from, sent_at + validity(), sent_at + tuning_.renewal_interval};
 }
 
 void lease::on_conflict(const std::optional<lease_record>& current, instant now)
--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -183,8 +183,8 @@
 	}
 }
 
-/// When thousands of replicas start at once, each VM would write thousands of lines: within one set of changes
-/// only the first ones are logged one by one.
+/// When thousands of replicas start at once, each VM would write thousands of lines: within one set of
+/// changes only the first ones are logged one by one.
 void gateway::log_replica_change(const routing::replica& instance, routing::replica_change change)
 {
 	constexpr std::size_t max_lines = 20;
--- a/tests/control/duty_host.cpp
+++ b/tests/control/duty_host.cpp
@@ -1,5 +1,6 @@
 // SPDX-License-Identifier: MIT
-// VMs that hold duties over a stand-in registry: who reports usage, with which counts, and who orders replicas.
+// VMs that hold duties over a stand-in registry: who reports usage, with which counts, and who orders
+// replicas.
 #include "../support/controlled_vm.hpp"
 #include <gingerdyke/control/duty_host.hpp>
 #include <set>
@@ -170,8 +171,9 @@
 {
 	std::map<usage::window_index, usage::workspace_counts> by_window;
 	return std::all_of(receiver.reports.begin(), receiver.reports.end(),
-		[&](const auto& one)
-		{ return by_window.emplace(one.report.window, one.report.counts).first->second == one.report.counts; });
+		[&](const auto& one) {
+			return by_window.emplace(one.report.window, one.report.counts).first->second == one.report.counts;
+		});
 }
 
 /// Replicas of a service that may be ordered, a number in each of two failure domains.
@@ -225,7 +227,8 @@
 	CHECK(is_one_report_a_window(fleet.receiver));
 }
 
-TEST_CASE("a VM that stops hands its duty on, and the next holder goes on with a higher token", "[duty][control]")
+TEST_CASE(
+	"a VM that stops hands its duty on, and the next holder goes on with a higher token", "[duty][control]")
 {
 	usage_fleet fleet;
 	fleet.world.run_until([&] { return fleet.receiver.reports.size() >= 3; });
@@ -262,8 +265,9 @@
 	CHECK(receiver.ordered("a", capacity_kind::spot) == 4U);
 	CHECK(receiver.ordered("b", capacity_kind::spot) == 4U);
 	// Half of the replicas that run are needed after a loss, and the spot replicas don't serve yet.
-	CHECK(*receiver.ordered("a", capacity_kind::on_demand) + *receiver.ordered("b", capacity_kind::on_demand) >=
-		  4);
+	CHECK(
+		*receiver.ordered("a", capacity_kind::on_demand) + *receiver.ordered("b", capacity_kind::on_demand) >=
+		4);
 }
 
 TEST_CASE("where spot replicas can't be had, those on demand stay", "[duty][control]")
@@ -279,7 +283,28 @@
 	const auto calls = receiver.orders.size();
 	const auto registry_calls = registry.calls();
 	world.run_until([&] { return registry.calls() > registry_calls + 10; });
-	CHECK(*receiver.ordered("a", capacity_kind::on_demand) + *receiver.ordered("b", capacity_kind::on_demand) >=
-		  4);
+	CHECK(
+		*receiver.ordered("a", capacity_kind::on_demand) + *receiver.ordered("b", capacity_kind::on_demand) >=
+		4);
 	CHECK(receiver.orders.size() <= calls + 2);
 }
+
+TEST_CASE(
+	"the next holder orders what its predecessor found needed, however few replicas run", "[duty][control]")
+{
+	using scaling::capacity_kind;
+	proxy_world world;
+	platform::standin::registry registry{world.context};
+	scripted_receiver receiver{world.context};
+	start_scaled_service(world, 6);
+	const auto a = std::make_unique<duty_vm>(world, registry, receiver, "vm-a", "a", scaling_only("vm-a"));
+	world.run_until([&] { return !registry.value("duties", "scaling/engine").is_null(); });
+	a->host.begin_shutdown();
+	world.run_until([&] { return registry.value("duties", "lease/scaling").at("released").get<bool>(); });
+	start_scaled_service(world, 1);
+	receiver.orders.clear();
+	const duty_vm b{world, registry, receiver, "vm-b", "b", scaling_only("vm-b")};
+	world.run_until([&] { return receiver.ordered("b", capacity_kind::spot).has_value(); });
+	CHECK(receiver.orders.front().call.holder == vm_id{"vm-b"});
+	CHECK(receiver.ordered("b", capacity_kind::spot) == 6U);
+}
--- a/tests/control/table_cache.cpp
+++ b/tests/control/table_cache.cpp
@@ -30,7 +30,8 @@
 	}
 	cache.replace(rows, row_version{2000});
 	cache.confirm(start, registry_time{1000}, start);
-	cache.apply({make_row("r7", 2001), make_row("r7", 2002), make_row("r9", 2002, "", true)}, row_version{2002});
+	cache.apply(
+		{make_row("r7", 2001), make_row("r7", 2002), make_row("r9", 2002, "", true)}, row_version{2002});
 	CHECK(keys_of(cache.read(row_version{2000}, start)) == std::vector<std::string>{"r7", "-r9"});
 	CHECK(keys_of(cache.read(row_version{2002}, start)).empty());
 	CHECK(cache.read(std::nullopt, start)->rows.size() == 1999);
--- a/tests/duty/lease.cpp
+++ b/tests/duty/lease.cpp
@@ -124,7 +124,8 @@
 	CHECK_FALSE(lease.start_write(now + seconds{1}));
 }
 
-TEST_CASE("a renewal that was in flight when the token was rejected does not bring the lease back", "[duty][lease]")
+TEST_CASE(
+	"a renewal that was in flight when the token was rejected does not bring the lease back", "[duty][lease]")
 {
 	const lease_tuning tuning;
 	auto lease = held_lease();
--- a/tests/proxy/allowed_regions.cpp
+++ b/tests/proxy/allowed_regions.cpp
@@ -5,7 +5,8 @@
 using namespace gingerdyke;
 using namespace gingerdyke::test;
 
-TEST_CASE("a request that may not be served in any region with replicas is refused at once", "[proxy][regions]")
+TEST_CASE(
+	"a request that may not be served in any region with replicas is refused at once", "[proxy][regions]")
 {
 	proxy_world world;
 	const scripted_replica replica{
--- a/tests/routing/large_service.cpp
+++ b/tests/routing/large_service.cpp
@@ -75,8 +75,8 @@
 	}
 }
 
-TEST_CASE("if the preferred one of thousands can't be used, all VMs prefer the same other one",
-	"[selector][large]")
+TEST_CASE(
+	"if the preferred one of thousands can't be used, all VMs prefer the same other one", "[selector][large]")
 {
 	large_service a{1};
 	large_service b{2};
--- a/tests/routing/region_map.cpp
+++ b/tests/routing/region_map.cpp
@@ -6,7 +6,8 @@
 using namespace gingerdyke;
 using namespace gingerdyke::routing;
 
-TEST_CASE("a failure domain is allowed if its region is, and an unknown one only if all are", "[routing][regions]")
+TEST_CASE(
+	"a failure domain is allowed if its region is, and an unknown one only if all are", "[routing][regions]")
 {
 	const region_map regions{
 		{{failure_domain_id{"a"}, region_id{"north"}}, {failure_domain_id{"b"}, region_id{"south"}}}};
--- a/tests/scaling/capacity_plan.cpp
+++ b/tests/scaling/capacity_plan.cpp
@@ -24,7 +24,7 @@
 		{c, on_demand, spot, has_spot, false}};
 }
 
-unsigned total_of(const std::vector<domain_target>& targets, unsigned domain_target::* kind)
+unsigned total_of(const std::vector<domain_target>& targets, unsigned domain_target::*kind)
 {
 	unsigned sum = 0;
 	for (const auto& target : targets)
@@ -67,7 +67,8 @@
 	}
 }
 
-TEST_CASE("without spot replicas the cheapest failure domain gives most, and each keeps the minimum", "[scaling]")
+TEST_CASE(
+	"without spot replicas the cheapest failure domain gives most, and each keeps the minimum", "[scaling]")
 {
 	const auto targets = plan_capacity(10, limits(), domains(0, 0, false));
 	CHECK(targets[0].on_demand == 1);
--- a/tests/scaling/load_target.cpp
+++ b/tests/scaling/load_target.cpp
@@ -59,7 +59,8 @@
 	CHECK(*target.needed_now() == Approx(20).epsilon(0.01));
 }
 
-TEST_CASE("a lower need is told only once it has been known for a while, and peaks are remembered", "[scaling]")
+TEST_CASE(
+	"a lower need is told only once it has been known for a while, and peaks are remembered", "[scaling]")
 {
 	load_target target;
 	const auto at_target = target.target_wait(seconds{2});
--- a/tests/support/duty_world.cpp
+++ b/tests/support/duty_world.cpp
@@ -93,7 +93,8 @@
 	{
 		write(vm, std::move(*due), std::nullopt);
 	}
-	at_vm(vm, process, between(tick_interval / 2, tick_interval * 3 / 2), [this, vm, process] { tick(vm, process); });
+	at_vm(vm, process, between(tick_interval / 2, tick_interval * 3 / 2),
+		[this, vm, process] { tick(vm, process); });
 }
 
 void duty_world::draw_fault()
@@ -164,7 +165,8 @@
 	const auto expected_report = vms_[vm].report_version;
 	const bool is_late = faults_.late_calls && chance(0.05);
 	const bool is_lost = faults_.losses && chance(0.05);
-	const auto delay = is_late ? between(milliseconds{100}, seconds{6}) : between(milliseconds{1}, milliseconds{60});
+	const auto delay =
+		is_late ? between(milliseconds{100}, seconds{6}) : between(milliseconds{1}, milliseconds{60});
 	const auto timeout = milliseconds{900};
 	// Each write has one outcome: its response or, once that is overdue, a failure.
 	const auto is_open = std::make_shared<bool>(true);
--- a/tests/usage/fleet_clock.cpp
+++ b/tests/usage/fleet_clock.cpp
@@ -60,6 +60,6 @@
 	auto clock = clock_with(duration{0});
 	clock.record_offset("vm-1", seconds{5}, start);
 	clock.record_offset("vm-2", seconds{5}, start);
-	CHECK(clock.median_offset(start) == seconds{5} );
+	CHECK(clock.median_offset(start) == seconds{5});
 	CHECK(clock.median_offset(start + seconds{10}) == clock.own_offset());
 }
