--- a/include/gingerdyke/control/lease_keeper.hpp
+++ b/include/gingerdyke/control/lease_keeper.hpp
@@ -4,6 +4,7 @@
 
 #include <gingerdyke/base/finding.hpp>
 #include <gingerdyke/control/row_store.hpp>
+#include <gingerdyke/duty/lateness_monitor.hpp>
 #include <gingerdyke/duty/lease.hpp>
 #include <gingerdyke/proxy/asio.hpp>
 #include <ostream>
@@ -74,7 +75,9 @@
 
   private:
 	void schedule();
+	void on_timer(instant due);
 	void start_due_write();
+	void update_eligibility();
 	void write(const duty::lease_write& due, std::vector<row_change::put> rows,
 		std::function<void(bool committed)> done);
 	void on_written(const duty::lease_write& written, const store_result<change_result>& result);
@@ -88,6 +91,9 @@
 	duty::lease lease_;
 	lease_keeper_hooks hooks_;
 	proxy::boot_timer timer_;
+	duty::lateness_monitor lateness_;
+	bool is_wanted_ = false;
+	duration takeover_delay_{};
 	unsigned calls_in_flight_ = 0;
 	bool stopped_ = false;
 
--- a/src/control/lease_keeper.cpp
+++ b/src/control/lease_keeper.cpp
@@ -44,10 +44,16 @@
 
 void lease_keeper::set_eligible(bool is_eligible, duration takeover_delay)
 {
-	lease_.set_eligible(is_eligible, takeover_delay);
+	is_wanted_ = is_eligible;
+	takeover_delay_ = takeover_delay;
 	schedule();
 }
 
+void lease_keeper::update_eligibility()
+{
+	lease_.set_eligible(is_wanted_ && !lateness_.is_slow(proxy::steady_now()), takeover_delay_);
+}
+
 void lease_keeper::on_rows(const std::vector<row>& rows)
 {
 	const auto own_key = key();
@@ -107,23 +113,34 @@
 
 void lease_keeper::schedule()
 {
+	update_eligibility();
 	const auto next = lease_.next_write_at();
 	if (!next || stopped_)
 	{
 		timer_.cancel();
 		return;
 	}
-	timer_.expires_after(std::max(*next - proxy::steady_now(), duration{0}));
+	const auto now = proxy::steady_now();
+	const auto due = std::max(*next, now);
+	timer_.expires_after(due - now);
 	timer_.async_wait(
-		[this](const proxy::error_code& error)
+		[this, due](const proxy::error_code& error)
 		{
 			if (!error)
 			{
-				start_due_write();
+				on_timer(due);
 			}
 		});
 }
 
+void lease_keeper::on_timer(instant due)
+{
+	const auto now = proxy::steady_now();
+	lateness_.record(now - due, now);
+	update_eligibility();
+	start_due_write();
+}
+
 void lease_keeper::start_due_write()
 {
 	if (const auto due = lease_.start_write(proxy::steady_now(), calls_in_flight_ == 0))
--- a/src/control/scaling_host.cpp
+++ b/src/control/scaling_host.cpp
@@ -312,13 +312,8 @@
 		orders_.record_accepted(order, now);
 		break;
 	case duty_outcome::rejected:
-		// For spot replicas this means that there are none. If it is a higher token, the next renewal of the
-		// lease fails.
+		// There are none to be had. If a higher token was seen instead, the next renewal of the lease fails.
 		orders_.record_exhausted(order, now);
-		if (order.pool.kind == capacity_kind::on_demand)
-		{
-			lease_.on_token_rejected();
-		}
 		break;
 	case duty_outcome::busy:
 	case duty_outcome::unavailable:
