--- a/include/gingerdyke/limits/attempt_budget.hpp
+++ b/include/gingerdyke/limits/attempt_budget.hpp
@@ -3,6 +3,7 @@
 // without coordination.
 #pragma once
 
+#include <cstddef>
 #include <deque>
 #include <gingerdyke/base/units.hpp>
 
@@ -25,6 +26,16 @@
 	double slack = 0;
 };
 
+/// \brief A VM's share of additional attempts that are allowed to all VMs together.
+/// \param fleet_slack Additional attempts of all VMs.
+/// \param vms Known number of VMs; an unknown VM is provided for in small fleets.
+[[nodiscard]] constexpr double slack_share(double fleet_slack, std::size_t vms) noexcept
+{
+	// While a VM starts it knows few others.
+	constexpr std::size_t least_vms = 100;
+	return fleet_slack / static_cast<double>(vms > least_vms ? vms : least_vms);
+}
+
 /// \brief Counts requests and additional attempts over a sliding window. If each VM keeps to the ratio for
 /// its own requests, the sum over all VMs keeps to the ratio for all requests.
 class attempt_budget
@@ -32,6 +43,9 @@
   public:
 	explicit attempt_budget(attempt_budget_tuning tuning) : tuning_(tuning) {}
 
+	/// \brief Sets the additional attempts that are allowed on top, for this VM alone.
+	void set_slack(double slack) noexcept { tuning_.slack = slack; }
+
 	/// \brief Records a client's request.
 	void record_request(instant now)
 	{
--- a/include/gingerdyke/proxy/gateway.hpp
+++ b/include/gingerdyke/proxy/gateway.hpp
@@ -90,6 +90,7 @@
 /// \brief Fleet-wide limits set by the deployment.
 struct fleet_bounds
 {
+	/// Limit on additional attempts; `slack` is that of all VMs together.
 	limits::attempt_budget_tuning attempts;
 
 	/// A revoked API key must be rejected by all VMs after this time; none: no such limit.
@@ -176,7 +177,7 @@
 	void when_ready(std::function<void()> hook) { ready_hooks_.push_back(std::move(hook)); }
 
 	/// \brief Sets the number of VMs that share the replicas, including this one.
-	void set_vm_count(std::size_t count) { vm_count_ = std::max<unsigned>(1, static_cast<unsigned>(count)); }
+	void set_vm_count(std::size_t count);
 
 	/// \brief Number of VMs that share the replicas; until it is known, the size of a small deployment.
 	[[nodiscard]] unsigned vm_count() const noexcept { return vm_count_; }
--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -317,9 +317,20 @@
 	return new_exchange;
 }
 
+void gateway::set_vm_count(std::size_t count)
+{
+	vm_count_ = std::max<unsigned>(1, static_cast<unsigned>(count));
+	for (auto& [service, budget] : budgets_)
+	{
+		budget.set_slack(limits::slack_share(bounds_.attempts.slack, vm_count_));
+	}
+}
+
 limits::attempt_budget& gateway::budget(const service_id& service)
 {
-	return budgets_.try_emplace(service, bounds_.attempts).first->second;
+	auto tuning = bounds_.attempts;
+	tuning.slack = limits::slack_share(bounds_.attempts.slack, vm_count_);
+	return budgets_.try_emplace(service, tuning).first->second;
 }
 
 void gateway::write_metrics(std::ostream& out, instant now)
