--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -132,7 +132,7 @@
 
 gateway::gateway(asio::io_context& context, header_names names, fleet_bounds bounds,
 	failure_domain_id own_domain, random_source random, request_log& log, gateway_tuning tuning)
-	: context_(context), names_(std::move(names)), bounds_(bounds), log_(log), tuning_(tuning),
+	: context_(context), names_(std::move(names)), bounds_(std::move(bounds)), log_(log), tuning_(tuning),
 	  replicas_([this](const routing::replica& instance, routing::replica_change change)
 		  { on_replica_change(instance, change); }),
 	  evacuated_domains_([this](const failure_domain_id& domain, bool is_evacuated)
--- a/tests/control/table_cache.cpp
+++ b/tests/control/table_cache.cpp
@@ -24,6 +24,7 @@
 {
 	table_cache cache{"t"};
 	std::vector<row> rows;
+	rows.reserve(2000);
 	for (int i = 0; i < 2000; ++i)
 	{
 		rows.push_back(make_row(("r" + std::to_string(i)).c_str(), i + 1));
@@ -37,6 +38,7 @@
 	CHECK(cache.read(std::nullopt, start)->rows.size() == 1999);
 	// Removals beyond the number that is kept drop the history.
 	std::vector<row> removed;
+	removed.reserve(2000);
 	for (int i = 0; i < 2000; ++i)
 	{
 		removed.push_back(make_row(("r" + std::to_string(i)).c_str(), 3000 + i, "", true));
--- a/tests/support/duty_world.cpp
+++ b/tests/support/duty_world.cpp
@@ -91,7 +91,7 @@
 	act(vm);
 	if (auto due = state.lease->start_write(local_now(vm), !state.call_in_flight))
 	{
-		write(vm, std::move(*due), std::nullopt);
+		write(vm, *due, std::nullopt);
 	}
 	at_vm(vm, process, between(tick_interval / 2, tick_interval * 3 / 2),
 		[this, vm, process] { tick(vm, process); });
@@ -159,7 +159,8 @@
 	}
 }
 
-void duty_world::write(std::size_t vm, duty::lease_write write, std::optional<usage::usage_report> report)
+void duty_world::write(
+	std::size_t vm, const duty::lease_write& write, const std::optional<usage::usage_report>& report)
 {
 	const auto process = vms_[vm].process;
 	const auto expected_report = vms_[vm].report_version;
@@ -249,7 +250,7 @@
 		{
 			// Each VM counts differently; only what is stored first may be reported.
 			usage::usage_report report{*window, {{workspace_id{"w"}, random_below(random_, 1000)}}};
-			write(vm, std::move(*renewal), std::move(report));
+			write(vm, *renewal, report);
 		}
 	}
 }
--- a/tests/support/duty_world.hpp
+++ b/tests/support/duty_world.hpp
@@ -100,7 +100,8 @@
 	void tick(std::size_t vm, unsigned process);
 	void draw_fault();
 	void read(std::size_t vm);
-	void write(std::size_t vm, duty::lease_write write, std::optional<usage::usage_report> report);
+	void write(
+		std::size_t vm, const duty::lease_write& write, const std::optional<usage::usage_report>& report);
 	void on_written(std::size_t vm, bool committed, const stored_state& now_stored);
 	void apply(std::size_t vm, const stored_state& read);
 	void act(std::size_t vm);
