--- a/include/gingerdyke/control/lease_keeper.hpp
+++ b/include/gingerdyke/control/lease_keeper.hpp
@@ -26,7 +26,7 @@
 	/// Called when this VM has taken the lease.
 	std::function<void()> taken;
 
-	/// Called after each event that may allow an act: a committed write, or the end of the settling time.
+	/// Called after each write of the lease, renewals included: the holder may be allowed to act since.
 	std::function<void()> may_act;
 };
 
@@ -65,9 +65,6 @@
 	[[nodiscard]] const std::string& duty() const noexcept { return duty_; }
 	[[nodiscard]] bool is_call_in_flight() const noexcept { return calls_in_flight_ > 0; }
 
-	/// \brief Whether the lease was released after `set_eligible(false)`, or was not held.
-	[[nodiscard]] bool is_given_up() const;
-
 	void stop();
 
 	/// \brief Writes whether the lease is held, in the Prometheus text format.
--- a/include/gingerdyke/control/scaling_host.hpp
+++ b/include/gingerdyke/control/scaling_host.hpp
@@ -96,7 +96,7 @@
 		const routing::service& service, instant now) const;
 	[[nodiscard]] bool takes_requests(const routing::replica& replica, instant now) const;
 	[[nodiscard]] scaling::service_load load_of(const routing::service& service, instant now);
-	void order(const scaling::replica_order& order, unsigned running, instant now);
+	void order(const scaling::replica_order& order, unsigned running, duration boot_time, instant now);
 	void on_ordered(const scaling::replica_order& order, duty_outcome outcome);
 
 	proxy::gateway& gateway_;
@@ -113,5 +113,6 @@
 
 	/// Whether what the predecessor stored was read since this VM took the lease.
 	bool knows_needs_ = false;
+	bool is_reading_needs_ = false;
 };
 } // namespace gingerdyke::control
--- a/include/gingerdyke/limits/attempt_budget.hpp
+++ b/include/gingerdyke/limits/attempt_budget.hpp
@@ -28,10 +28,10 @@
 
 /// \brief A VM's share of additional attempts that are allowed to all VMs together.
 /// \param fleet_slack Additional attempts of all VMs.
-/// \param vms Known number of VMs; an unknown VM is provided for in small fleets.
+/// \param vms Number of VMs known so far.
 [[nodiscard]] constexpr double slack_share(double fleet_slack, std::size_t vms) noexcept
 {
-	// While a VM starts it knows few others.
+	// A VM that has just started knows few of the others.
 	constexpr std::size_t least_vms = 100;
 	return fleet_slack / static_cast<double>(vms > least_vms ? vms : least_vms);
 }
--- a/include/gingerdyke/proxy/gateway.hpp
+++ b/include/gingerdyke/proxy/gateway.hpp
@@ -140,8 +140,8 @@
 	/// \brief Replaces all replicas by the entries of the registry.
 	void set_replicas(std::vector<routing::replica> entries, instant now);
 
-	/// \brief Applies changes of entries together: what depends on all replicas of a service is computed
-	/// once. \param apply Applies the changes to `replicas()`.
+	/// \brief Applies changes of entries; what depends on all replicas of a service is computed once.
+	/// \param apply Applies the changes to `replicas()`.
 	void change_replicas(const std::function<void(routing::replica_set&)>& apply);
 
 	/// \brief Records that the configuration was the newest at the time when a call to the registry was sent.
--- a/include/gingerdyke/scaling/order_book.hpp
+++ b/include/gingerdyke/scaling/order_book.hpp
@@ -16,9 +16,8 @@
 	/// ordered once more.
 	duration late_execution = std::chrono::seconds{6};
 
-	/// Time after which an accepted order that was not filled is repeated: longer than replicas take to
-	/// start.
-	duration filling_time = std::chrono::seconds{6};
+	/// Time beyond that for starting replicas after which an accepted order that was not filled is repeated.
+	duration filling_margin = std::chrono::seconds{2};
 
 	/// Delay before an order that failed is repeated.
 	duration retry_delay = std::chrono::milliseconds{800};
@@ -37,7 +36,9 @@
 	/// \brief Returns whether a number has to be ordered now: it differs from what was last accepted, an
 	/// earlier order may have been carried out after it, or the replicas did not come or were taken away.
 	/// \param running Replicas that the pool has.
-	[[nodiscard]] bool is_due(const replica_order& order, unsigned running, instant now) const;
+	/// \param boot_time Time from an order until a replica serves.
+	[[nodiscard]] bool is_due(
+		const replica_order& order, unsigned running, duration boot_time, instant now) const;
 
 	/// \brief Whether an order for the pool is in flight.
 	[[nodiscard]] bool is_in_flight(const replica_pool& pool) const;
--- a/src/control/duty_host.cpp
+++ b/src/control/duty_host.cpp
@@ -115,7 +115,7 @@
 	}
 }
 
-/// Failure domains have an order of their own for each duty, so that no VM holds all of them.
+/// Each duty ranks the failure domains in its own order, so that duties are mostly held in different ones.
 duration duty_host::takeover_delay(const std::string& duty) const
 {
 	const auto score = [&](const failure_domain_id& domain)
--- a/src/control/lease_keeper.cpp
+++ b/src/control/lease_keeper.cpp
@@ -93,11 +93,6 @@
 	return lease_.may_act(proxy::steady_now());
 }
 
-bool lease_keeper::is_given_up() const
-{
-	return calls_in_flight_ == 0 && !lease_.holds_token();
-}
-
 void lease_keeper::record_call_ended()
 {
 	--calls_in_flight_;
--- a/src/control/relay_server.cpp
+++ b/src/control/relay_server.cpp
@@ -168,8 +168,8 @@
 		});
 }
 
-/// The timer only moves forward: one that fires before a poll is due costs a check, and hundreds of held
-/// polls would otherwise be examined for each one that arrives.
+/// The timer is only set to an earlier time: one that fires before a poll is due costs a check, and hundreds
+/// of held polls would otherwise be examined for each one that arrives.
 void relay_server::arm_timer(instant due)
 {
 	if (check_at_ && *check_at_ <= due)
--- a/src/control/scaling_host.cpp
+++ b/src/control/scaling_host.cpp
@@ -37,22 +37,22 @@
 	orders_.clear();
 	services_.clear();
 	knows_needs_ = false;
-	read_needs();
 }
 
+/// A read that fails is repeated with the next decision.
 void scaling_host::read_needs()
 {
+	is_reading_needs_ = true;
 	registry_.read_all(table_,
 		[this](const store_result<row_batch>& result)
 		{
+			is_reading_needs_ = false;
 			if (result)
 			{
 				on_needs(result->rows);
+				return;
 			}
-			else if (lease_.may_act())
-			{
-				read_needs();
-			}
+			log::write(log::level::warn, "numbers of replicas not read", {{"why", name_of(result.error())}});
 		});
 }
 
@@ -137,6 +137,10 @@
 	}
 	if (!knows_needs_)
 	{
+		if (!is_reading_needs_)
+		{
+			read_needs();
+		}
 		schedule();
 		return;
 	}
@@ -158,18 +162,25 @@
 
 std::vector<domain_capacity> scaling_host::capacity_of(const routing::service& service, instant now) const
 {
-	std::vector<domain_capacity> domains;
+	std::map<failure_domain_id, domain_capacity> by_domain;
 	for (const auto& [domain, price] : service.scaling->domain_prices)
 	{
 		domain_capacity state{domain, 0, 0, false, gateway_.evacuated().contains(domain)};
 		state.has_spot = orders_.is_available({service.id, domain, capacity_kind::spot});
-		for (const auto& replica : gateway_.replicas().of_service(service.id))
+		by_domain.emplace(domain, std::move(state));
+	}
+	for (const auto& replica : gateway_.replicas().of_service(service.id))
+	{
+		const auto found = by_domain.find(replica->domain);
+		if (found != by_domain.end() && takes_requests(*replica, now))
 		{
-			if (replica->domain == domain && takes_requests(*replica, now))
-			{
-				++(replica->is_spot ? state.spot : state.on_demand);
-			}
+			++(replica->is_spot ? found->second.spot : found->second.on_demand);
 		}
+	}
+	std::vector<domain_capacity> domains;
+	domains.reserve(by_domain.size());
+	for (auto& [domain, state] : by_domain)
+	{
 		domains.push_back(std::move(state));
 	}
 	return domains;
@@ -269,24 +280,25 @@
 	{
 		domain.has_spot = true;
 	}
+	const auto boot_time = service.scaling->boot_time;
 	const auto targets = plan_capacity(*state.needed, *service.scaling, domains);
-	const auto hoped = plan_capacity(*state.needed, *service.scaling, with_spot);
+	const auto with_spot_targets = plan_capacity(*state.needed, *service.scaling, with_spot);
 	for (std::size_t index = 0; index < targets.size(); ++index)
 	{
 		const auto& target = targets[index];
-		const auto spot = domains[index].has_spot ? target.spot : hoped[index].spot;
+		const auto spot = domains[index].has_spot ? target.spot : with_spot_targets[index].spot;
 		const auto on_demand =
 			state.on_demand[target.domain].record(target.on_demand, now, tuning_.on_demand_memory);
-		order({{service.id, target.domain, capacity_kind::spot}, spot}, domains[index].spot, now);
+		order({{service.id, target.domain, capacity_kind::spot}, spot}, domains[index].spot, boot_time, now);
 		order({{service.id, target.domain, capacity_kind::on_demand}, on_demand}, domains[index].on_demand,
-			now);
+			boot_time, now);
 	}
 }
 
-void scaling_host::order(const replica_order& order, unsigned running, instant now)
+void scaling_host::order(const replica_order& order, unsigned running, duration boot_time, instant now)
 {
 	const bool is_needless = order.replicas == 0 && running == 0 && !orders_.accepted(order.pool);
-	if (is_needless || !orders_.is_due(order, running, now) || !lease_.may_act())
+	if (is_needless || !orders_.is_due(order, running, boot_time, now) || !lease_.may_act())
 	{
 		return;
 	}
--- a/src/scaling/order_book.cpp
+++ b/src/scaling/order_book.cpp
@@ -11,7 +11,7 @@
 	return found == pools_.end() ? nullptr : &found->second;
 }
 
-bool order_book::is_due(const replica_order& order, unsigned running, instant now) const
+bool order_book::is_due(const replica_order& order, unsigned running, duration boot_time, instant now) const
 {
 	const auto* state = find(order.pool);
 	if (state == nullptr)
@@ -22,7 +22,8 @@
 	{
 		return false;
 	}
-	const bool is_unfilled = running < order.replicas && now - state->accepted_at > tuning_.filling_time;
+	const bool is_unfilled =
+		running < order.replicas && now - state->accepted_at > boot_time + tuning_.filling_margin;
 	const bool is_repeated = state->repeat_at && now >= *state->repeat_at;
 	return state->accepted != order.replicas || is_unfilled || is_repeated;
 }
--- a/tests/control/duty_host.cpp
+++ b/tests/control/duty_host.cpp
@@ -310,3 +310,20 @@
 	CHECK(receiver.orders.front().call.holder == vm_id{"vm-b"});
 	CHECK(receiver.ordered("b", capacity_kind::spot) == 6U);
 }
+
+TEST_CASE(
+	"a holder that could not read what was stored reads it when the registry is back", "[duty][control]")
+{
+	proxy_world world;
+	platform::standin::registry registry{world.context};
+	scripted_receiver receiver{world.context};
+	start_scaled_service(world, 4);
+	const duty_vm vm{world, registry, receiver, "vm-a", "a", scaling_only("vm-a")};
+	world.run_until([&] { return !registry.value("duties", "lease/scaling").is_null(); });
+	registry.set_fault(platform::standin::registry_fault::unavailable);
+	const auto back_at = proxy::steady_now() + seconds{1};
+	world.run_until([&] { return proxy::steady_now() > back_at; });
+	registry.set_fault(platform::standin::registry_fault::none);
+	world.run_until([&] { return receiver.ordered("b", scaling::capacity_kind::spot).has_value(); });
+	CHECK(receiver.ordered("b", scaling::capacity_kind::spot) == 4U);
+}
--- a/tests/scaling/order_book.cpp
+++ b/tests/scaling/order_book.cpp
@@ -30,17 +30,17 @@
 
 TEST_CASE("a number is ordered once, and again when it changes", "[scaling]")
 {
-	CHECK(order_book{}.is_due(order_of(4), 4, start));
+	CHECK(order_book{}.is_due(order_of(4), 4, seconds{4}, start));
 	const auto book = accepted(4);
-	CHECK_FALSE(book.is_due(order_of(4), 4, start + seconds{1}));
-	CHECK(book.is_due(order_of(5), 4, start + seconds{1}));
+	CHECK_FALSE(book.is_due(order_of(4), 4, seconds{4}, start + seconds{1}));
+	CHECK(book.is_due(order_of(5), 4, seconds{4}, start + seconds{1}));
 }
 
 TEST_CASE("replicas that did not come are ordered again after the time they take to start", "[scaling]")
 {
 	const auto book = accepted(4);
-	CHECK_FALSE(book.is_due(order_of(4), 1, start + seconds{3}));
-	CHECK(book.is_due(order_of(4), 1, start + seconds{7}));
+	CHECK_FALSE(book.is_due(order_of(4), 1, seconds{4}, start + seconds{3}));
+	CHECK(book.is_due(order_of(4), 1, seconds{4}, start + seconds{7}));
 }
 
 TEST_CASE("one order a pool is in flight", "[scaling]")
@@ -48,7 +48,7 @@
 	auto book = accepted(4);
 	book.record_sent(order_of(5));
 	CHECK(book.is_in_flight(pool));
-	CHECK_FALSE(book.is_due(order_of(6), 4, start + seconds{1}));
+	CHECK_FALSE(book.is_due(order_of(6), 4, seconds{4}, start + seconds{1}));
 }
 
 TEST_CASE("an order without a response is repeated, and the number once more after it may have come late",
@@ -57,15 +57,15 @@
 	auto book = accepted(4);
 	book.record_sent(order_of(9));
 	book.record_unknown(order_of(9), start);
-	CHECK(book.is_due(order_of(6), 4, start + seconds{1}));
+	CHECK(book.is_due(order_of(6), 4, seconds{4}, start + seconds{1}));
 	book.record_sent(order_of(6));
 	book.record_accepted(order_of(6), start + seconds{1});
-	CHECK_FALSE(book.is_due(order_of(6), 6, start + seconds{2}));
+	CHECK_FALSE(book.is_due(order_of(6), 6, seconds{4}, start + seconds{2}));
 	const auto late = start + seconds{7};
-	CHECK(book.is_due(order_of(6), 6, late));
+	CHECK(book.is_due(order_of(6), 6, seconds{4}, late));
 	book.record_sent(order_of(6));
 	book.record_accepted(order_of(6), late);
-	CHECK_FALSE(book.is_due(order_of(6), 6, late + seconds{20}));
+	CHECK_FALSE(book.is_due(order_of(6), 6, seconds{4}, late + seconds{20}));
 }
 
 TEST_CASE("a pool without replicas is left for longer each time", "[scaling]")
@@ -79,7 +79,7 @@
 		book.record_exhausted(order_of(4), now);
 		const auto refused_at = now;
 		CHECK_FALSE(book.is_available(pool));
-		while (!book.is_due(order_of(4), 0, now))
+		while (!book.is_due(order_of(4), 0, seconds{4}, now))
 		{
 			now += milliseconds{100};
 		}
