Request log: connections that did not come up, and how many were refused

The line of a request told 'not connected' whether its connections were refused or left unanswered, and nothing of those that a later attempt made up for. That is what tells a cut VM from replicas that are down.

--- a/include/gingerdyke/proxy/exchange.hpp
+++ b/include/gingerdyke/proxy/exchange.hpp
@@ -170,6 +170,7 @@
 	execution execution_{execution::not_run};
 	unsigned attempt_count_ = 0;
 	unsigned failed_connections_ = 0;
+	unsigned refused_connections_ = 0;
 	duration first_byte_time_{};
 	std::optional<escalation_choice> escalation_choice_;
 	bool is_counted_ = false;
--- a/include/gingerdyke/proxy/request_log.hpp
+++ b/include/gingerdyke/proxy/request_log.hpp
@@ -61,6 +61,10 @@
 	/// Short reason of the outcome, always the same text for the same reason.
 	std::string reason;
 	unsigned attempts{};
+
+	/// Connections to replicas that did not come up, and those of them that were refused.
+	unsigned failed_connections{};
+	unsigned refused_connections{};
 	duration elapsed{};
 
 	/// Time from arrival to the first byte sent to the caller.
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -463,6 +463,8 @@
 	record.status = status;
 	record.reason = std::move(reason);
 	record.attempts = attempt_count_;
+	record.failed_connections = failed_connections_;
+	record.refused_connections = refused_connections_;
 	record.elapsed = now - arrived_;
 	record.first_byte = first_byte_time_;
 	record.escalation = escalation_choice_;
--- a/src/proxy/exchange_responses.cpp
+++ b/src/proxy/exchange_responses.cpp
@@ -392,6 +392,7 @@
 	undo_attempt();
 	if (fault == upstream_fault::connect_refused)
 	{
+		++refused_connections_;
 		shared_.exit_detector().record_refused_connection(to, steady_now());
 	}
 	if (++failed_connections_ >= shared_.tuning().max_failed_connections)
--- a/src/proxy/request_log.cpp
+++ b/src/proxy/request_log.cpp
@@ -50,6 +50,8 @@
 			{"workspace", record.workspace}, {"replica", record.replica}, {"version", record.version},
 			{"model", record.model}, {"outcome", name_of(record.outcome)}, {"status", record.status},
 			{"reason", record.reason}, {"attempts", record.attempts},
+			{"connections_failed", record.failed_connections},
+			{"connections_refused", record.refused_connections},
 			{"took_ms", to_milliseconds(record.elapsed)},
 			{"first_byte_ms", to_milliseconds(record.first_byte)}, {"confidence", choice.confidence},
 			{"escalate_below", choice.threshold}, {"larger_expected_ms", to_milliseconds(choice.expected)},
