--- a/soak/link_proxy.cpp
+++ b/soak/link_proxy.cpp
@@ -47,6 +47,10 @@
 		return "reset";
 	case link_fault::refused:
 		return "refused";
+	case link_fault::refused_new:
+		return "new ones refused";
+	case link_fault::unanswered:
+		return "unanswered";
 	}
 	return "unknown";
 }
@@ -113,7 +117,8 @@
 
 	[[nodiscard]] bool is_held_back(const side& from) const
 	{
-		return *fault_ == link_fault::silent || (*fault_ == link_fault::one_way && &from == &far_);
+		return *fault_ == link_fault::silent || *fault_ == link_fault::unanswered ||
+			   (*fault_ == link_fault::one_way && &from == &far_);
 	}
 
 	void read(side& from, side& to)
@@ -188,7 +193,7 @@
 link_proxy::link_proxy(proxy::asio::io_context& context, routing::address target)
 	: context_(context), target_(std::move(target)),
 	  acceptor_(context, {proxy::asio::ip::address_v4::loopback(), 0}),
-	  port_(acceptor_.local_endpoint().port()), fault_(std::make_shared<link_fault>(link_fault::none))
+	  port_(acceptor_.local_endpoint().port()), unaccepted_(context), fault_(std::make_shared<link_fault>(link_fault::none))
 {
 	keep_from_children(acceptor_);
 	accept();
@@ -207,11 +212,13 @@
 void link_proxy::set(link_fault fault)
 {
 	*fault_ = fault;
-	if (fault == link_fault::refused && listens_)
+	const bool refuses = fault == link_fault::refused || fault == link_fault::refused_new;
+	const bool listens = !refuses && fault != link_fault::unanswered;
+	if (!listens && listens_)
 	{
-		stop_listening();
+		refuses ? stop_listening() : stop_answering();
 	}
-	else if (fault != link_fault::refused && !listens_)
+	else if (listens && !listens_)
 	{
 		listen_again();
 	}
@@ -237,9 +244,21 @@
 	keep_from_children(acceptor_);
 }
 
+/// The kernel drops the first packet of a new connection while the queue of those to be accepted is full; a
+/// queue of length 0 holds one.
+void link_proxy::stop_answering()
+{
+	stop_listening();
+	acceptor_.listen(0);
+	unaccepted_ = tcp::socket{context_};
+	unaccepted_.connect(endpoint_of(at()));
+}
+
 void link_proxy::listen_again()
 {
 	listens_ = true;
+	error_code ignored;
+	unaccepted_.close(ignored);
 	acceptor_.listen();
 	accept();
 }
--- a/soak/link_proxy.hpp
+++ b/soak/link_proxy.hpp
@@ -23,6 +23,10 @@
 	reset,
 	/// Connections are reset, and nobody listens: what is behind has ended.
 	refused,
+	/// Open connections work, new ones are refused.
+	refused_new,
+	/// Nothing gets through, and new connections do not come up.
+	unanswered,
 };
 
 /// \brief The word for a fault.
@@ -46,6 +50,7 @@
 
 	void accept();
 	void stop_listening();
+	void stop_answering();
 	void listen_again();
 
 	proxy::asio::io_context& context_;
@@ -53,6 +58,9 @@
 	proxy::tcp::acceptor acceptor_;
 	std::uint16_t port_;
 	bool listens_ = true;
+
+	/// Fills the queue of connections that wait to be accepted.
+	proxy::tcp::socket unaccepted_;
 	std::shared_ptr<link_fault> fault_;
 	std::list<std::weak_ptr<pair>> pairs_;
 };
