--- a/include/gingerdyke/control/source_selector.hpp
+++ b/include/gingerdyke/control/source_selector.hpp
@@ -25,6 +25,9 @@
 	/// domain.
 	unsigned link_mbps{};
 
+	/// Address at which the VM forwards requests to replicas for others; none if it does not.
+	std::optional<routing::address> forwarding_address{};
+
 	auto operator<=>(const peer&) const = default;
 };
 
--- a/include/gingerdyke/limits/attempt_budget.hpp
+++ b/include/gingerdyke/limits/attempt_budget.hpp
@@ -53,6 +53,15 @@
 		requests_.push_back(now);
 	}
 
+	/// \brief Withdraws a request that was recorded, because another VM sends it.
+	void withdraw_request()
+	{
+		if (!requests_.empty())
+		{
+			requests_.pop_back();
+		}
+	}
+
 	/// \brief Takes one additional attempt from the budget if one is available.
 	[[nodiscard]] bool take(instant now)
 	{
--- a/include/gingerdyke/proxy/exchange.hpp
+++ b/include/gingerdyke/proxy/exchange.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <gingerdyke/proxy/event_stream.hpp>
+#include <gingerdyke/proxy/forwarding_terms.hpp>
 #include <gingerdyke/proxy/gateway.hpp>
 #include <gingerdyke/proxy/prompt.hpp>
 #include <gingerdyke/proxy/response_sink.hpp>
@@ -29,6 +30,9 @@
 	std::string body;
 	instant sent_at;
 
+	/// When the wait for the first byte began.
+	instant connected_at;
+
 	/// Time from sending the request to receiving the response head.
 	duration first_byte{};
 	routing::size_step model_step;
@@ -62,11 +66,35 @@
 	stream_pace pace;
 };
 
+/// \brief A request on its way through another VM.
+struct forwarding_hop
+{
+	vm_id vm;
+	std::shared_ptr<upstream_connection> connection;
+
+	/// Attempts that may have been made once the other VM has ended the request, those made here included.
+	unsigned max_attempts{};
+
+	/// Execution state before; restored if the other VM did not run the request.
+	execution execution_before{execution::not_run};
+
+	/// The connection is established, so the request may have been sent.
+	bool connected{};
+	response_head head;
+	forwarding_result result;
+	std::string body;
+
+	/// The response body is a stream of events.
+	bool is_stream{};
+};
+
 /// \brief Handles one request: chooses its replicas, decides on retries and on what the caller is told.
 class exchange : public active_request, public std::enable_shared_from_this<exchange>
 {
   public:
-	exchange(gateway& shared, request incoming, std::shared_ptr<response_sink> output);
+	/// \param origin Terms of a request that another VM forwards; none if it comes from its caller.
+	exchange(gateway& shared, request incoming, std::shared_ptr<response_sink> output,
+		std::optional<forwarding_terms> origin = {});
 
 	/// \brief Admits and dispatches the request or refuses it. Waits for a bounded time if the VM is not
 	/// ready yet.
@@ -79,6 +107,8 @@
 	void await_ready();
 	void begin();
 	[[nodiscard]] bool admit();
+	[[nodiscard]] bool admit_forwarded();
+	void refuse_here(std::string reason);
 	[[nodiscard]] bool authenticate();
 	[[nodiscard]] quarantine::request_key compute_request_key() const;
 	void refuse_unknown(int status, std::string reason);
@@ -90,6 +120,8 @@
 	using replica_filter = std::function<bool(const routing::replica&)>;
 	[[nodiscard]] routing::replica_ptr choose_replica_among(const replica_filter& allowed) const;
 	[[nodiscard]] std::optional<duration> time_until_servable(const routing::replica& engine) const;
+	[[nodiscard]] bool may_connect() const;
+	[[nodiscard]] bool has_path(const routing::replica& candidate) const;
 	[[nodiscard]] bool has_free_connection(const routing::replica& candidate) const;
 	[[nodiscard]] bool targets_engine() const;
 	[[nodiscard]] double model_weight() const;
@@ -104,6 +136,22 @@
 	void record_run_end();
 	void record_result(routing::replica_result result);
 
+	// By way of another VM.
+	[[nodiscard]] unsigned attempt_limit() const;
+	[[nodiscard]] bool has_lost_path() const;
+	[[nodiscard]] bool forward();
+	void forward_to(const routing::forwarding_peer& to);
+	[[nodiscard]] upstream_callbacks hop_callbacks();
+	[[nodiscard]] header_fields forwarding_fields() const;
+	void on_hop_head(response_head head);
+	void on_hop_body(std::string_view bytes);
+	void on_hop_end();
+	void on_hop_fault(upstream_fault fault);
+	void on_hop_timer();
+	void return_from_hop(bool is_complete);
+	void pass_on_hop_response();
+	void end_hop(bool is_complete);
+
 	// Events from the replica.
 	void on_connected();
 	[[nodiscard]] bool is_still_sendable() const;
@@ -126,9 +174,15 @@
 	[[nodiscard]] bool escalate(double confidence);
 	[[nodiscard]] duration expected_first_token() const;
 	void forward_buffered_response();
+	void write_event(const response_head& head, const std::string& event);
+	[[nodiscard]] forwarding_result result_of_local_reply() const;
+	[[nodiscard]] header_fields response_fields(const header_fields& fields) const;
+	void record_path_failure(upstream_fault fault);
 
 	// Timeouts.
 	void arm_attempt_timer(duration span);
+	void arm_first_byte_timer();
+	[[nodiscard]] bool awaits_first_byte() const;
 	void on_attempt_timer();
 	void on_deadline();
 	[[nodiscard]] duration time_left() const;
@@ -139,11 +193,13 @@
 	void refuse_quarantined();
 	void refuse_without_replica();
 	void refuse_until(duration wait, std::string reason);
+	void refuse_without_path();
 	void fail(int status, std::string reason);
 	void send_local_reply(int status, std::string reason, header_fields fields);
 	void finish(request_outcome outcome, int status, std::string reason);
 
 	gateway& shared_;
+	std::optional<forwarding_terms> origin_;
 	request request_;
 	std::shared_ptr<response_sink> sink_;
 	instant arrived_;
@@ -161,10 +217,17 @@
 	std::uint64_t session_hash_ = 0;
 	std::vector<replica_id> tried_replicas_;
 	std::optional<attempt> attempt_;
+	std::optional<forwarding_hop> hop_;
+
+	/// VMs that this request was sent through.
+	std::vector<vm_id> asked_vms_;
 	event_stream events_;
 	routing::size_step model_step_;
 	routing::replica_ptr last_replica_;
 
+	/// Replica that another VM sent the request to.
+	replica_id last_replica_id_;
+
 	/// The registry entry of the last replica was missing when the request was sent to it.
 	bool last_was_missing_ = false;
 	execution execution_{execution::not_run};
@@ -174,6 +237,12 @@
 	duration first_byte_time_{};
 	std::optional<escalation_choice> escalation_choice_;
 	bool is_counted_ = false;
+
+	/// The request counts in the retry budget of another VM.
+	bool is_budget_moved_ = false;
+
+	/// It is this VM that can't serve the request; another one may.
+	bool is_unavailable_here_ = false;
 	bool started_ = false;
 	bool response_started_ = false;
 	bool finished_ = false;
--- a/include/gingerdyke/proxy/gateway.hpp
+++ b/include/gingerdyke/proxy/gateway.hpp
@@ -4,7 +4,9 @@
 
 #include <algorithm>
 #include <gingerdyke/limits/attempt_budget.hpp>
+#include <gingerdyke/proxy/forwarding_terms.hpp>
 #include <gingerdyke/proxy/header_names.hpp>
+#include <gingerdyke/proxy/path_prober.hpp>
 #include <gingerdyke/proxy/replica_exit_detector.hpp>
 #include <gingerdyke/proxy/request_log.hpp>
 #include <gingerdyke/proxy/response_sink.hpp>
@@ -18,6 +20,8 @@
 #include <gingerdyke/routing/evacuated_domains.hpp>
 #include <gingerdyke/routing/first_token_estimator.hpp>
 #include <gingerdyke/routing/fleet_list.hpp>
+#include <gingerdyke/routing/path_monitor.hpp>
+#include <gingerdyke/routing/peer_selector.hpp>
 #include <gingerdyke/routing/replica_selector.hpp>
 #include <gingerdyke/routing/replica_set.hpp>
 #include <gingerdyke/routing/size_policy.hpp>
@@ -49,6 +53,10 @@
 	/// Timeout of establishing a connection: a thousand times the usual time on the deployments' networks.
 	duration connect_timeout = std::chrono::milliseconds{400};
 
+	/// Interval at which a request that waits for its first byte checks whether the path to its replica is
+	/// lost. Most requests wait for less.
+	duration path_check_interval = std::chrono::milliseconds{500};
+
 	/// A repeatable request is taken from a replica that leaves its bytes unacknowledged for this long; three
 	/// consecutive packet losses on the deployments' links take longer. Other requests wait for as long as
 	/// the connection lasts.
@@ -58,6 +66,17 @@
 	/// count as attempts.
 	unsigned max_failed_connections = 6;
 
+	/// The same if another VM may be asked instead: each failure may take the timeout above.
+	unsigned max_failed_connections_before_forwarding = 2;
+
+	/// Maximum number of VMs through which one request is sent. Those after the first are asked because the
+	/// one before had lost its path too; half of the VMs may have.
+	std::size_t max_forwarding_vms = 3;
+
+	/// Maximum number of requests that this VM forwards to replicas for other VMs at a time; each takes some
+	/// tens of kilobytes.
+	unsigned max_forwarded_requests = 400;
+
 	/// Connections that a VM may open to a replica even if its share of the replica's limit is smaller: with
 	/// a smaller share, requests would wait while other VMs leave theirs unused.
 	unsigned min_connections = 4;
@@ -189,6 +208,30 @@
 	[[nodiscard]] std::shared_ptr<active_request> handle(
 		request incoming, std::shared_ptr<response_sink> output);
 
+	/// \brief Handles a request that another VM forwards.
+	[[nodiscard]] std::shared_ptr<active_request> handle_forwarded(
+		request incoming, std::shared_ptr<response_sink> output);
+
+	/// \brief Sets this VM's own id, which other VMs log.
+	void set_vm(vm_id vm) { vm_ = std::move(vm); }
+	[[nodiscard]] const vm_id& vm() const noexcept { return vm_; }
+
+	/// \brief Whether the process is shutting down.
+	[[nodiscard]] bool is_stopping() const noexcept { return stop_started_at_.has_value(); }
+
+	/// \brief Counts the requests in progress that other VMs forward.
+	void begin_forwarded() { ++forwarded_count_; }
+	void end_forwarded() { --forwarded_count_; }
+	[[nodiscard]] unsigned forwarded_count() const noexcept { return forwarded_count_; }
+
+	/// \brief Records that a VM could not serve a forwarded request.
+	/// \param request Id of the request, for the log.
+	void record_unavailable_peer(
+		const vm_id& peer, const service_id& service, const std::string& request, const std::string& reason);
+
+	/// \brief Records that a VM could not be reached, or was lost while it forwarded a request.
+	void record_unreachable_peer(const vm_id& peer, const std::string& request, const char* reason);
+
 	/// \brief Whether a replica lies in a region in which a request may be served.
 	/// \param workspace The workspace that the request is of; null if it is of none.
 	[[nodiscard]] bool is_region_allowed(
@@ -272,6 +315,11 @@
 	[[nodiscard]] unknown_statements& unknown_names() noexcept { return unknown_names_; }
 	[[nodiscard]] routing::replica_selector& selector() noexcept { return selector_; }
 	[[nodiscard]] upstream_pool& pool() noexcept { return pool_; }
+
+	/// \brief Connections to other VMs that forward requests.
+	[[nodiscard]] upstream_pool& peer_pool() noexcept { return peer_pool_; }
+	[[nodiscard]] routing::peer_selector& peers() noexcept { return peers_; }
+	[[nodiscard]] routing::path_monitor& paths() noexcept { return paths_; }
 	[[nodiscard]] rollout::version_shift& versions() noexcept { return versions_; }
 	[[nodiscard]] const routing::size_policy& sizes() const noexcept { return sizes_; }
 	[[nodiscard]] const header_names& names() const noexcept { return names_; }
@@ -280,6 +328,7 @@
 	[[nodiscard]] request_log& log() noexcept { return log_; }
 
   private:
+	void on_path_change(const routing::path_change& change);
 	void on_replica_change(const routing::replica& instance, routing::replica_change change);
 	void log_replica_change(const routing::replica& instance, routing::replica_change change);
 	void log_counted_changes();
@@ -305,6 +354,12 @@
 	routing::backoff_periods backoffs_;
 	routing::replica_selector selector_;
 	upstream_pool pool_;
+	upstream_pool peer_pool_;
+	routing::peer_selector peers_;
+	routing::path_monitor paths_;
+	path_prober path_prober_;
+	vm_id vm_;
+	unsigned forwarded_count_ = 0;
 	quarantine::suspect_list suspects_;
 	replica_exit_detector exit_detector_;
 	std::uint64_t replica_exits_ = 0;
--- a/include/gingerdyke/proxy/request_log.hpp
+++ b/include/gingerdyke/proxy/request_log.hpp
@@ -52,6 +52,10 @@
 	std::string workspace;
 	std::string replica;
 
+	/// VM that the request was last sent through, and VM that forwarded it here; empty if none.
+	std::string forwarded_to{};
+	std::string forwarded_by{};
+
 	/// Software version of the replica.
 	std::string version;
 	std::string model;
--- a/include/gingerdyke/proxy/upstream_connection.hpp
+++ b/include/gingerdyke/proxy/upstream_connection.hpp
@@ -23,6 +23,8 @@
 	no_response,
 	/// The connection ended in the middle of the response.
 	truncated_response,
+	/// The connection timed out: sent bytes or probes were not acknowledged.
+	timed_out,
 	/// The received data is no valid response to this request.
 	invalid_response,
 };
--- a/include/gingerdyke/proxy/upstream_pool.hpp
+++ b/include/gingerdyke/proxy/upstream_pool.hpp
@@ -32,6 +32,10 @@
 	[[nodiscard]] std::shared_ptr<upstream_connection> acquire(
 		const routing::replica_ptr& to, bool may_run_again, instant now);
 
+	/// \brief Whether `acquire` would return an idle connection.
+	[[nodiscard]] bool has_usable_connection(
+		const routing::replica& to, bool may_run_again, instant now) const;
+
 	/// \brief Returns a connection whose request has ended. It is kept if it can be reused.
 	void release(const std::shared_ptr<upstream_connection>& connection, instant now);
 
--- /dev/null
+++ b/include/gingerdyke/routing/path_monitor.hpp
@@ -0,0 +1,157 @@
+// SPDX-License-Identifier: MIT
+// Which replicas this VM has no network path to, as opposed to replicas that are down.
+#pragma once
+
+#include <functional>
+#include <gingerdyke/base/random.hpp>
+#include <gingerdyke/routing/replica_set.hpp>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace gingerdyke::routing
+{
+/// \brief Evidence against the path to a replica.
+enum class path_failure
+{
+	/// A new connection was refused; open ones may still work.
+	refused,
+	/// A new connection did not come up in time.
+	unanswered,
+	/// An open connection timed out: what was sent was not acknowledged.
+	silent,
+};
+
+/// \brief Returns the name of a kind of evidence, as logged.
+[[nodiscard]] const char* name_of(path_failure failure) noexcept;
+
+/// \brief The replicas of one service in one failure domain. They share a network path, and their processes
+/// fail independently.
+struct path_group
+{
+	service_id service;
+	failure_domain_id domain;
+
+	auto operator<=>(const path_group&) const = default;
+};
+
+/// \brief A change of the belief about a group.
+struct path_change
+{
+	path_group group;
+	bool is_lost{};
+
+	/// The evidence that decided it; meaningless if the path is back.
+	path_failure failure{path_failure::refused};
+
+	/// Replicas that failed without one being reached in between.
+	std::size_t failed_replicas{};
+
+	/// For how long the path was lost; 0 if it is lost now.
+	duration lost_for{};
+};
+
+/// \brief Tuning of `path_monitor`.
+struct path_tuning
+{
+	/// The path to a group counts as lost if connections to this many of its replicas hang, or to all if it
+	/// has fewer, and no replica of the group sends anything meanwhile.
+	std::size_t min_hanging_replicas = 2;
+
+	/// The same if more than this share of its replicas refuse connections and none accepts one: replicas
+	/// that are down refuse them too. A refusal takes a round trip only, so a late decision costs little.
+	double min_refusing_share = 0.5;
+
+	/// Failures count together if they lie within this time, which is longer than it takes to notice a
+	/// connection that hangs.
+	duration evidence_window = std::chrono::milliseconds{1500};
+
+	/// Delay of the first probe of a lost path, doubled with each probe that fails up to the maximum. The
+	/// maximum is how much longer than the partition requests take the longer way.
+	duration first_probe_delay = std::chrono::milliseconds{250};
+	duration max_probe_delay = std::chrono::seconds{2};
+
+	/// Random variation of the delays, relative: VMs that lost their paths together would otherwise probe
+	/// together.
+	double probe_jitter = 0.25;
+
+	/// A path that is lost again within this time keeps its last probe delay.
+	duration stable_time = std::chrono::seconds{5};
+};
+
+/// \brief Decides from this VM's own connections to which groups of replicas it has lost its path. Groups
+/// without failures cost nothing.
+class path_monitor
+{
+  public:
+	using change_hook = std::function<void(const path_change&)>;
+
+	path_monitor(
+		const replica_set& replicas, random_source random, change_hook changed, path_tuning tuning = {});
+
+	/// \brief Records that a new connection to a replica came up.
+	void record_connected(const replica& to, instant now);
+
+	/// \brief Records bytes received from a replica on an open connection.
+	void record_response(const replica& from, instant now);
+
+	/// \brief Records a failure that may be one of the path.
+	void record_failure(const replica& to, path_failure failure, instant now);
+
+	/// \brief Whether new connections to a replica are expected to come up.
+	[[nodiscard]] bool accepts_connections(const replica& to) const;
+
+	/// \brief Whether requests on an open connection to a replica are expected to be answered.
+	[[nodiscard]] bool carries_requests(const replica& to) const;
+
+	/// \brief Returns a replica of each group whose path is to be probed now by a new connection; the result
+	/// is recorded as any other connection's.
+	[[nodiscard]] std::vector<replica_ptr> due_probes(instant now);
+
+	/// \brief When `due_probes` must be called next; none if no path is lost.
+	[[nodiscard]] std::optional<instant> next_probe_at() const;
+
+	/// \brief Number of groups to which the path is lost.
+	[[nodiscard]] std::size_t lost_count() const noexcept { return lost_count_; }
+
+	/// \brief Whether the paths to all groups are lost: what is observed of replicas then says nothing about
+	/// them.
+	[[nodiscard]] bool is_isolated() const;
+
+  private:
+	struct failure_record
+	{
+		path_failure failure{};
+		instant at;
+	};
+
+	struct group_state
+	{
+		/// The latest failure of each replica since a connection to the group came up.
+		std::map<replica_id, failure_record> failures;
+		bool is_lost{};
+
+		/// Open connections are part of the loss.
+		bool is_silent{};
+		instant lost_at;
+		instant regained_at;
+		instant probe_at;
+		duration probe_delay{};
+	};
+
+	[[nodiscard]] group_state* find(const replica& member);
+	[[nodiscard]] const group_state* find_lost(const replica& member) const;
+	[[nodiscard]] bool is_evidence_sufficient(const path_group& group, const group_state& state) const;
+	[[nodiscard]] std::vector<replica_ptr> members_of(const path_group& group) const;
+	void lose(const path_group& group, group_state& state, path_failure failure, instant now);
+	void regain(const path_group& group, group_state& state, instant now);
+	void schedule_probe(group_state& state, instant now) const;
+
+	const replica_set& replicas_;
+	random_source random_;
+	change_hook changed_;
+	path_tuning tuning_;
+	std::map<path_group, group_state> groups_;
+	std::size_t lost_count_ = 0;
+};
+} // namespace gingerdyke::routing
--- a/soak/link_proxy.cpp
+++ b/soak/link_proxy.cpp
@@ -193,7 +193,8 @@
 link_proxy::link_proxy(proxy::asio::io_context& context, routing::address target)
 	: context_(context), target_(std::move(target)),
 	  acceptor_(context, {proxy::asio::ip::address_v4::loopback(), 0}),
-	  port_(acceptor_.local_endpoint().port()), unaccepted_(context), fault_(std::make_shared<link_fault>(link_fault::none))
+	  port_(acceptor_.local_endpoint().port()), unaccepted_(context),
+	  fault_(std::make_shared<link_fault>(link_fault::none))
 {
 	keep_from_children(acceptor_);
 	accept();
--- a/src/control/coordinator.cpp
+++ b/src/control/coordinator.cpp
@@ -356,11 +356,17 @@
 {
 	std::vector<peer> peers;
 	std::vector<routing::fleet_member> members;
+	std::vector<routing::forwarding_peer> forwarding;
 	for (const auto& [id, vm] : vms_)
 	{
 		peers.push_back(vm);
 		members.push_back({id, vm.domain});
+		if (vm.forwarding_address && id != self_.vm)
+		{
+			forwarding.push_back({id, vm.domain, *vm.forwarding_address, vm.link_mbps});
+		}
 	}
+	gateway_.peers().set_peers(std::move(forwarding));
 	if (hooks_.vms_changed)
 	{
 		hooks_.vms_changed(peers);
--- a/src/control/own_rows.cpp
+++ b/src/control/own_rows.cpp
@@ -147,9 +147,13 @@
 
 std::string write_vm(const peer& vm)
 {
-	return json{{"vm", vm.vm.str()}, {"domain", vm.domain.str()}, {"address", vm.address.str()},
-		{"link_mbps", vm.link_mbps}}
-		.dump();
+	json value{{"vm", vm.vm.str()}, {"domain", vm.domain.str()}, {"address", vm.address.str()},
+		{"link_mbps", vm.link_mbps}};
+	if (vm.forwarding_address)
+	{
+		value["forwarding"] = vm.forwarding_address->str();
+	}
+	return value.dump();
 }
 
 checked<peer> read_vm(const row& from)
@@ -162,9 +166,19 @@
 			{
 				return row_error(from, "address is not IP:PORT");
 			}
-			return peer{vm_id{value.at("vm").get<std::string>()},
+			peer read{vm_id{value.at("vm").get<std::string>()},
 				failure_domain_id{value.at("domain").get<std::string>()}, *at,
 				value.at("link_mbps").get<unsigned>()};
+			if (value.contains("forwarding"))
+			{
+				const auto forwarding = routing::address::parse(value.at("forwarding").get<std::string>());
+				if (!forwarding)
+				{
+					return row_error(from, "forwarding address is not IP:PORT");
+				}
+				read.forwarding_address = *forwarding;
+			}
+			return read;
 		});
 }
 
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -28,9 +28,10 @@
 }
 } // namespace
 
-exchange::exchange(gateway& shared, request incoming, std::shared_ptr<response_sink> output)
-	: shared_(shared), request_(std::move(incoming)), sink_(std::move(output)), arrived_(steady_now()),
-	  deadline_timer_(shared.context()), attempt_timer_(shared.context())
+exchange::exchange(gateway& shared, request incoming, std::shared_ptr<response_sink> output,
+	std::optional<forwarding_terms> origin)
+	: shared_(shared), origin_(std::move(origin)), request_(std::move(incoming)), sink_(std::move(output)),
+	  arrived_(steady_now()), deadline_timer_(shared.context()), attempt_timer_(shared.context())
 {
 }
 
@@ -44,6 +45,7 @@
 	const auto now = steady_now();
 	if (workspace_ != nullptr && shared_.trust_in_keys(now) == key_trust::stale)
 	{
+		is_unavailable_here_ = true;
 		fail(unavailable, "configuration too old to trust keys");
 		return;
 	}
@@ -71,16 +73,24 @@
 		fail(gateway_timeout, "no time left");
 		return;
 	}
-	if (attempt_count_ > 0 && !shared_.budget(service_id_).take(now))
+	if (attempt_count_ == 0)
 	{
-		fail(unavailable, "retry budget used up");
+		model_step_ = routing::size_policy::first(*route_, attempt_limit() > 1 && route_->is_retryable());
+	}
+	const auto replica = may_connect() ? choose_replica() : nullptr;
+	if (!replica && has_lost_path())
+	{
+		if (!forward())
+		{
+			refuse_without_path();
+		}
 		return;
 	}
-	if (attempt_count_ == 0)
+	if (attempt_count_ > 0 && !shared_.budget(service_id_).take(now))
 	{
-		model_step_ = routing::size_policy::first(*route_, route_->attempts > 1 && route_->is_retryable());
+		fail(unavailable, "retry budget used up");
+		return;
 	}
-	const auto replica = choose_replica();
 	if (!replica)
 	{
 		refuse_without_replica();
@@ -149,7 +159,7 @@
 			std::find(tried_replicas_.begin(), tried_replicas_.end(), candidate.id) != tried_replicas_.end();
 		return !was_tried && (version.empty() || candidate.version == version) &&
 			   shared_.is_region_allowed(candidate, *route_, workspace_) &&
-			   versions.is_in_use(candidate, now) && has_free_connection(candidate) &&
+			   versions.is_in_use(candidate, now) && has_path(candidate) && has_free_connection(candidate) &&
 			   shared_.may_send(candidate, now) && allowed(candidate);
 	};
 	auto chosen = shared_.selector().choose(criteria, now);
@@ -161,6 +171,26 @@
 	return chosen;
 }
 
+/// Whether a further connection may be tried after those that failed.
+bool exchange::may_connect() const
+{
+	const auto& tuning = shared_.tuning();
+	if (failed_connections_ < tuning.max_failed_connections_before_forwarding)
+	{
+		return true;
+	}
+	const bool has_alternative = origin_ || shared_.peers().choose(service_id_, asked_vms_, steady_now());
+	return !has_alternative && failed_connections_ < tuning.max_failed_connections;
+}
+
+bool exchange::has_path(const routing::replica& candidate) const
+{
+	const auto& paths = shared_.paths();
+	return paths.accepts_connections(candidate) ||
+		   (paths.carries_requests(candidate) &&
+			   shared_.pool().has_usable_connection(candidate, route_->is_retryable(), steady_now()));
+}
+
 bool exchange::has_free_connection(const routing::replica& candidate) const
 {
 	const auto limit = service_ == nullptr ? 0 : service_->connections_per_replica;
@@ -250,7 +280,10 @@
 
 bool exchange::may_retry() const
 {
-	return attempt_count_ < route_->attempts && time_left() >= shared_.tuning().min_attempt_time &&
+	// A stream that another VM forwards is resumed by that VM, which knows all of its attempts.
+	const bool resumes_here = !origin_ || !response_started_;
+	return resumes_here && attempt_count_ < attempt_limit() &&
+		   time_left() >= shared_.tuning().min_attempt_time &&
 		   (execution_ == execution::not_run || route_->is_retryable()) &&
 		   shared_.budget(service_id_).available(steady_now()) >= 1;
 }
@@ -264,6 +297,7 @@
 	attempt_.emplace();
 	attempt_->target = to;
 	attempt_->sent_at = now;
+	attempt_->connected_at = now;
 	attempt_->execution_before = execution_;
 	attempt_->model_step = model_step_;
 	attempt_->run = shared_.exit_detector().runs().begin(*to, request_key_, now);
@@ -278,7 +312,7 @@
 	attempt_->work = prompt_.input_tokens * weight + prompt_.decode_work() * weight;
 	shared_.selector().record_sent(*to, attempt_->work);
 	attempt_->connected = attempt_->connection->was_used();
-	arm_attempt_timer(attempt_->connected ? first_byte_limit() : shared_.tuning().connect_timeout);
+	attempt_->connected ? arm_first_byte_timer() : arm_attempt_timer(shared_.tuning().connect_timeout);
 
 	const auto self = shared_from_this();
 	upstream_callbacks callbacks;
@@ -430,6 +464,14 @@
 	send_local_reply(status == gateway_timeout ? gateway_timeout : bad_gateway, std::move(reason), {});
 }
 
+forwarding_result exchange::result_of_local_reply() const
+{
+	const bool was_run = execution_ != execution::not_run;
+	const auto refusal = is_unavailable_here_ ? forwarding_outcome::unavailable : forwarding_outcome::refused;
+	return {was_run ? forwarding_outcome::failed : refusal, attempt_count_,
+		last_replica_ ? last_replica_->id : replica_id{}};
+}
+
 void exchange::send_local_reply(int status, std::string reason, header_fields fields)
 {
 	if (!id_.empty())
@@ -437,6 +479,10 @@
 		fields.push_back({shared_.names().request_id, id_});
 	}
 	fields.push_back({"Content-Type", "text/plain"});
+	if (origin_)
+	{
+		fields.push_back({forwarding_result_header, write_result(result_of_local_reply())});
+	}
 	const auto outcome =
 		execution_ == execution::not_run ? request_outcome::refused : request_outcome::failed;
 	const auto sink = sink_;
@@ -449,6 +495,7 @@
 {
 	finished_ = true;
 	end_attempt(false);
+	end_hop(false);
 	deadline_timer_.cancel();
 	const auto now = steady_now();
 	request_record record;
@@ -456,7 +503,10 @@
 	record.content_key = request_key_.str();
 	record.route = route_ == nullptr ? "" : route_->id.str();
 	record.workspace = workspace_ == nullptr ? "" : workspace_->id.str();
-	record.replica = last_replica_ ? last_replica_->id.str() : "";
+	record.replica =
+		last_replica_ && last_replica_id_.empty() ? last_replica_->id.str() : last_replica_id_.str();
+	record.forwarded_to = asked_vms_.empty() ? "" : asked_vms_.back().str();
+	record.forwarded_by = origin_ ? origin_->origin.str() : "";
 	record.version = last_replica_ ? last_replica_->version : "";
 	record.model = route_ == nullptr || route_->models.empty() ? "" : route_->models[model_step_.index].str();
 	record.outcome = outcome;
@@ -473,5 +523,9 @@
 	record.replicas_age = shared_.replicas_age(now).value_or(duration{0});
 	record.replica_is_suspected = last_was_missing_;
 	shared_.log().record_request(record, now);
+	if (origin_ && started_)
+	{
+		shared_.end_forwarded();
+	}
 }
 } // namespace gingerdyke::proxy
--- a/src/proxy/exchange_admission.cpp
+++ b/src/proxy/exchange_admission.cpp
@@ -57,12 +57,24 @@
 	{
 		return;
 	}
+	if (origin_)
+	{
+		shared_.begin_forwarded();
+	}
 	if (!admit())
 	{
 		return;
 	}
 	read_deadline();
-	shared_.budget(service_id_).record_request(arrived_);
+	if (origin_)
+	{
+		attempt_count_ = origin_->attempts_made;
+		model_step_ = origin_->model_step;
+	}
+	if (attempt_count_ == 0)
+	{
+		shared_.budget(service_id_).record_request(arrived_);
+	}
 	deadline_timer_.expires_after(std::max(time_left(), duration{0}));
 	deadline_timer_.async_wait(
 		[self = shared_from_this()](const error_code& error)
@@ -85,7 +97,11 @@
 	}
 	if (!shared_.ready())
 	{
-		refuse(unavailable, "no configuration yet");
+		refuse_here("no configuration yet");
+		return false;
+	}
+	if (origin_ && !admit_forwarded())
+	{
 		return false;
 	}
 	if (id_.empty())
@@ -102,7 +118,7 @@
 	}
 	if (!shared_.accepts_requests(route_->streams, arrived_))
 	{
-		refuse(unavailable, "stopping");
+		refuse_here("stopping");
 		return false;
 	}
 	if (!authenticate())
@@ -131,7 +147,36 @@
 		refuse(status, std::move(reason));
 		return;
 	}
-	refuse(unavailable, "configuration too old to tell: " + reason);
+	refuse_here("configuration too old to tell: " + reason);
+}
+
+/// Refuses for a reason that concerns this VM only.
+void exchange::refuse_here(std::string reason)
+{
+	is_unavailable_here_ = true;
+	refuse(unavailable, std::move(reason));
+}
+
+/// Whether this VM can take the place of the one that forwards the request. Requests of other VMs' callers
+/// count like those of its own: only their number is limited, by the memory that they take.
+bool exchange::admit_forwarded()
+{
+	if (catalog_->version().value() < origin_->config_version)
+	{
+		refuse_here("configuration older than the forwarding VM's");
+		return false;
+	}
+	if (shared_.is_stopping())
+	{
+		refuse_here("stopping");
+		return false;
+	}
+	if (shared_.forwarded_count() > shared_.tuning().max_forwarded_requests)
+	{
+		refuse_here("too many forwarded requests");
+		return false;
+	}
+	return true;
 }
 
 bool exchange::authenticate()
@@ -142,7 +187,7 @@
 	}
 	if (shared_.trust_in_keys(arrived_) == key_trust::stale)
 	{
-		refuse(unavailable, "configuration too old to trust keys");
+		refuse_here("configuration too old to trust keys");
 		return false;
 	}
 	const auto key = parse_key(request_.find("Authorization"), shared_.names().key_scheme);
--- a/src/proxy/exchange_responses.cpp
+++ b/src/proxy/exchange_responses.cpp
@@ -27,6 +27,7 @@
 /// milliseconds, in which it may have started to drain.
 void exchange::on_connected()
 {
+	shared_.paths().record_connected(*attempt_->target, steady_now());
 	shared_.exit_detector().runs().record_connection(*attempt_->target, attempt_->sent_at);
 	if (!is_still_sendable())
 	{
@@ -40,7 +41,8 @@
 		shared_.load_limits().record_sent(*attempt_->target, steady_now());
 	}
 	attempt_->connected = true;
-	arm_attempt_timer(first_byte_limit());
+	attempt_->connected_at = steady_now();
+	arm_first_byte_timer();
 }
 
 bool exchange::is_still_sendable() const
@@ -59,6 +61,7 @@
 	const auto& names = shared_.names();
 	attempt_->first_byte = steady_now() - attempt_->sent_at;
 	attempt_->head = std::move(head);
+	shared_.paths().record_response(*attempt_->target, steady_now());
 	const auto& received = attempt_->head;
 	record_statements(received);
 	if (received.find(names.not_run) != nullptr || received.status == misdirected)
@@ -263,6 +266,7 @@
 	}
 	if (attempt_->is_stream)
 	{
+		shared_.paths().record_response(*attempt_->target, steady_now());
 		on_events(bytes);
 		return;
 	}
@@ -275,14 +279,7 @@
 	record_event_interval(attempt_->pace.record_events(batch.events.size(), steady_now()));
 	for (const auto& event : batch.events)
 	{
-		if (!response_started_)
-		{
-			response_started_ = true;
-			first_byte_time_ = steady_now() - arrived_;
-			const auto& head = attempt_->head;
-			sink_->send_head(head.status, head.reason, without_hop_by_hop_fields(head.fields));
-		}
-		sink_->write_body(event);
+		write_event(attempt_->head, event);
 	}
 	if (batch.is_broken)
 	{
@@ -295,6 +292,32 @@
 	}
 }
 
+/// Writes an event to the caller, after the head of the first response of the stream.
+void exchange::write_event(const response_head& head, const std::string& event)
+{
+	if (!response_started_)
+	{
+		response_started_ = true;
+		first_byte_time_ = steady_now() - arrived_;
+		sink_->send_head(head.status, head.reason, response_fields(head.fields));
+	}
+	sink_->write_body(event);
+}
+
+/// Fields of a replica's response as they go to the caller or to the VM that forwards the request.
+header_fields exchange::response_fields(const header_fields& fields) const
+{
+	auto outgoing = without_hop_by_hop_fields(fields);
+	std::erase_if(outgoing,
+		[](const header_field& field) { return equals_ignore_case(field.name, forwarding_result_header); });
+	if (origin_)
+	{
+		const forwarding_result result{forwarding_outcome::answered, attempt_count_, last_replica_->id};
+		outgoing.push_back({forwarding_result_header, write_result(result)});
+	}
+	return outgoing;
+}
+
 void exchange::record_event_interval(std::optional<duration> interval)
 {
 	if (interval)
@@ -332,7 +355,7 @@
 {
 	const auto& head = attempt_->head;
 	const auto status = head.status;
-	response outgoing{status, head.reason, without_hop_by_hop_fields(head.fields), std::move(attempt_->body)};
+	response outgoing{status, head.reason, response_fields(head.fields), std::move(attempt_->body)};
 	first_byte_time_ = steady_now() - arrived_;
 	const bool failed = status >= first_server_error;
 	attempt_->run_outcome = failed ? quarantine::run_outcome::finished : quarantine::run_outcome::completed;
@@ -354,6 +377,10 @@
 		on_not_connected(fault);
 		return;
 	}
+	if (fault == upstream_fault::timed_out)
+	{
+		record_path_failure(fault);
+	}
 	if (fault != upstream_fault::invalid_response)
 	{
 		shared_.exit_detector().record_broken_response(attempt_->target, steady_now());
@@ -387,22 +414,35 @@
 void exchange::on_not_connected(upstream_fault fault)
 {
 	record_result(routing::replica_result::not_connected);
+	record_path_failure(fault);
 	const auto to = attempt_->target;
-	shared_.cold_replicas().assume_cold(*to, routing::cold_reason::unreachable, steady_now());
+	const bool is_isolated = shared_.paths().is_isolated();
+	if (!is_isolated)
+	{
+		shared_.cold_replicas().assume_cold(*to, routing::cold_reason::unreachable, steady_now());
+	}
 	undo_attempt();
+	++failed_connections_;
 	if (fault == upstream_fault::connect_refused)
 	{
 		++refused_connections_;
-		shared_.exit_detector().record_refused_connection(to, steady_now());
-	}
-	if (++failed_connections_ >= shared_.tuning().max_failed_connections)
-	{
-		fail(bad_gateway, name_of(upstream_fault::not_connected));
-		return;
+		// A process that has exited also closes its open connections.
+		if (!is_isolated && shared_.pool().idle_count(to->id) == 0)
+		{
+			shared_.exit_detector().record_refused_connection(to, steady_now());
+		}
 	}
 	dispatch();
 }
 
+void exchange::record_path_failure(upstream_fault fault)
+{
+	const auto failure = fault == upstream_fault::connect_refused ? routing::path_failure::refused
+						 : fault == upstream_fault::timed_out     ? routing::path_failure::silent
+																  : routing::path_failure::unanswered;
+	shared_.paths().record_failure(*attempt_->target, failure, steady_now());
+}
+
 duration exchange::first_byte_limit() const
 {
 	const auto& tuning = shared_.tuning();
@@ -423,9 +463,27 @@
 			{
 				self->on_attempt_timer();
 			}
+			else if (!error && !self->finished_ && self->hop_ && is_due)
+			{
+				self->on_hop_timer();
+			}
 		});
 }
 
+/// While the path to the replica may be lost, the wait is interrupted to see whether it is.
+void exchange::arm_first_byte_timer()
+{
+	const auto left = first_byte_limit() - (steady_now() - attempt_->connected_at);
+	arm_attempt_timer(std::clamp<duration>(left, duration{0}, shared_.tuning().path_check_interval));
+}
+
+/// Whether the wait for the first byte goes on.
+bool exchange::awaits_first_byte() const
+{
+	return attempt_->first_byte == duration{0} && shared_.paths().carries_requests(*attempt_->target) &&
+		   steady_now() - attempt_->connected_at < first_byte_limit();
+}
+
 void exchange::on_attempt_timer()
 {
 	if (!attempt_->connected)
@@ -433,12 +491,18 @@
 		on_not_connected(upstream_fault::not_connected);
 		return;
 	}
+	if (awaits_first_byte())
+	{
+		arm_first_byte_timer();
+		return;
+	}
 	// If there is no alternative, the current attempt may still succeed.
 	if (!may_retry() || !route_->is_retryable())
 	{
 		return;
 	}
-	if (attempt_->first_byte == duration{0})
+	// Silence on a lost path is no evidence on the replica's version.
+	if (attempt_->first_byte == duration{0} && shared_.paths().carries_requests(*attempt_->target))
 	{
 		auto sample = sample_for(steady_now() - attempt_->sent_at);
 		sample.kind = rollout::sample_kind::no_response;
--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -66,6 +66,9 @@
 	return tuning;
 }
 
+/// Maximum length of text of others in one log line.
+constexpr std::size_t max_logged_text = 60;
+
 /// Maximum number of request keys in one log line.
 constexpr std::size_t max_logged_keys = 8;
 
@@ -138,9 +141,11 @@
 	  evacuated_domains_([this](const failure_domain_id& domain, bool is_evacuated)
 		  { on_evacuation(domain, is_evacuated); }),
 	  cold_replicas_(vms_, log_cold_replica), load_limits_(vms_, log_load_limit), backoffs_(log_backoff),
-	  selector_(replicas_, std::move(own_domain), random, log_ejection), pool_(context, names_.request_id),
-	  suspects_(log_quarantined_request), exit_detector_(context, exit_detector_hooks()),
-	  unknown_names_(log_unknown_name),
+	  selector_(replicas_, own_domain, random, log_ejection), pool_(context, names_.request_id),
+	  peer_pool_(context, names_.request_id), peers_(std::move(own_domain), random),
+	  paths_(replicas_, random, [this](const routing::path_change& change) { on_path_change(change); }),
+	  path_prober_(context, paths_, tuning_.connect_timeout), suspects_(log_quarantined_request),
+	  exit_detector_(context, exit_detector_hooks()), unknown_names_(log_unknown_name),
 	  versions_(std::move(random), log_version_shift, shift_tuning_for(bounds_))
 {
 }
@@ -317,6 +322,54 @@
 	return new_exchange;
 }
 
+std::shared_ptr<active_request> gateway::handle_forwarded(
+	request incoming, std::shared_ptr<response_sink> output)
+{
+	const auto* value = incoming.find(forwarding_header);
+	auto terms = value == nullptr ? std::nullopt : read_terms(*value);
+	if (!terms)
+	{
+		constexpr int bad_request = 400;
+		log::write(log::level::warn, "malformed forwarding terms",
+			{{"value", value == nullptr ? std::string{} : value->substr(0, max_logged_text)}});
+		output->send({bad_request, {}, {{"Content-Type", "text/plain"}}, "malformed forwarding terms\n"});
+		return nullptr;
+	}
+	std::erase_if(incoming.fields,
+		[](const header_field& field) { return equals_ignore_case(field.name, forwarding_header); });
+	const auto new_exchange =
+		std::make_shared<exchange>(*this, std::move(incoming), std::move(output), std::move(terms));
+	new_exchange->start();
+	return new_exchange;
+}
+
+void gateway::record_unavailable_peer(
+	const vm_id& peer, const service_id& service, const std::string& request, const std::string& reason)
+{
+	peers_.record_unavailable(peer, service, steady_now());
+	log::write(log::level::info, "forwarding VM unavailable",
+		{{"vm", peer.str()}, {"service", service.str()}, {"request", request},
+			{"reason", reason.substr(0, max_logged_text)}});
+}
+
+void gateway::record_unreachable_peer(const vm_id& peer, const std::string& request, const char* reason)
+{
+	peers_.record_unreachable(peer, steady_now());
+	log::write(log::level::info, "forwarding VM unreachable",
+		{{"vm", peer.str()}, {"request", request}, {"reason", reason}});
+}
+
+void gateway::on_path_change(const routing::path_change& change)
+{
+	log::write(change.is_lost ? log::level::warn : log::level::info,
+		change.is_lost ? "path lost" : "path regained",
+		{{"service", change.group.service.str()}, {"failure_domain", change.group.domain.str()},
+			{"evidence", change.is_lost ? routing::name_of(change.failure) : ""},
+			{"replicas", change.failed_replicas}, {"lost_for_ms", to_milliseconds(change.lost_for)},
+			{"lost", paths_.lost_count()}});
+	path_prober_.schedule();
+}
+
 void gateway::set_vm_count(std::size_t count)
 {
 	vm_count_ = std::max<unsigned>(1, static_cast<unsigned>(count));
@@ -364,6 +417,12 @@
 	metrics::write_header(
 		out, "gingerdyke_replicas_resting", "gauge", "Replicas that want nothing from this VM for a time.");
 	out << "gingerdyke_replicas_resting " << backoffs_.count(now) << "\n";
+	metrics::write_header(out, "gingerdyke_paths_lost", "gauge",
+		"Services and failure domains whose replicas this VM has no path to.");
+	out << "gingerdyke_paths_lost " << paths_.lost_count() << "\n";
+	metrics::write_header(out, "gingerdyke_requests_forwarded_for_others", "gauge",
+		"Requests in progress that this VM forwards to replicas for other VMs.");
+	out << "gingerdyke_requests_forwarded_for_others " << forwarded_count_ << "\n";
 	metrics::write_header(out, "gingerdyke_failure_domains_evacuated", "gauge",
 		"Failure domains whose replicas get nothing by an operator's order.");
 	out << "gingerdyke_failure_domains_evacuated " << evacuated_domains_.size() << "\n";
@@ -413,13 +472,12 @@
 
 void gateway::record_malformed_statement(const routing::replica& from, const std::string& value)
 {
-	constexpr std::size_t longest = 60;
 	++malformed_statements_;
 	if (logged_malformed_replicas_.insert(from.id).second)
 	{
 		log::write(log::level::warn, "malformed replica statement",
 			{{"replica", from.id.str()}, {"service", from.service.str()},
-				{"value", value.substr(0, longest)}});
+				{"value", value.substr(0, max_logged_text)}});
 	}
 }
 
--- a/src/proxy/upstream_connection.cpp
+++ b/src/proxy/upstream_connection.cpp
@@ -48,6 +48,8 @@
 		return "no answer";
 	case upstream_fault::truncated_response:
 		return "cut answer";
+	case upstream_fault::timed_out:
+		return "connection timed out";
 	case upstream_fault::invalid_response:
 		return "bad answer";
 	}
@@ -270,6 +272,11 @@
 		fail(upstream_fault::not_connected);
 		return;
 	}
+	if (error == asio::error::timed_out)
+	{
+		fail(upstream_fault::timed_out);
+		return;
+	}
 	fail(head_delivered_ && !skipping_stale_response_ ? upstream_fault::truncated_response
 													  : upstream_fault::no_response);
 }
--- a/src/proxy/upstream_pool.cpp
+++ b/src/proxy/upstream_pool.cpp
@@ -29,6 +29,18 @@
 	return std::make_shared<upstream_connection>(context_, to, id_field_);
 }
 
+bool upstream_pool::has_usable_connection(const routing::replica& to, bool may_run_again, instant now) const
+{
+	const auto found = entries_.find(to.id);
+	if (found == entries_.end() || found->second.incarnation != to.incarnation)
+	{
+		return false;
+	}
+	const auto& idle = found->second.idle_connections;
+	return std::any_of(idle.begin(), idle.end(),
+		[&](const idle_connection& candidate) { return is_usable(candidate, may_run_again, now); });
+}
+
 /// The entry for a replica's current process. Connections to the previous process under the same id are
 /// discarded.
 upstream_pool::entry& upstream_pool::entry_of(const routing::replica& to)
--- /dev/null
+++ b/tests/routing/path_monitor.cpp
@@ -0,0 +1,195 @@
+// SPDX-License-Identifier: MIT
+// Lost paths are told from replicas that are down, and found again by probes that back off.
+#include <catch2/catch.hpp>
+#include <gingerdyke/routing/path_monitor.hpp>
+
+using namespace gingerdyke;
+using namespace gingerdyke::routing;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+replica make_replica(const std::string& id, const char* service, const char* domain)
+{
+	replica made;
+	made.id = replica_id{id};
+	made.service = service_id{service};
+	made.domain = failure_domain_id{domain};
+	made.version = "v1";
+	return made;
+}
+
+/// Three replicas of a service in each of two failure domains, and one of another service.
+struct monitored_paths
+{
+	monitored_paths()
+	{
+		for (const auto* domain : {"a", "b"})
+		{
+			for (int i = 0; i < 3; ++i)
+			{
+				replicas.put(make_replica(domain + std::to_string(i), "engine", domain), now);
+			}
+		}
+		replicas.put(make_replica("single", "plain", "a"), now);
+	}
+
+	[[nodiscard]] const replica& at(const std::string& id) const { return *replicas.find(replica_id{id}); }
+
+	void fail(const std::string& id, path_failure failure = path_failure::unanswered)
+	{
+		paths.record_failure(at(id), failure, now);
+	}
+
+	instant now{seconds{100}};
+	replica_set replicas{[](const replica&, replica_change) {}};
+	std::vector<path_change> changes;
+	path_monitor paths{
+		replicas, seeded_random{3}, [this](const path_change& change) { changes.push_back(change); }};
+};
+} // namespace
+
+TEST_CASE("a single replica that can't be reached is no lost path", "[path]")
+{
+	monitored_paths world;
+	world.fail("a0");
+	world.fail("a0");
+	CHECK(world.paths.accepts_connections(world.at("a1")));
+	CHECK_FALSE(world.paths.next_probe_at());
+}
+
+TEST_CASE("two replicas of a group that fail in a row are a lost path of this group only", "[path]")
+{
+	monitored_paths world;
+	world.fail("a0");
+	world.fail("a1");
+	CHECK_FALSE(world.paths.accepts_connections(world.at("a2")));
+	CHECK_FALSE(world.paths.carries_requests(world.at("a2")));
+	CHECK(world.paths.accepts_connections(world.at("b0")));
+	CHECK(world.paths.accepts_connections(world.at("single")));
+	REQUIRE(world.changes.size() == 1);
+	CHECK(world.changes.front().is_lost);
+}
+
+TEST_CASE("the only replica of a group is enough evidence for its path", "[path]")
+{
+	monitored_paths world;
+	world.fail("single");
+	CHECK_FALSE(world.paths.accepts_connections(world.at("single")));
+}
+
+TEST_CASE("failures far apart, or with a connection in between, are no lost path", "[path]")
+{
+	monitored_paths world;
+	world.fail("a0");
+	world.now += seconds{2};
+	world.fail("a1");
+	CHECK(world.paths.accepts_connections(world.at("a2")));
+	world.paths.record_connected(world.at("a2"), world.now);
+	world.fail("a0");
+	CHECK(world.paths.accepts_connections(world.at("a2")));
+}
+
+TEST_CASE("replicas that refuse connections are a lost path only if most of their group do", "[path]")
+{
+	monitored_paths world;
+	world.fail("a0", path_failure::refused);
+	CHECK(world.paths.accepts_connections(world.at("a2")));
+	world.fail("a1", path_failure::refused);
+	CHECK_FALSE(world.paths.accepts_connections(world.at("a2")));
+}
+
+TEST_CASE("connections that hang are no lost path while a replica of the group sends something", "[path]")
+{
+	monitored_paths world;
+	world.fail("a0");
+	world.paths.record_response(world.at("a2"), world.now);
+	world.fail("a1");
+	CHECK(world.paths.accepts_connections(world.at("a2")));
+}
+
+TEST_CASE("a VM is isolated once the paths to all groups are lost", "[path]")
+{
+	monitored_paths world;
+	CHECK_FALSE(world.paths.is_isolated());
+	for (const auto* id : {"a0", "a1", "b0", "b1"})
+	{
+		world.fail(id);
+	}
+	CHECK_FALSE(world.paths.is_isolated());
+	world.fail("single");
+	CHECK(world.paths.is_isolated());
+}
+
+TEST_CASE("open connections are used while new ones are refused", "[path]")
+{
+	monitored_paths world;
+	world.fail("a0", path_failure::refused);
+	world.fail("a1", path_failure::refused);
+	CHECK_FALSE(world.paths.accepts_connections(world.at("a2")));
+	CHECK(world.paths.carries_requests(world.at("a2")));
+	world.paths.record_response(world.at("a2"), world.now);
+	CHECK_FALSE(world.paths.accepts_connections(world.at("a2")));
+}
+
+TEST_CASE("a response ends a belief that rests on silence alone", "[path]")
+{
+	monitored_paths world;
+	world.fail("a0", path_failure::silent);
+	world.fail("a1", path_failure::silent);
+	CHECK_FALSE(world.paths.carries_requests(world.at("a2")));
+	world.paths.record_response(world.at("a0"), world.now);
+	CHECK(world.paths.carries_requests(world.at("a2")));
+	CHECK(world.paths.accepts_connections(world.at("a2")));
+}
+
+TEST_CASE("a lost path is probed with a growing delay until a connection comes up", "[path]")
+{
+	monitored_paths world;
+	world.fail("a0");
+	world.fail("a1");
+	const auto lost_at = world.now;
+	std::size_t probes = 0;
+	while (world.now < lost_at + seconds{20})
+	{
+		world.now = *world.paths.next_probe_at();
+		for (const auto& target : world.paths.due_probes(world.now))
+		{
+			++probes;
+			world.paths.record_failure(*target, path_failure::unanswered, world.now);
+		}
+	}
+	CHECK(probes >= 9);
+	CHECK(probes <= 16);
+	world.paths.record_connected(world.at("a2"), world.now);
+	CHECK(world.paths.accepts_connections(world.at("a0")));
+	CHECK_FALSE(world.paths.next_probe_at());
+	CHECK(world.changes.back().lost_for == world.now - lost_at);
+}
+
+TEST_CASE("a path that is lost again soon keeps its probe delay", "[path]")
+{
+	monitored_paths world;
+	world.fail("a0");
+	world.fail("a1");
+	for (int i = 0; i < 4; ++i)
+	{
+		world.now = *world.paths.next_probe_at();
+		static_cast<void>(world.paths.due_probes(world.now));
+	}
+	world.paths.record_connected(world.at("a0"), world.now);
+	world.now += milliseconds{100};
+	world.fail("a0");
+	world.fail("a1");
+	CHECK(*world.paths.next_probe_at() - world.now >= seconds{1});
+}
+
+TEST_CASE("the path to replicas that are all gone is forgotten", "[path]")
+{
+	monitored_paths world;
+	world.fail("single");
+	world.replicas.forget(replica_id{"single"});
+	CHECK(world.paths.due_probes(world.now + seconds{10}).empty());
+	CHECK_FALSE(world.paths.next_probe_at());
+}
--- a/tests/support/partitioned_fleet.hpp
+++ b/tests/support/partitioned_fleet.hpp
@@ -112,14 +112,16 @@
 	struct vm
 	{
 		vm(partitioned_fleet& fleet, std::size_t index)
-			: log(proxy::steady_now()),
+			: name("vm" + std::to_string(index)), at(self(fleet.context, index)), log(proxy::steady_now()),
 			  gateway(fleet.context, platform::header_names(), bounds(), domain_of(index),
 				  seeded_random{index + 1}, log),
 			  client(fleet.context, fleet.registry.at()),
-			  coordinator(gateway, client, layout(fleet.context), self(fleet.context, index),
-				  "vm" + std::to_string(index) + "-1", seeded_random{index + 1}),
-			  callers(fleet.context, host())
+			  coordinator(gateway, client, layout(fleet.context), at, name + "-1", seeded_random{index + 1}),
+			  callers(fleet.context, host(&proxy::gateway::handle)),
+			  forwarding(fleet.context, host(&proxy::gateway::handle_forwarded))
 		{
+			gateway.set_vm(vm_id{name});
+			REQUIRE_FALSE(forwarding.listen(*at.forwarding_address));
 			REQUIRE_FALSE(callers.listen({"127.0.0.1", 0}));
 			REQUIRE_FALSE(coordinator.start());
 		}
@@ -137,7 +139,8 @@
 
 		static control::peer self(proxy::asio::io_context& context, std::size_t index)
 		{
-			return {vm_id{"vm" + std::to_string(index)}, domain_of(index), free_address(context), 0};
+			return {vm_id{"vm" + std::to_string(index)}, domain_of(index), free_address(context), 0,
+				free_address(context)};
 		}
 
 		static proxy::fleet_bounds bounds()
@@ -167,31 +170,36 @@
 			return made;
 		}
 
-		std::shared_ptr<proxy::caller_connection_callbacks> host()
+		using handler = std::shared_ptr<proxy::active_request> (proxy::gateway::*)(
+			proxy::request, std::shared_ptr<proxy::response_sink>);
+
+		std::shared_ptr<proxy::caller_connection_callbacks> host(handler handle)
 		{
 			auto made = std::make_shared<proxy::caller_connection_callbacks>();
-			made->handle = [this](proxy::request what, std::shared_ptr<proxy::response_sink> to)
-			{ return gateway.handle(std::move(what), std::move(to)); };
+			made->handle = [this, handle](proxy::request what, std::shared_ptr<proxy::response_sink> to)
+			{ return (gateway.*handle)(std::move(what), std::move(to)); };
 			made->limits = [] { return routing::caller_limits{}; };
 			made->stopping = [] { return false; };
 			return made;
 		}
 
+		std::string name;
+		control::peer at;
 		std::map<std::string, std::unique_ptr<soak::link_proxy>> links;
 		proxy::request_log log;
 		proxy::gateway gateway;
 		platform::registry_client client;
 		control::coordinator coordinator;
 		proxy::listener callers;
+		proxy::listener forwarding;
 	};
 
 	[[nodiscard]] static int status_of(const std::string& answer)
 	{
 		constexpr std::size_t status_at = 9;
 		constexpr std::size_t status_length = 3;
-		return answer.size() < status_at + status_length
-				   ? 0
-				   : std::stoi(answer.substr(status_at, status_length));
+		return answer.size() < status_at + status_length ? 0
+														 : std::stoi(answer.substr(status_at, status_length));
 	}
 
 	[[nodiscard]] std::string next_request(const std::string& prefix)
@@ -206,9 +214,9 @@
 	void add_replica(const std::string& service, const std::string& domain)
 	{
 		const auto id = "r" + std::to_string(replicas_.size());
-		replicas_.push_back(std::make_unique<platform::standin::replica>(context, id,
-			seeded_random{replicas_.size()},
-			[this](const platform::standin::replica_run& run) { runs_.push_back(run); }));
+		replicas_.push_back(
+			std::make_unique<platform::standin::replica>(context, id, seeded_random{replicas_.size()},
+				[this](const platform::standin::replica_run& run) { runs_.push_back(run); }));
 		registry.put("servers", id,
 			platform::standin::replica_entry(service, replicas_.back()->at(), domain, "v1", false));
 	}
@@ -216,7 +224,8 @@
 	/// Each VM also knows all the others.
 	[[nodiscard]] bool all_ready() const
 	{
-		return std::all_of(vms_.begin(), vms_.end(), [this](const auto& one)
+		return std::all_of(vms_.begin(), vms_.end(),
+			[this](const auto& one)
 			{ return one->gateway.ready() && one->gateway.vms().size() == vms_.size(); });
 	}
 
