Brittle replicas get no more requests at a time than they have slots for

Replicas may say in their answers that they exit if they have to reject more than N requests in a second; nothing read that. Each VM now takes a share of such a replica's slots from the list of VMs, a part of them left free, so that nothing is rejected, whatever N is; with more VMs than slots those of the first ranks have one each. What exceeds the share waits for a slot for a quarter of its objective and is refused where it came in. After a rejection a VM sends nothing for a time that grows with the VMs per allowed rejection. A VM that others don't know yet has no share.

--- a/include/gingerdyke/proxy/gateway.hpp
+++ b/include/gingerdyke/proxy/gateway.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <algorithm>
+#include <deque>
 #include <gingerdyke/limits/attempt_budget.hpp>
 #include <gingerdyke/proxy/forwarding_terms.hpp>
 #include <gingerdyke/proxy/header_names.hpp>
@@ -17,6 +18,7 @@
 #include <gingerdyke/routing/announced_limits.hpp>
 #include <gingerdyke/routing/backoff_periods.hpp>
 #include <gingerdyke/routing/catalog.hpp>
+#include <gingerdyke/routing/concurrency_limits.hpp>
 #include <gingerdyke/routing/evacuated_domains.hpp>
 #include <gingerdyke/routing/first_token_estimator.hpp>
 #include <gingerdyke/routing/fleet_list.hpp>
@@ -101,6 +103,10 @@
 	/// would overload replicas that have just become available.
 	double retry_after_jitter = 0.5;
 
+	/// Part of a request's latency objective for which it waits for a slot of a brittle replica. A caller
+	/// that is refused after that may still be served in time elsewhere.
+	double slot_wait_share = 0.25;
+
 	/// Default and minimum `Retry-After` of refused requests: about the time after which another VM or
 	/// replica is likely to be available.
 	duration retry_after = std::chrono::milliseconds{250};
@@ -242,8 +248,8 @@
 	}
 
 	/// \brief Whether a replica can be sent a new request: its failure domain is not evacuated, it has not
-	/// asked this VM to back off, and this VM has some of its share of the replica's cold limit and load
-	/// limit left.
+	/// asked this VM to back off, and this VM has some of its share of the replica's cold limit, load limit
+	/// and slots left.
 	[[nodiscard]] bool may_send(const routing::replica& to, instant now) const;
 
 	/// \brief Records a request sent to a replica. It uses part of this VM's shares of the replica's limits
@@ -275,6 +281,23 @@
 	/// \param request Id of the request whose response said so, for the log.
 	void record_draining(const routing::replica& from, const std::string& request);
 
+	/// \brief Whether a request to a service waits for one in progress to end: its brittle replicas have
+	/// enough from this VM.
+	[[nodiscard]] bool should_await_slot(const service_id& service) const
+	{
+		return concurrency_limits_.is_any_limited(service);
+	}
+
+	/// \brief Called once a request in progress at a brittle replica has ended.
+	/// \returns Whether the request of the hook still waits; otherwise the next hook is called.
+	using slot_hook = std::function<bool()>;
+
+	/// \brief Adds a hook; the first one that was added is called first.
+	void when_slot_free(slot_hook hook) { slot_hooks_.push_back(std::move(hook)); }
+
+	/// \brief Records the end of a request in progress at a replica.
+	void record_slot_free(const routing::replica& at);
+
 	/// \brief Records a malformed statement of a replica.
 	void record_malformed_statement(const routing::replica& from, const std::string& value);
 
@@ -311,6 +334,7 @@
 	[[nodiscard]] routing::evacuated_domains& evacuated() noexcept { return evacuated_domains_; }
 	[[nodiscard]] routing::slow_start& cold_replicas() noexcept { return cold_replicas_; }
 	[[nodiscard]] routing::announced_limits& load_limits() noexcept { return load_limits_; }
+	[[nodiscard]] routing::concurrency_limits& concurrency() noexcept { return concurrency_limits_; }
 	[[nodiscard]] routing::backoff_periods& backoffs() noexcept { return backoffs_; }
 	[[nodiscard]] unknown_statements& unknown_names() noexcept { return unknown_names_; }
 	[[nodiscard]] routing::replica_selector& selector() noexcept { return selector_; }
@@ -328,6 +352,7 @@
 	[[nodiscard]] request_log& log() noexcept { return log_; }
 
   private:
+	void call_slot_hook();
 	void on_path_change(const routing::path_change& change);
 	void on_replica_change(const routing::replica& instance, routing::replica_change change);
 	void log_replica_change(const routing::replica& instance, routing::replica_change change);
@@ -351,6 +376,8 @@
 	routing::fleet_list vms_;
 	routing::slow_start cold_replicas_;
 	routing::announced_limits load_limits_;
+	routing::concurrency_limits concurrency_limits_;
+	std::deque<slot_hook> slot_hooks_;
 	routing::backoff_periods backoffs_;
 	routing::replica_selector selector_;
 	upstream_pool pool_;
--- a/include/gingerdyke/proxy/header_names.hpp
+++ b/include/gingerdyke/proxy/header_names.hpp
@@ -48,6 +48,9 @@
 	/// Load limit of an overloaded replica: requests per second from all VMs together, a decimal number.
 	std::string load_limit;
 
+	/// Number of rejections in a second that a brittle replica survives, in all of its responses.
+	std::string rejection_limit;
+
 	/// `1` in a response of a replica that is draining.
 	std::string draining_flag;
 
--- a/include/gingerdyke/proxy/replica_statements.hpp
+++ b/include/gingerdyke/proxy/replica_statements.hpp
@@ -20,6 +20,10 @@
 	/// It announces a load limit, but no value of it is valid: a limit known before stays in force.
 	bool has_malformed_limit{};
 
+	/// It is brittle: it exits if it has to reject more requests in a second than this; none if it does not
+	/// say so.
+	std::optional<double> rejection_limit;
+
 	/// It is draining and accepts no new work.
 	bool is_draining{};
 
--- a/include/gingerdyke/routing/replica_selector.hpp
+++ b/include/gingerdyke/routing/replica_selector.hpp
@@ -157,6 +157,9 @@
 	/// \param took Time to the first byte of the response, if there was one.
 	void record_result(const replica& target, replica_result result, duration took, instant now);
 
+	/// \brief Returns the number of requests that this VM has in progress at a replica.
+	[[nodiscard]] unsigned requests_in_progress(const replica& target) const;
+
 	/// \brief Returns the work that this VM has outstanding, for other VMs.
 	[[nodiscard]] std::vector<replica_work> outstanding_work() const;
 
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -31,7 +31,8 @@
 exchange::exchange(gateway& shared, request incoming, std::shared_ptr<response_sink> output,
 	std::optional<forwarding_terms> origin)
 	: shared_(shared), origin_(std::move(origin)), request_(std::move(incoming)), sink_(std::move(output)),
-	  arrived_(steady_now()), deadline_timer_(shared.context()), attempt_timer_(shared.context())
+	  arrived_(steady_now()), deadline_timer_(shared.context()), attempt_timer_(shared.context()),
+	  slot_timer_(shared.context())
 {
 }
 
@@ -91,6 +92,10 @@
 		fail(unavailable, "retry budget used up");
 		return;
 	}
+	if (!replica && await_slot())
+	{
+		return;
+	}
 	if (!replica)
 	{
 		refuse_without_replica();
@@ -104,6 +109,45 @@
 	send_to(replica);
 }
 
+/// Dispatches again once a slot of a brittle replica is free, for a bounded time.
+/// \returns Whether the request waits.
+bool exchange::await_slot()
+{
+	const auto now = steady_now();
+	const auto limit = arrived_ + scaled(route_->latency_objective, shared_.tuning().slot_wait_share);
+	if (!shared_.should_await_slot(service_id_) || now >= limit)
+	{
+		return false;
+	}
+	if (attempt_count_ > 0)
+	{
+		shared_.budget(service_id_).refund();
+	}
+	++slot_waits_;
+	const auto resume = [self = shared_from_this(), wait = slot_waits_]
+	{
+		if (self->finished_ || self->slot_waits_ != wait)
+		{
+			return false;
+		}
+		++self->slot_waits_;
+		self->slot_timer_.cancel();
+		self->dispatch();
+		return true;
+	};
+	shared_.when_slot_free(resume);
+	slot_timer_.expires_after(limit - now);
+	slot_timer_.async_wait(
+		[resume](const error_code& error)
+		{
+			if (!error)
+			{
+				resume();
+			}
+		});
+	return true;
+}
+
 /// None if the request may be sent now. A request that can only time out would make its caller wait for
 /// nothing, and its prompt would delay requests that can still be served.
 std::optional<duration> exchange::time_until_servable(const routing::replica& engine) const
@@ -359,6 +403,7 @@
 	}
 	attempt_timer_.cancel();
 	shared_.selector().record_completion(*attempt_->target, attempt_->work);
+	shared_.record_slot_free(*attempt_->target);
 	record_run_end();
 	if (!is_complete)
 	{
--- a/src/proxy/exchange_responses.cpp
+++ b/src/proxy/exchange_responses.cpp
@@ -143,6 +143,7 @@
 	{
 		shared_.backoffs().record_response(from, attempt_->sent_at);
 	}
+	shared_.concurrency().record_response(from, statements.rejection_limit, attempt_->sent_at, now);
 	if (!statements.malformed_value.empty())
 	{
 		shared_.record_malformed_statement(from, statements.malformed_value);
@@ -172,6 +173,11 @@
 	execution_ = attempt_->execution_before;
 	attempt_->run_outcome = quarantine::run_outcome::finished;
 	record_result(routing::replica_result::refused);
+	if (!is_misdirected && shared_.concurrency().is_limited(*to))
+	{
+		shared_.backoffs().record_backoff(
+			*to, shared_.concurrency().rejection_backoff(*to), id_, steady_now());
+	}
 	tried_replicas_.push_back(to->id);
 	end_attempt(false);
 	if (is_misdirected)
--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -33,6 +33,13 @@
 			{"request", statement.request}});
 }
 
+void log_rejection_limit(const routing::replica& instance, std::optional<double> rejections_per_s)
+{
+	log::write(log::level::info, "replica is brittle",
+		{{"replica", instance.id.str()}, {"service", instance.service.str()},
+			{"in_force", rejections_per_s.has_value()}, {"rejections_per_s", rejections_per_s.value_or(0)}});
+}
+
 void log_backoff(const routing::replica& instance, const std::string& request, duration left)
 {
 	log::write(log::level::info, "replica asked for a back-off",
@@ -140,7 +147,8 @@
 		  { on_replica_change(instance, change); }),
 	  evacuated_domains_([this](const failure_domain_id& domain, bool is_evacuated)
 		  { on_evacuation(domain, is_evacuated); }),
-	  cold_replicas_(vms_, log_cold_replica), load_limits_(vms_, log_load_limit), backoffs_(log_backoff),
+	  cold_replicas_(vms_, log_cold_replica), load_limits_(vms_, log_load_limit),
+	  concurrency_limits_(vms_, log_rejection_limit), backoffs_(log_backoff),
 	  selector_(replicas_, own_domain, random, log_ejection), pool_(context, names_.request_id),
 	  peer_pool_(context, names_.request_id), peers_(std::move(own_domain), random),
 	  paths_(replicas_, random, [this](const routing::path_change& change) { on_path_change(change); }),
@@ -305,7 +313,29 @@
 bool gateway::may_send(const routing::replica& to, instant now) const
 {
 	return !evacuated_domains_.contains(to.domain) && cold_replicas_.allows_request(to, now) &&
-		   load_limits_.allows_request(to, now) && backoffs_.allows_request(to, now);
+		   load_limits_.allows_request(to, now) && backoffs_.allows_request(to, now) &&
+		   concurrency_limits_.allows_request(to, selector_.requests_in_progress(to), now);
+}
+
+void gateway::record_slot_free(const routing::replica& at)
+{
+	if (slot_hooks_.empty() || !concurrency_limits_.is_any_limited(at.service))
+	{
+		return;
+	}
+	// Posted, because the request that has ended is still being handled.
+	asio::post(context_, [this] { call_slot_hook(); });
+}
+
+void gateway::call_slot_hook()
+{
+	bool was_taken = false;
+	while (!was_taken && !slot_hooks_.empty())
+	{
+		const auto hook = std::move(slot_hooks_.front());
+		slot_hooks_.pop_front();
+		was_taken = hook();
+	}
 }
 
 void gateway::record_sent(const routing::replica& to, instant now)
@@ -414,6 +444,9 @@
 	metrics::write_header(out, "gingerdyke_replicas_limited", "gauge",
 		"Replicas that name a limit of their load in their answers.");
 	out << "gingerdyke_replicas_limited " << load_limits_.size() << "\n";
+	metrics::write_header(out, "gingerdyke_replicas_brittle", "gauge",
+		"Replicas that say that they exit if they have to reject too many requests.");
+	out << "gingerdyke_replicas_brittle " << concurrency_limits_.size() << "\n";
 	metrics::write_header(
 		out, "gingerdyke_replicas_resting", "gauge", "Replicas that want nothing from this VM for a time.");
 	out << "gingerdyke_replicas_resting " << backoffs_.count(now) << "\n";
@@ -580,6 +613,7 @@
 	if (change == routing::replica_change::gone || change == routing::replica_change::restarted)
 	{
 		load_limits_.forget(instance.id);
+		concurrency_limits_.forget(instance.id);
 		backoffs_.forget(instance.id);
 		logged_malformed_replicas_.erase(instance.id);
 		pool_.close_idle_connections(instance.id);
--- a/src/proxy/replica_statements.cpp
+++ b/src/proxy/replica_statements.cpp
@@ -74,6 +74,16 @@
 		}
 		result.load_limit = std::min(result.load_limit.value_or(*limit), *limit);
 	}
+	else if (equals_ignore_case(field.name, names.rejection_limit))
+	{
+		const auto limit = parse_non_negative(field.value);
+		if (!limit)
+		{
+			result.malformed_value = field.value;
+			return;
+		}
+		result.rejection_limit = std::min(result.rejection_limit.value_or(*limit), *limit);
+	}
 	else if (equals_ignore_case(field.name, names.draining_flag))
 	{
 		result.is_draining = result.is_draining || field.value == "1";
--- a/src/routing/replica_selector.cpp
+++ b/src/routing/replica_selector.cpp
@@ -404,6 +404,12 @@
 	remote_work_.erase(id);
 }
 
+unsigned replica_selector::requests_in_progress(const replica& target) const
+{
+	const auto* stats = find_stats(target.id);
+	return stats == nullptr ? 0 : stats->outstanding_requests;
+}
+
 std::vector<replica_work> replica_selector::outstanding_work() const
 {
 	std::vector<replica_work> all;
--- a/tests/support/partitioned_fleet.hpp
+++ b/tests/support/partitioned_fleet.hpp
@@ -92,6 +92,28 @@
 	/// \brief The runs, in their order.
 	[[nodiscard]] const std::vector<platform::standin::replica_run>& runs() const noexcept { return runs_; }
 
+	/// \brief The replicas of a service.
+	[[nodiscard]] std::vector<platform::standin::replica*> replicas_of(const std::string& service)
+	{
+		std::vector<platform::standin::replica*> found;
+		for (const auto& one : replicas_)
+		{
+			if (registry.value("servers", one->id()).at("service") == service)
+			{
+				found.push_back(one.get());
+			}
+		}
+		return found;
+	}
+
+	/// \brief Starts to send a request to a VM on a connection of its own.
+	[[nodiscard]] std::unique_ptr<scripted_caller> begin(std::size_t vm_index, const std::string& prefix)
+	{
+		auto caller = std::make_unique<scripted_caller>(context, port(vm_index));
+		caller->send(next_request(prefix));
+		return caller;
+	}
+
 	[[nodiscard]] proxy::gateway& gateway(std::size_t vm_index) { return vms_.at(vm_index)->gateway; }
 	[[nodiscard]] std::uint16_t port(std::size_t vm_index) const { return vms_.at(vm_index)->callers.port(); }
 
--- a/tests/support/proxy_world.hpp
+++ b/tests/support/proxy_world.hpp
@@ -26,6 +26,7 @@
 	names.priority = "Priority";
 	names.confidence = "Confidence";
 	names.load_limit = "Load-Limit";
+	names.rejection_limit = "Rejection-Limit";
 	names.draining_flag = "Leaving";
 	names.session = "Session";
 	names.last_event_id = "Last-Event-Id";
