A replica that is silent for a second keeps its connection

For repeatable requests TCP_USER_TIMEOUT was set to 900 ms for as long as the connection carried them. It also decides when unanswered keep-alive probes end a connection, whatever their number: one lost probe, 2 s after the last byte, sufficed while a request waited for its first token. Once the request's bytes must have been acknowledged, the limit is set back to the time that all probes take.

--- a/include/gingerdyke/proxy/asio.hpp
+++ b/include/gingerdyke/proxy/asio.hpp
@@ -32,6 +32,9 @@
 /// (`TCP_USER_TIMEOUT`).
 void set_unacknowledged_timeout(tcp::socket& socket, duration timeout);
 
+/// \brief Sets it back to what `set_connection_options` set.
+void restore_unacknowledged_timeout(tcp::socket& socket);
+
 /// \brief Opens an acceptor on an IPv4 address.
 /// \param backlog Maximum number of connections that wait to be accepted.
 /// \returns The error if it cannot listen; otherwise no error.
--- a/include/gingerdyke/proxy/upstream_connection.hpp
+++ b/include/gingerdyke/proxy/upstream_connection.hpp
@@ -71,6 +71,10 @@
 	/// progress.
 	void send(upstream_request outgoing, upstream_callbacks callbacks);
 
+	/// \brief Replaces the request's limit on unacknowledged bytes by that of the keep-alive probes. The
+	/// limit also ends a connection whose probes are unanswered, and a replica may be silent for a second.
+	void restore_unacknowledged_timeout() { proxy::restore_unacknowledged_timeout(socket_); }
+
 	/// \brief Closes the connection; no callback is called any more. The replica then stops working on the
 	/// request.
 	void close();
--- a/src/proxy/asio.cpp
+++ b/src/proxy/asio.cpp
@@ -14,8 +14,11 @@
 constexpr int keep_alive_interval_s = 1;
 constexpr int keep_alive_probe_count = 2;
 
-/// Default time that sent bytes may stay unacknowledged: as long as the keep-alive probes take.
-constexpr unsigned unacknowledged_timeout_ms = 3000;
+/// Default time that sent bytes may stay unacknowledged: as long as the keep-alive probes take. A shorter
+/// time would end connections after fewer probes, as `TCP_USER_TIMEOUT` replaces the number of probes.
+constexpr int ms_per_s = 1000;
+constexpr int unacknowledged_timeout_ms =
+	(keep_alive_idle_s + keep_alive_interval_s * keep_alive_probe_count) * ms_per_s;
 
 void set_tcp_option(tcp::socket& socket, int name, int value)
 {
@@ -41,6 +44,11 @@
 	set_tcp_option(socket, TCP_USER_TIMEOUT, static_cast<int>(ms));
 }
 
+void restore_unacknowledged_timeout(tcp::socket& socket)
+{
+	set_tcp_option(socket, TCP_USER_TIMEOUT, unacknowledged_timeout_ms);
+}
+
 error_code open_acceptor(tcp::acceptor& acceptor, const std::string& ip, std::uint16_t port, int backlog)
 {
 	error_code error;
--- a/src/proxy/exchange_responses.cpp
+++ b/src/proxy/exchange_responses.cpp
@@ -499,6 +499,10 @@
 	}
 	if (awaits_first_byte())
 	{
+		if (steady_now() - attempt_->connected_at >= shared_.tuning().unacknowledged_timeout)
+		{
+			attempt_->connection->restore_unacknowledged_timeout();
+		}
 		arm_first_byte_timer();
 		return;
 	}
