--- a/src/proxy/request_log.cpp
+++ b/src/proxy/request_log.cpp
@@ -34,7 +34,11 @@
 
 void request_log::record_request(const request_record& record, instant now)
 {
-	metrics_.record_request(record);
+	// The VM that accepted a request from its caller counts it.
+	if (record.forwarded_by.empty())
+	{
+		metrics_.record_request(record);
+	}
 	if (record.outcome == request_outcome::served && ++served_ % tuning_.served_sample != 0)
 	{
 		return;
