Requests that wait for a slot of a brittle replica are kept by service and let go when they end

A hook that was never called kept its request, with its caller's connection, for as long as no further request at a brittle replica ended. Hooks now hold no request, and stale ones are dropped at the next end at that service.

--- a/include/gingerdyke/proxy/gateway.hpp
+++ b/include/gingerdyke/proxy/gateway.hpp
@@ -292,8 +292,11 @@
 	/// \returns Whether the request of the hook still waits; otherwise the next hook is called.
 	using slot_hook = std::function<bool()>;
 
-	/// \brief Adds a hook; the first one that was added is called first.
-	void when_slot_free(slot_hook hook) { slot_hooks_.push_back(std::move(hook)); }
+	/// \brief Adds a hook; of a service's hooks the first one that was added is called first.
+	void when_slot_free(const service_id& service, slot_hook hook)
+	{
+		slot_hooks_[service].push_back(std::move(hook));
+	}
 
 	/// \brief Records the end of a request in progress at a replica.
 	void record_slot_free(const routing::replica& at);
@@ -352,7 +355,7 @@
 	[[nodiscard]] request_log& log() noexcept { return log_; }
 
   private:
-	void call_slot_hook();
+	void call_slot_hook(const service_id& service);
 	void on_path_change(const routing::path_change& change);
 	void on_replica_change(const routing::replica& instance, routing::replica_change change);
 	void log_replica_change(const routing::replica& instance, routing::replica_change change);
@@ -377,7 +380,7 @@
 	routing::slow_start cold_replicas_;
 	routing::announced_limits load_limits_;
 	routing::concurrency_limits concurrency_limits_;
-	std::deque<slot_hook> slot_hooks_;
+	std::map<service_id, std::deque<slot_hook>> slot_hooks_;
 	routing::backoff_periods backoffs_;
 	routing::replica_selector selector_;
 	upstream_pool pool_;
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -124,9 +124,10 @@
 		shared_.budget(service_id_).refund();
 	}
 	++slot_waits_;
-	const auto resume = [self = shared_from_this(), wait = slot_waits_]
+	const auto resume = [weak = weak_from_this(), wait = slot_waits_]
 	{
-		if (self->finished_ || self->slot_waits_ != wait)
+		const auto self = weak.lock();
+		if (!self || self->finished_ || self->slot_waits_ != wait)
 		{
 			return false;
 		}
@@ -135,10 +136,11 @@
 		self->dispatch();
 		return true;
 	};
-	shared_.when_slot_free(resume);
+	shared_.when_slot_free(service_id_, resume);
 	slot_timer_.expires_after(limit - now);
+	// The timer keeps the request alive while nothing else does.
 	slot_timer_.async_wait(
-		[resume](const error_code& error)
+		[self = shared_from_this(), resume](const error_code& error)
 		{
 			if (!error)
 			{
--- a/src/proxy/exchange_forwarding.cpp
+++ b/src/proxy/exchange_forwarding.cpp
@@ -159,7 +159,10 @@
 		return;
 	}
 	attempt_count_ = std::max(attempt_count_, result->attempts_made);
-	shared_.peers().record_served(hop_->vm, service_id_);
+	if (result->outcome == forwarding_outcome::answered)
+	{
+		shared_.peers().record_served(hop_->vm, service_id_);
+	}
 	const bool is_answered = result->outcome == forwarding_outcome::answered && is_success(hop_->head.status);
 	hop_->is_stream = route_->streams && is_answered;
 	if (response_started_ && !hop_->is_stream)
--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -319,21 +319,25 @@
 
 void gateway::record_slot_free(const routing::replica& at)
 {
-	if (slot_hooks_.empty() || !concurrency_limits_.is_any_limited(at.service))
+	if (slot_hooks_.contains(at.service))
 	{
-		return;
+		// Posted, because the request that has ended is still being handled.
+		asio::post(context_, [this, service = at.service] { call_slot_hook(service); });
 	}
-	// Posted, because the request that has ended is still being handled.
-	asio::post(context_, [this] { call_slot_hook(); });
 }
 
-void gateway::call_slot_hook()
+void gateway::call_slot_hook(const service_id& service)
 {
 	bool was_taken = false;
-	while (!was_taken && !slot_hooks_.empty())
+	while (!was_taken && slot_hooks_.contains(service))
 	{
-		const auto hook = std::move(slot_hooks_.front());
-		slot_hooks_.pop_front();
+		auto& waiting = slot_hooks_[service];
+		const auto hook = std::move(waiting.front());
+		waiting.pop_front();
+		if (waiting.empty())
+		{
+			slot_hooks_.erase(service);
+		}
 		was_taken = hook();
 	}
 }
