A request that a VM could not forward no longer counts in its retry budget

Found by reading. A VM without a path that was asked to forward a request had counted it before it said so, and the next one counted it too: up to three VMs earned further attempts by one request, so that all together could exceed the budget. The VM takes it back now; the one that makes the first attempt counts it.

--- a/src/proxy/exchange_forwarding.cpp
+++ b/src/proxy/exchange_forwarding.cpp
@@ -317,6 +317,11 @@
 {
 	const std::string reason = "no path to the replicas";
 	is_unavailable_here_ = true;
+	if (origin_ && attempt_count_ == 0)
+	{
+		// The VM that makes the first attempt counts the request.
+		shared_.budget(service_id_).withdraw_request();
+	}
 	if (execution_ != execution::not_run || response_started_)
 	{
 		fail(bad_gateway, reason);
--- a/tests/forwarding/drawn_cuts.cpp
+++ b/tests/forwarding/drawn_cuts.cpp
@@ -172,3 +172,19 @@
 				  *fleet.gateway(1).replicas().find(replica_id{replica->id()})) == 0);
 	}
 }
+
+TEST_CASE("a request that a VM could not forward does not count in its retry budget", "[forwarding]")
+{
+	partitioned_fleet fleet{2};
+	for (std::size_t vm = 0; vm < 2; ++vm)
+	{
+		fleet.set_links(vm, link_fault::refused);
+	}
+	auto& budget = fleet.gateway(1).budget(service_id{platform::standin::plain_service});
+	const auto before = budget.available(proxy::steady_now());
+	for (int i = 0; i < 4; ++i)
+	{
+		CHECK(fleet.ask(0, repeatable_prefix) != 200);
+	}
+	CHECK(budget.available(proxy::steady_now()) == before);
+}
