--- a/tests/quarantine/crashing_part.cpp
+++ b/tests/quarantine/crashing_part.cpp
@@ -6,6 +6,7 @@
 
 using namespace gingerdyke;
 using namespace gingerdyke::test;
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 namespace
@@ -68,6 +69,56 @@
 	check_part_is_quarantined(shape);
 }
 
+TEST_CASE("a part that was sound until it crashes replicas is quarantined in time", "[quarantine]")
+{
+	for (const std::size_t vms : {7U, 85U})
+	{
+		auto shape = make_shape(vms);
+		shape.replicas = vms == 7 ? 12 : vms;
+		for (const double before_per_s : {2.0, 9.0})
+		{
+			shape.sound_before_per_s = before_per_s;
+			shape.answer_time = milliseconds{600};
+			check_part_is_quarantined(shape);
+			shape.answer_time = seconds{3};
+			check_part_is_quarantined(shape);
+		}
+	}
+}
+
+TEST_CASE("a part that was sound beside losses of replicas and then crashes others is quarantined in time",
+	"[quarantine]")
+{
+	auto shape = make_shape(7);
+	shape.replicas = 12;
+	shape.sound_before_per_s = 9;
+	shape.early_rack_losses = 3;
+	check_part_is_quarantined(shape);
+}
+
+TEST_CASE("a crashing part is quarantined in time without the registry", "[quarantine]")
+{
+	for (const std::size_t vms : {7U, 85U})
+	{
+		auto shape = make_shape(vms);
+		shape.replicas = vms == 7 ? 12 : vms;
+		shape.is_registry_away = true;
+		check_part_is_quarantined(shape);
+	}
+}
+
+TEST_CASE("a crashing part stays quarantined while VMs restart without the registry", "[quarantine]")
+{
+	auto shape = make_shape(7);
+	shape.replicas = 12;
+	shape.restart_interval = milliseconds{700};
+	shape.is_registry_away = true;
+	check_part_is_quarantined(shape);
+	shape.is_registry_away = false;
+	shape.are_rows_lost = true;
+	check_part_is_quarantined(shape);
+}
+
 TEST_CASE("sound requests are not quarantined because of losses that no request causes", "[quarantine]")
 {
 	suspect_fleet_shape shape;
--- a/tests/support/suspect_fleet.hpp
+++ b/tests/support/suspect_fleet.hpp
@@ -38,6 +38,24 @@
 	double rack_losses_per_s = 0;
 	std::size_t replicas_per_rack = 3;
 	duration length = std::chrono::seconds{30};
+
+	/// Sound requests with the crashing part before it begins to crash replicas.
+	double sound_before_per_s = 0;
+
+	/// Losses of racks before the first crash, one a second.
+	std::size_t early_rack_losses = 0;
+
+	/// Mean time from the beginning of an answer to its end.
+	duration answer_time = std::chrono::milliseconds{600};
+
+	/// The registry neither stores nor passes on rows.
+	bool is_registry_away = false;
+
+	/// One VM after the other restarts, and knows only what it is told; 0: none restarts.
+	duration restart_interval{0};
+
+	/// The registry loses the rows that are stored.
+	bool are_rows_lost = false;
 	std::uint64_t seed = 1;
 };
 
@@ -79,6 +97,18 @@
 			schedule(scaled(report_interval, random_unit(random_)), [this, i] { report(i); });
 		}
 		schedule_request(true);
+		if (shape_.sound_before_per_s > 0)
+		{
+			schedule_sound_with_part();
+		}
+		for (std::size_t i = 0; i < shape_.early_rack_losses; ++i)
+		{
+			schedule(std::chrono::seconds{1 + i}, [this] { lose_rack(); });
+		}
+		if (shape_.restart_interval > duration{0})
+		{
+			schedule(first_crash_after + shape_.restart_interval, [this] { restart_vm(); });
+		}
 		if (shape_.crashing_per_s > 0)
 		{
 			schedule(first_crash_after, [this] { schedule_request(false); });
@@ -103,7 +133,6 @@
 	static constexpr duration report_interval = std::chrono::seconds{1};
 	static constexpr duration row_delay = std::chrono::milliseconds{300};
 	static constexpr duration answer_delay = std::chrono::milliseconds{150};
-	static constexpr duration answer_time = std::chrono::milliseconds{600};
 	static constexpr duration restart_time = std::chrono::seconds{3};
 	static constexpr duration first_crash_after = std::chrono::seconds{5};
 	static constexpr duration correlation_window = std::chrono::milliseconds{200};
@@ -186,6 +215,35 @@
 			});
 	}
 
+	/// Requests that have the part while it is sound.
+	void schedule_sound_with_part()
+	{
+		schedule(draw_gap(shape_.sound_before_per_s),
+			[this]
+			{
+				if (now_ < start + first_crash_after)
+				{
+					auto sound = make_request(false);
+					sound.is_crashing = false;
+					begin(sound);
+					schedule_sound_with_part();
+				}
+			});
+	}
+
+	/// The next VM restarts.
+	void restart_vm()
+	{
+		auto& restarted = *vms_[restart_count_++ % vms_.size()];
+		restarted.suspects = quarantine::suspect_list{[](const quarantine::suspicion&, double) {}};
+		restarted.exits.clear();
+		for (const auto& [key, stored] : rows_)
+		{
+			restarted.suspects.merge_stored(stored, now_, now_);
+		}
+		schedule(shape_.restart_interval, [this] { restart_vm(); });
+	}
+
 	[[nodiscard]] request make_request(bool is_sound)
 	{
 		const service_id service{"engines"};
@@ -243,7 +301,8 @@
 		replicas_[target].runs.push_back({number, std::move(what), now_});
 		const auto delay = scaled(answer_delay, 0.5 + random_unit(random_));
 		crashes ? schedule(delay, [this, target, number] { crash(target, number); })
-				: schedule(delay + answer_time, [this, target, number] { complete(target, number); });
+				: schedule(delay + scaled(shape_.answer_time, 0.5 + random_unit(random_)),
+					  [this, target, number] { complete(target, number); });
 	}
 
 	[[nodiscard]] bool is_running(std::size_t target, std::uint64_t number) const
@@ -351,8 +410,16 @@
 
 	void store_rows(vm& at)
 	{
+		if (shape_.is_registry_away)
+		{
+			return;
+		}
 		for (const auto& row : at.suspects.unstored(at.is_reader, now_))
 		{
+			if (!shape_.are_rows_lost)
+			{
+				rows_[row.key] = row;
+			}
 			for (const auto& other : vms_)
 			{
 				other->suspects.merge_stored(row, now_, now_);
@@ -387,19 +454,24 @@
 		schedule(draw_gap(shape_.rack_losses_per_s),
 			[this]
 			{
-				const auto first = random_below(random_, replicas_.size());
-				for (std::size_t i = 0; i < shape_.replicas_per_rack; ++i)
-				{
-					const auto target = (first + i) % replicas_.size();
-					if (replicas_[target].is_up)
-					{
-						lose(target);
-					}
-				}
+				lose_rack();
 				schedule_rack_loss();
 			});
 	}
 
+	void lose_rack()
+	{
+		const auto first = random_below(random_, replicas_.size());
+		for (std::size_t i = 0; i < shape_.replicas_per_rack; ++i)
+		{
+			const auto target = (first + i) % replicas_.size();
+			if (replicas_[target].is_up)
+			{
+				lose(target);
+			}
+		}
+	}
+
 	suspect_fleet_shape shape_;
 	random_source random_;
 	std::vector<std::unique_ptr<vm>> vms_;
@@ -407,6 +479,10 @@
 	std::priority_queue<event, std::vector<event>, std::greater<>> events_;
 	instant now_;
 	std::uint64_t order_ = 0;
+	std::size_t restart_count_ = 0;
+
+	/// Rows in the registry.
+	std::map<quarantine::content_key, quarantine::suspicion> rows_;
 	std::uint64_t run_count_ = 0;
 	std::uint64_t request_count_ = 0;
 	std::optional<instant> fifth_crash_at_;
