Parts of prompts are judged by what they did since they began to crash replicas

Callers saw: requests with one part in their prompts kept ending engines, one after the other, at a deployment of 7 VMs and 12 engines. Cause: completions from before the first exit cleared the part (up to four of the last ten seconds at each VM, and every answer that began before and ended after), so that no VM ever came to a verdict. Class: evidence from before a change counted against what is seen since. Change: exits and completions have times; a part counts from the exit on from which its evidence is strongest (change_point); the part whose evidence exceeds most what it needs is blamed first; an answer written for 300 ms clears its parts.

--- a/include/gingerdyke/control/suspect_rows.hpp
+++ b/include/gingerdyke/control/suspect_rows.hpp
@@ -28,10 +28,12 @@
 };
 
 /// \brief Encodes a suspicion as the value of its row.
-[[nodiscard]] std::string write_suspicion(const stored_suspicion& stored);
+/// \param clock_offset How far the registry's clock is ahead of this VM's.
+[[nodiscard]] std::string write_suspicion(const stored_suspicion& stored, duration clock_offset = {});
 
 /// \brief Decodes a suspicion; findings if the value is malformed.
-[[nodiscard]] checked<stored_suspicion> read_suspicion(const row& from);
+/// \param clock_offset How far the registry's clock is ahead of this VM's.
+[[nodiscard]] checked<stored_suspicion> read_suspicion(const row& from, duration clock_offset = {});
 
 /// \brief Tuning of `suspect_rows`.
 struct suspect_rows_tuning
--- a/include/gingerdyke/proxy/attempt.hpp
+++ b/include/gingerdyke/proxy/attempt.hpp
@@ -43,6 +43,9 @@
 	/// before the attempt ends.
 	quarantine::run_outcome run_outcome{quarantine::run_outcome::abandoned};
 
+	/// The answer has been written for so long that the parts of the prompt do not make the replica exit.
+	bool is_part_completion_recorded{};
+
 	/// Work that this attempt currently adds to the replica's load, in tokens prefilled by the largest model.
 	double work{};
 
--- a/include/gingerdyke/proxy/exchange.hpp
+++ b/include/gingerdyke/proxy/exchange.hpp
@@ -91,6 +91,8 @@
 	void conclude(attempt& ended, bool is_complete);
 	void record_run_end(const attempt& ended);
 	void record_completion(const attempt& ended, instant now);
+	void record_long_answer(attempt& current);
+	void record_part_completion(const attempt& completed, instant now);
 	void record_result(routing::replica_result result);
 
 	// The response of a smaller model while the larger model's is tried for.
--- a/include/gingerdyke/quarantine/blamed_parts.hpp
+++ b/include/gingerdyke/quarantine/blamed_parts.hpp
@@ -24,14 +24,26 @@
 /// \brief A part that may be to blame.
 struct part_candidate
 {
-	const suspicion* evidence{};
+	content_key key;
+
+	/// Replica processes that exited beside it, and the number of its completions since.
+	std::set<process_instance> exits;
+	std::size_t completions{};
+
+	/// Weight of the exits less what the completions outweigh.
+	double strength{};
 
 	/// Number of exits for which it is blamed.
 	double required_exits{};
+
+	/// Whether it has been completed in the last minutes.
+	bool is_known{};
+
+	/// The first of the exits.
+	instant since{};
 };
 
-/// \brief Blames as few parts as explain the exits. The part with the fewest completions comes first, of
-/// these the one that needs the fewest exits; others are blamed only for exits that those before do not
-/// explain.
+/// \brief Blames as few parts as explain the exits. The part whose evidence exceeds most what it
+/// needs comes first; others are blamed only for exits that those before do not explain.
 [[nodiscard]] std::vector<blamed_parts> find_blamed_parts(std::vector<part_candidate> candidates);
 } // namespace gingerdyke::quarantine
--- a/include/gingerdyke/quarantine/recent_completions.hpp
+++ b/include/gingerdyke/quarantine/recent_completions.hpp
@@ -33,25 +33,34 @@
   public:
 	explicit recent_completions(recent_completions_tuning tuning = {}) : tuning_(tuning) {}
 
+	/// \brief A completed request with a part.
+	struct completion
+	{
+		process_instance id;
+
+		/// When its answer began.
+		instant began_at;
+	};
+
 	/// \brief Records that a replica completed a request with a part.
-	void add(const content_key& part, process_instance completion, instant now);
+	void add(const content_key& part, const completion& completed, instant now);
 
 	/// \brief Returns the completions of a part that are not too old.
-	[[nodiscard]] std::vector<process_instance> of(const content_key& part, instant now) const;
+	[[nodiscard]] std::vector<completion> of(const content_key& part, instant now) const;
 
 	/// \brief Whether a part was completed within the time for which it counts as known.
 	[[nodiscard]] bool is_known(const content_key& part, instant now) const;
 
   private:
-	struct completion
+	struct kept_completion
 	{
-		process_instance id;
+		completion completed;
 		instant at;
 	};
 
 	struct entry
 	{
-		std::vector<completion> completions;
+		std::vector<kept_completion> completions;
 
 		/// Place in `by_age_`.
 		std::list<content_key>::iterator place;
--- a/include/gingerdyke/quarantine/replica_runs.hpp
+++ b/include/gingerdyke/quarantine/replica_runs.hpp
@@ -40,7 +40,7 @@
 
 	/// A part makes a replica exit as soon as it writes an answer on it. An execution whose answer has been
 	/// written for longer than this clears the parts of its prompt of the exit.
-	duration part_exit_time = std::chrono::seconds{1};
+	duration part_exit_time = std::chrono::milliseconds{300};
 };
 
 /// \brief Keeps the executions of this VM's requests by replica process.
--- a/include/gingerdyke/quarantine/suspect_list.hpp
+++ b/include/gingerdyke/quarantine/suspect_list.hpp
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <gingerdyke/quarantine/blamed_parts.hpp>
+#include <gingerdyke/quarantine/change_point.hpp>
 #include <gingerdyke/quarantine/recent_completions.hpp>
 #include <gingerdyke/quarantine/suspicion.hpp>
 #include <map>
@@ -25,10 +26,14 @@
 	/// exit by chance.
 	double part_quarantine_exits = 4;
 
-	/// Factor of that number for a part that this VM knows from completions of the last minutes. Of a known
-	/// and a new part that stood beside the same exits, the new one is the more likely cause.
+	/// Factor of that number for a part that has been completed in the last minutes. Of a known and a new
+	/// part that stood beside the same exits, the new one is the more likely cause.
 	double known_part_factor = 2;
 
+	/// Time from the first exit that counts to the verdict on such a part. A VM learns at once of the exits
+	/// of its own replicas, but of others' completions only from their reports.
+	duration known_part_delay = std::chrono::milliseconds{1500};
+
 	/// Weight of an exit that is attributed to another cause than the request because others occurred at the
 	/// same time: requests that were running on three replicas of a failed rack, or were retried on replicas
 	/// that were lost in the next failure, are still served.
@@ -52,8 +57,9 @@
 	/// the registry for others takes 0.2 s more.
 	double direct_store_weight = 2;
 
-	/// Maximum number of processes in each set of a request, and of a part; all VMs keep the smallest ones.
-	/// Of a request more would change no decision. Those of a part also explain the exits of others.
+	/// Maximum number of processes in each set of a request, and of a part. Of a request all VMs keep the
+	/// smallest ones, and more would change no decision. Of a part the newest are kept; they also explain the
+	/// exits of others.
 	std::size_t max_processes = 8;
 	std::size_t max_processes_of_part = 24;
 
@@ -111,12 +117,14 @@
 	/// against the request.
 	void add_completion(const content_key& request, process_instance process, instant now);
 
-	/// \brief Records that a replica wrote a whole answer on a prompt with a part.
-	/// \param completion Identifies the completed request.
-	void add_part_completion(const content_key& part, process_instance completion, instant now);
+	/// \brief Records that a replica wrote an answer on a prompt with a part: a whole one, or for so long
+	/// that the part does not make it exit.
+	void add_part_completion(
+		const content_key& part, const recent_completions::completion& completed, instant now);
 
 	/// \brief Merges the evidence of another VM.
 	/// \param last_exit When a replica last exited while running the request, or one with the part.
+	/// \param now The time of exits and completions for which the evidence holds none.
 	void merge(const suspicion& report, instant last_exit, instant now);
 
 	/// \brief Merges evidence from the registry; it need not be stored again.
@@ -172,6 +180,13 @@
 		instant last_exit;
 		instant changed_at;
 
+		/// Of a part whose evidence suffices to blame it: its first exit that counted when that was so for
+		/// the first time.
+		std::optional<instant> suspected_since;
+
+		/// What counts of the evidence; none: the evidence has changed since that was computed.
+		std::optional<change_point> counts;
+
 		/// Whether a replica to which this VM had sent the request exited while running it.
 		bool is_seen_here{};
 		bool is_quarantine_reported{};
@@ -193,18 +208,26 @@
 	/// for each exit, the processes that exited at the same time without running the request are no more
 	/// than those that exited while running it.
 	[[nodiscard]] bool may_be_partial(const suspicion& evidence) const;
-	[[nodiscard]] double weight_of(const suspicion& evidence) const;
+	[[nodiscard]] double weight_of_exit(const suspicion& evidence, process_instance process) const;
+
+	/// The exits and completions that count: of a part, those from its change point on.
+	[[nodiscard]] change_point counted(const suspicion& evidence) const;
+	[[nodiscard]] double weight_of(const suspicion& evidence) const { return counted(evidence).weight; }
 	[[nodiscard]] bool exceeds_threshold(const suspicion& evidence, std::size_t additional_exits) const;
 	[[nodiscard]] bool is_cleared(const suspicion& evidence) const;
-	[[nodiscard]] double required_exits_to_blame(const content_key& part, instant now) const;
+	[[nodiscard]] bool is_known_part(const suspicion& evidence, instant now) const;
+	[[nodiscard]] std::optional<part_candidate> candidate(entry& suspect, instant now) const;
 	[[nodiscard]] bool add_simultaneous(
 		suspicion& evidence, const std::vector<process_instance>& processes) const;
 	[[nodiscard]] bool is_worth_storing(const entry& suspect, bool for_others) const;
 	[[nodiscard]] bool is_part_worth_storing(const entry& suspect) const;
 	entry& find_or_add(const content_key& key, instant now);
-	void add_exit(
-		suspicion& to, process_instance process, const std::set<process_instance>& simultaneous) const;
-	[[nodiscard]] bool merge_evidence(suspicion& into, const suspicion& from) const;
+	void add_exit(suspicion& to, process_instance process, const std::set<process_instance>& simultaneous,
+		instant at) const;
+	[[nodiscard]] bool is_completion_needed(const suspicion& evidence) const;
+	void add_timed_completion(suspicion& to, process_instance completion, instant began_at) const;
+	[[nodiscard]] bool merge_evidence(suspicion& into, const suspicion& from, instant now) const;
+	[[nodiscard]] std::vector<part_candidate> candidates(instant now);
 	void on_change(entry& suspect, instant now);
 	[[nodiscard]] const std::vector<blamed_parts>& blamed(instant now);
 	void report_quarantine(entry& suspect, bool is_quarantined);
@@ -219,5 +242,9 @@
 	/// The parts to blame, and whether the evidence has changed since they were found.
 	std::vector<blamed_parts> blamed_;
 	bool is_blame_outdated_ = false;
+
+	/// When they have to be found again, as a known part can be judged then; none: not before the next
+	/// change.
+	std::optional<instant> next_blame_at_;
 };
 } // namespace gingerdyke::quarantine
--- a/include/gingerdyke/quarantine/suspicion.hpp
+++ b/include/gingerdyke/quarantine/suspicion.hpp
@@ -27,6 +27,28 @@
 	/// requests with a part may be sent to the same few replicas.
 	std::set<process_instance> survived;
 
+	/// Of a part: when each of these processes exited, and when the answer of each of these completions
+	/// began, on this VM's clock.
+	std::map<process_instance, instant> exit_times{};
+	std::map<process_instance, instant> completion_times{};
+
+	/// \brief Returns when a process exited; the beginning of time if that is not kept.
+	[[nodiscard]] instant exit_time(process_instance process) const { return find_time(exit_times, process); }
+
+	/// \brief Returns when the answer of a completion began; the beginning of time if that is not kept.
+	[[nodiscard]] instant completion_time(process_instance completion) const
+	{
+		return find_time(completion_times, completion);
+	}
+
 	auto operator<=>(const suspicion&) const = default;
+
+  private:
+	[[nodiscard]] static instant find_time(
+		const std::map<process_instance, instant>& times, process_instance of)
+	{
+		const auto found = times.find(of);
+		return found == times.end() ? instant{} : found->second;
+	}
 };
 } // namespace gingerdyke::quarantine
--- a/src/control/report_message.cpp
+++ b/src/control/report_message.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 #include <gingerdyke/control/row_store.hpp>
+#include <gingerdyke/proxy/asio.hpp>
 
 namespace gingerdyke::control
 {
@@ -349,6 +350,7 @@
 
 std::vector<wire::RelaySuspicion> to_wire(const std::vector<quarantine::suspicion>& suspects)
 {
+	const auto now = proxy::steady_now();
 	std::vector<wire::RelaySuspicion> all;
 	all.reserve(suspects.size());
 	for (const auto& suspicion : suspects)
@@ -360,14 +362,27 @@
 			auto& wire_exit = added.ended.emplace_back();
 			wire_exit.life = process.value();
 			wire_exit.together = to_wire(simultaneous);
+			if (suspicion.exit_times.contains(process))
+			{
+				wire_exit.__set_age_us((now - suspicion.exit_time(process)).count());
+			}
 		}
 		added.survived = to_wire(suspicion.survived);
+		if (!suspicion.completion_times.empty())
+		{
+			added.__set_survived_age_us({});
+			for (const auto completion : suspicion.survived)
+			{
+				added.survived_age_us.push_back((now - suspicion.completion_time(completion)).count());
+			}
+		}
 	}
 	return all;
 }
 
 std::vector<quarantine::suspicion> from_wire(const std::vector<wire::RelaySuspicion>& suspects)
 {
+	const auto now = proxy::steady_now();
 	std::vector<quarantine::suspicion> all;
 	all.reserve(suspects.size());
 	for (const auto& suspicion : suspects)
@@ -376,10 +391,20 @@
 		added.key = quarantine::content_key{suspicion.key};
 		for (const auto& wire_exit : suspicion.ended)
 		{
-			added.ended[quarantine::process_instance{wire_exit.life}] =
-				processes_from_wire(wire_exit.together);
+			const quarantine::process_instance process{wire_exit.life};
+			added.ended[process] = processes_from_wire(wire_exit.together);
+			if (wire_exit.__isset.age_us)
+			{
+				added.exit_times[process] = now - duration{wire_exit.age_us};
+			}
 		}
 		added.survived = processes_from_wire(suspicion.survived);
+		const auto timed = std::min(suspicion.survived.size(), suspicion.survived_age_us.size());
+		for (std::size_t i = 0; i < timed; ++i)
+		{
+			added.completion_times[quarantine::process_instance{suspicion.survived[i]}] =
+				now - duration{suspicion.survived_age_us[i]};
+		}
 	}
 	return all;
 }
--- a/src/control/suspect_rows.cpp
+++ b/src/control/suspect_rows.cpp
@@ -30,50 +30,83 @@
 	return all;
 }
 
-json exits_to_json(const quarantine::process_exits& exits)
+/// \param clock_offset How far the registry's clock is ahead of this VM's.
+json exits_to_json(const quarantine::suspicion& evidence, duration clock_offset)
 {
 	json all = json::array();
-	for (const auto& [process, simultaneous] : exits)
+	for (const auto& [process, simultaneous] : evidence.ended)
 	{
-		all.push_back({{"life", process.value()}, {"together", processes_to_json(simultaneous)}});
+		json exit{{"life", process.value()}, {"together", processes_to_json(simultaneous)}};
+		if (evidence.exit_times.contains(process))
+		{
+			exit["at_us"] = (evidence.exit_time(process).time_since_epoch() + clock_offset).count();
+		}
+		all.push_back(std::move(exit));
 	}
 	return all;
 }
 
-quarantine::process_exits exits_from_json(const json& value)
+void read_exits(const json& value, duration clock_offset, quarantine::suspicion& to)
 {
-	quarantine::process_exits all;
 	for (const auto& element : value)
 	{
-		all[quarantine::process_instance{element.at("life").get<std::int64_t>()}] =
-			processes_from_json(element.at("together"));
+		const quarantine::process_instance process{element.at("life").get<std::int64_t>()};
+		to.ended[process] = processes_from_json(element.at("together"));
+		if (element.contains("at_us"))
+		{
+			to.exit_times[process] =
+				instant{duration{element.at("at_us").get<std::int64_t>()} - clock_offset};
+		}
+	}
+}
+
+json completion_times_to_json(const quarantine::suspicion& evidence, duration clock_offset)
+{
+	json all = json::array();
+	for (const auto& [completion, began_at] : evidence.completion_times)
+	{
+		all.push_back({completion.value(), (began_at.time_since_epoch() + clock_offset).count()});
 	}
 	return all;
 }
 
+void read_completion_times(const json& value, duration clock_offset, quarantine::suspicion& to)
+{
+	for (const auto& element : value)
+	{
+		to.completion_times[quarantine::process_instance{element.at(0).get<std::int64_t>()}] =
+			instant{duration{element.at(1).get<std::int64_t>()} - clock_offset};
+	}
+}
+
 std::string row_key_of(const quarantine::content_key& key)
 {
 	return std::string{suspect_key_prefix} + key.str();
 }
 } // namespace
 
-std::string write_suspicion(const stored_suspicion& stored)
+std::string write_suspicion(const stored_suspicion& stored, duration clock_offset)
 {
-	return json{{"ended", exits_to_json(stored.evidence.ended)},
+	json value{{"ended", exits_to_json(stored.evidence, clock_offset)},
 		{"survived", processes_to_json(stored.evidence.survived)},
-		{"last_end_us", stored.last_exit_at.count()}}
-		.dump();
+		{"last_end_us", stored.last_exit_at.count()}};
+	if (!stored.evidence.completion_times.empty())
+	{
+		value["survived_at_us"] = completion_times_to_json(stored.evidence, clock_offset);
+	}
+	return value.dump();
 }
 
-checked<stored_suspicion> read_suspicion(const row& from)
+checked<stored_suspicion> read_suspicion(const row& from, duration clock_offset)
 {
 	return parse_row_value<stored_suspicion>(from,
 		[&](const json& value) -> checked<stored_suspicion>
 		{
 			stored_suspicion read;
 			read.evidence.key = quarantine::content_key{from.key.substr(suspect_key_prefix.size())};
-			read.evidence.ended = exits_from_json(value.at("ended"));
+			read_exits(value.at("ended"), clock_offset, read.evidence);
 			read.evidence.survived = processes_from_json(value.at("survived"));
+			read_completion_times(value.value("survived_at_us", json::array()), clock_offset, read.evidence);
 			read.last_exit_at = registry_time{value.at("last_end_us").get<std::int64_t>()};
 			return read;
 		});
@@ -114,7 +147,7 @@
 {
 	auto& known = rows_[table_row.key];
 	known.version = table_row.version;
-	const auto read = read_suspicion(table_row);
+	const auto read = read_suspicion(table_row, *registry_clock_offset_);
 	if (!read)
 	{
 		log::write(log::level::error, "invalid suspected request row", {{"findings", to_text(read.error())}});
@@ -189,7 +222,7 @@
 		const auto last_exit_at = suspects_.last_exit(suspicion.key).value_or(now);
 		const stored_suspicion stored{suspicion, last_exit_at.time_since_epoch() + *registry_clock_offset_};
 		change.conditions.push_back(unchanged_condition(key));
-		change.puts.push_back({table_, key, write_suspicion(stored)});
+		change.puts.push_back({table_, key, write_suspicion(stored, *registry_clock_offset_)});
 	}
 	return change;
 }
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -351,12 +351,37 @@
 {
 	const auto process = shared_.exit_detector().runs().instance_of(*ended.target);
 	shared_.suspects().add_completion(content_keys_.request, process, now);
-	if (!is_success(ended.head.status) || ended.head.ends_with_connection)
+	if (!ended.head.ends_with_connection)
+	{
+		record_part_completion(ended, now);
+	}
+}
+
+/// A part that makes replicas exit does so as soon as they write an answer on it. An answer that has been
+/// written for a while is as good as a whole one.
+void exchange::record_long_answer(attempt& current)
+{
+	const auto now = steady_now();
+	const auto began_at = current.sent_at + current.first_byte;
+	if (!current.is_part_completion_recorded &&
+		now - began_at > quarantine::replica_runs_tuning{}.part_exit_time)
+	{
+		current.is_part_completion_recorded = true;
+		record_part_completion(current, now);
+	}
+}
+
+void exchange::record_part_completion(const attempt& completed, instant now)
+{
+	if (!is_success(completed.head.status))
 	{
 		return;
 	}
+	const auto process = shared_.exit_detector().runs().instance_of(*completed.target);
 	const auto hash = mix_hash(static_cast<std::uint64_t>(process.value()), stable_hash(id_));
-	const quarantine::process_instance completion{static_cast<std::int64_t>(hash)};
+	const quarantine::recent_completions::completion completion{
+		quarantine::process_instance{static_cast<std::int64_t>(hash)},
+		completed.sent_at + completed.first_byte};
 	for (const auto& part : content_keys_.parts)
 	{
 		shared_.suspects().add_part_completion(part, completion, now);
--- a/src/proxy/exchange_holding.cpp
+++ b/src/proxy/exchange_holding.cpp
@@ -31,6 +31,7 @@
 {
 	const auto now = steady_now();
 	shared_.paths().record_response(*held_->source().target, now);
+	record_long_answer(held_->source());
 	const auto state = held_->add(bytes, now);
 	if (state == held_state::broken)
 	{
--- a/src/proxy/exchange_responses.cpp
+++ b/src/proxy/exchange_responses.cpp
@@ -330,6 +330,7 @@
 	if (attempt_->is_stream)
 	{
 		shared_.paths().record_response(*attempt_->target, steady_now());
+		record_long_answer(*attempt_);
 		on_events(bytes);
 		return;
 	}
--- a/src/quarantine/blamed_parts.cpp
+++ b/src/quarantine/blamed_parts.cpp
@@ -8,25 +8,12 @@
 {
 namespace
 {
-std::set<process_instance> exited_processes(const suspicion& evidence)
-{
-	std::set<process_instance> processes;
-	for (const auto& [process, simultaneous] : evidence.ended)
-	{
-		processes.insert(process);
-	}
-	return processes;
-}
-
 bool is_more_suspect(const part_candidate& a, const part_candidate& b)
 {
-	const auto rank = [](const part_candidate& candidate)
-	{
-		const auto& evidence = *candidate.evidence;
-		return std::tuple{evidence.survived.size(), candidate.required_exits,
-			-static_cast<std::ptrdiff_t>(evidence.ended.size()), evidence.key};
-	};
-	return rank(a) < rank(b);
+	const auto margin_a = a.strength - a.required_exits;
+	const auto margin_b = b.strength - b.required_exits;
+	return std::tie(margin_b, a.completions, a.required_exits, a.exits, a.key) <
+		   std::tie(margin_a, b.completions, b.required_exits, b.exits, b.key);
 }
 } // namespace
 
@@ -44,13 +31,13 @@
 	const part_candidate* last = nullptr;
 	for (const auto& candidate : candidates)
 	{
-		auto exits = exited_processes(*candidate.evidence);
+		const auto& exits = candidate.exits;
 		const bool is_like_last = last != nullptr && blamed.back().exits == exits &&
 								  last->required_exits == candidate.required_exits &&
-								  last->evidence->survived.size() == candidate.evidence->survived.size();
+								  last->completions == candidate.completions;
 		if (is_like_last)
 		{
-			blamed.back().parts.push_back(candidate.evidence->key);
+			blamed.back().parts.push_back(candidate.key);
 			continue;
 		}
 		const auto unexplained = std::count_if(exits.begin(), exits.end(),
@@ -61,7 +48,7 @@
 		}
 		explained.insert(exits.begin(), exits.end());
 		last = &candidate;
-		blamed.push_back({{candidate.evidence->key}, std::move(exits)});
+		blamed.push_back({{candidate.key}, exits});
 	}
 	return blamed;
 }
--- a/src/quarantine/recent_completions.cpp
+++ b/src/quarantine/recent_completions.cpp
@@ -4,7 +4,7 @@
 
 namespace gingerdyke::quarantine
 {
-void recent_completions::add(const content_key& part, process_instance completion, instant now)
+void recent_completions::add(const content_key& part, const completion& completed, instant now)
 {
 	const auto [found, is_new] = by_part_.try_emplace(part);
 	auto& known = found->second;
@@ -13,7 +13,7 @@
 		by_age_.erase(known.place);
 	}
 	known.place = by_age_.insert(by_age_.end(), part);
-	known.completions.push_back({completion, now});
+	known.completions.push_back({completed, now});
 	if (known.completions.size() > tuning_.max_completions)
 	{
 		known.completions.erase(known.completions.begin());
@@ -31,9 +31,9 @@
 	return found != by_part_.end() && now - found->second.completions.back().at <= tuning_.memory;
 }
 
-std::vector<process_instance> recent_completions::of(const content_key& part, instant now) const
+std::vector<recent_completions::completion> recent_completions::of(const content_key& part, instant now) const
 {
-	std::vector<process_instance> completions;
+	std::vector<completion> completions;
 	const auto found = by_part_.find(part);
 	if (found == by_part_.end())
 	{
@@ -43,7 +43,7 @@
 	{
 		if (now - known.at <= tuning_.lifetime)
 		{
-			completions.push_back(known.id);
+			completions.push_back(known.completed);
 		}
 	}
 	return completions;
--- a/src/quarantine/suspect_list.cpp
+++ b/src/quarantine/suspect_list.cpp
@@ -19,6 +19,36 @@
 		elements.erase(std::prev(elements.end()));
 	}
 }
+
+/// Keeps the newest elements of a part's evidence.
+template <typename Set>
+void keep_newest(Set& elements, std::map<process_instance, instant>& times, std::size_t max_count)
+{
+	while (elements.size() > max_count)
+	{
+		const auto oldest = std::min_element(
+			times.begin(), times.end(), [](const auto& a, const auto& b) { return a.second < b.second; });
+		elements.erase(oldest->first);
+		times.erase(oldest);
+	}
+}
+
+/// Records when something happened. VMs learn of it one after the other: the earliest time is the true one.
+void record_time(std::map<process_instance, instant>& times, process_instance of, instant at)
+{
+	// Without a tolerance the delays of reports would change the evidence again and again.
+	constexpr duration tolerance = std::chrono::milliseconds{100};
+	const auto [known, is_new] = times.try_emplace(of, at);
+	if (!is_new && known->second > at + tolerance)
+	{
+		known->second = at;
+	}
+}
+
+bool has_times(const content_key& key) noexcept
+{
+	return is_part(key) || is_combination(key);
+}
 } // namespace
 
 suspect_list::suspect_list(quarantine_hook on_quarantine, suspect_tuning tuning)
@@ -57,14 +87,25 @@
 			   { return count_unrelated(exit.second, evidence) <= evidence.ended.size(); });
 }
 
-double suspect_list::weight_of(const suspicion& evidence) const
+double suspect_list::weight_of_exit(const suspicion& evidence, process_instance process) const
 {
-	double weight = 0;
+	return has_other_cause(evidence.ended.at(process), evidence) ? tuning_.simultaneous_weight : 1;
+}
+
+change_point suspect_list::counted(const suspicion& evidence) const
+{
+	const auto weight = [&](process_instance process) { return weight_of_exit(evidence, process); };
+	if (has_times(evidence.key))
+	{
+		return find_change_point(evidence, weight, tuning_.min_exits_per_completion);
+	}
+	change_point all{{}, evidence.ended.size(), 0, evidence.survived.size(), 0};
 	for (const auto& [process, simultaneous] : evidence.ended)
 	{
-		weight += has_other_cause(simultaneous, evidence) ? tuning_.simultaneous_weight : 1;
+		all.weight += weight(process);
 	}
-	return weight;
+	all.strength = all.weight - tuning_.min_exits_per_completion * static_cast<double>(all.completions);
+	return all;
 }
 
 double suspect_list::required_exits(const content_key& key) const
@@ -79,15 +120,18 @@
 
 bool suspect_list::exceeds_threshold(const suspicion& evidence, std::size_t additional_exits) const
 {
-	const auto exits = weight_of(evidence) + static_cast<double>(additional_exits);
-	const auto completions = static_cast<double>(evidence.survived.size());
-	return exits >= required_exits(evidence.key) && exits > tuning_.min_exits_per_completion * completions;
+	const auto additional = static_cast<double>(additional_exits);
+	if (static_cast<double>(evidence.ended.size()) + additional < required_exits(evidence.key))
+	{
+		return false;
+	}
+	const auto counts = counted(evidence);
+	return counts.weight + additional >= required_exits(evidence.key) && counts.strength + additional > 0;
 }
 
 bool suspect_list::is_cleared(const suspicion& evidence) const
 {
-	const auto completions = static_cast<double>(evidence.survived.size());
-	return weight_of(evidence) <= tuning_.min_exits_per_completion * completions;
+	return counted(evidence).strength <= 0;
 }
 
 /// After a simultaneous loss of many replicas, requests that were running on one or two of them are not
@@ -113,8 +157,9 @@
 /// Thousands of parts stand beside exits, and most of them are completed a moment later.
 bool suspect_list::is_part_worth_storing(const entry& suspect) const
 {
-	const bool is_suspicious =
-		weight_of(suspect.evidence) >= tuning_.direct_store_weight && !is_cleared(suspect.evidence);
+	const bool has_exits = static_cast<double>(suspect.evidence.ended.size()) >= tuning_.direct_store_weight;
+	const bool is_suspicious = has_exits && weight_of(suspect.evidence) >= tuning_.direct_store_weight &&
+							   !is_cleared(suspect.evidence);
 	const bool is_stored_suspicious = !suspect.stored.ended.empty() && !is_cleared(suspect.stored);
 	return is_suspicious || is_stored_suspicious;
 }
@@ -179,7 +224,8 @@
 		[&](const content_key& key)
 		{
 			const auto* suspect = find(key, now);
-			return suspect != nullptr && !exceeds_threshold(suspect->evidence, 0) &&
+			return suspect != nullptr && !suspect->presumed.empty() &&
+				   !exceeds_threshold(suspect->evidence, 0) &&
 				   exceeds_threshold(suspect->evidence, suspect->presumed.size());
 		});
 }
@@ -187,8 +233,12 @@
 bool suspect_list::is_near_quarantine(const content_key& key, instant now) const
 {
 	const auto* suspect = find(key, now);
+	if (suspect == nullptr || static_cast<double>(suspect->evidence.ended.size()) < required_exits(key) - 1)
+	{
+		return false;
+	}
 	const bool is_request = !is_part(key) && !is_combination(key);
-	const bool is_suspicious = suspect != nullptr && (is_request || !is_cleared(suspect->evidence));
+	const bool is_suspicious = is_request || !is_cleared(suspect->evidence);
 	return is_suspicious && weight_of(suspect->evidence) >= required_exits(key) - 1;
 }
 
@@ -220,8 +270,11 @@
 			continue;
 		}
 		auto& suspect = find_or_add(key, now);
-		const auto completions = completions_.of(key, now);
-		suspect.evidence.survived.insert(completions.begin(), completions.end());
+		for (const auto& completed : completions_.of(key, now))
+		{
+			add_timed_completion(suspect.evidence, completed.id, completed.began_at);
+			suspect.counts.reset();
+		}
 		if (!suspect.evidence.ended.contains(process))
 		{
 			suspect.presumed.insert(process);
@@ -238,7 +291,7 @@
 		const bool was_running = suspect.presumed.erase(process) > 0;
 		if (was_running)
 		{
-			add_exit(suspect.evidence, process, {});
+			add_exit(suspect.evidence, process, {}, now);
 			suspect.is_seen_here = true;
 		}
 		const bool is_new = add_simultaneous(suspect.evidence, simultaneous);
@@ -263,19 +316,55 @@
 		std::set<process_instance> others{processes.begin(), processes.end()};
 		others.erase(process);
 		const auto before = exit->second;
-		add_exit(evidence, process, others);
+		add_exit(evidence, process, others, evidence.exit_time(process));
 		is_new = is_new || exit->second != before;
 	}
 	return is_new;
 }
 
 void suspect_list::add_exit(
-	suspicion& to, process_instance process, const std::set<process_instance>& simultaneous) const
+	suspicion& to, process_instance process, const std::set<process_instance>& simultaneous, instant at) const
 {
 	auto& kept = to.ended[process];
 	kept.insert(simultaneous.begin(), simultaneous.end());
 	keep_smallest(kept, tuning_.max_simultaneous);
-	keep_smallest(to.ended, max_processes(to.key));
+	if (!has_times(to.key))
+	{
+		keep_smallest(to.ended, max_processes(to.key));
+		return;
+	}
+	record_time(to.exit_times, process, at);
+	keep_newest(to.ended, to.exit_times, max_processes(to.key));
+}
+
+/// Once the completions since the last exit outweigh as many exits as are kept, more change nothing before
+/// the next exit. Each would be reported to other VMs.
+bool suspect_list::is_completion_needed(const suspicion& evidence) const
+{
+	instant last_exit;
+	for (const auto& [process, at] : evidence.exit_times)
+	{
+		last_exit = std::max(last_exit, at);
+	}
+	const auto since = std::count_if(evidence.completion_times.begin(), evidence.completion_times.end(),
+		[&](const auto& completion) { return completion.second >= last_exit; });
+	return static_cast<double>(since) * tuning_.min_exits_per_completion <
+		   static_cast<double>(max_processes(evidence.key));
+}
+
+void suspect_list::add_timed_completion(suspicion& to, process_instance completion, instant began_at) const
+{
+	if (to.survived.contains(completion))
+	{
+		record_time(to.completion_times, completion, began_at);
+		return;
+	}
+	if (is_completion_needed(to))
+	{
+		to.survived.insert(completion);
+		record_time(to.completion_times, completion, began_at);
+		keep_newest(to.survived, to.completion_times, max_processes(to.key));
+	}
 }
 
 void suspect_list::retract(process_instance process)
@@ -301,10 +390,21 @@
 	}
 }
 
-void suspect_list::add_part_completion(const content_key& part, process_instance completion, instant now)
+void suspect_list::add_part_completion(
+	const content_key& part, const recent_completions::completion& completed, instant now)
 {
-	completions_.add(part, completion, now);
-	add_completion(part, completion, now);
+	completions_.add(part, completed, now);
+	const auto found = suspects_.find(part);
+	if (found == suspects_.end())
+	{
+		return;
+	}
+	const auto before = found->second.evidence.survived;
+	add_timed_completion(found->second.evidence, completed.id, completed.began_at);
+	if (found->second.evidence.survived != before)
+	{
+		on_change(found->second, now);
+	}
 }
 
 void suspect_list::merge(const suspicion& report, instant last_exit, instant now)
@@ -314,7 +414,7 @@
 		return;
 	}
 	auto& suspect = find_or_add(report.key, last_exit);
-	if (merge_evidence(suspect.evidence, report))
+	if (merge_evidence(suspect.evidence, report, now))
 	{
 		on_change(suspect, now);
 	}
@@ -327,17 +427,28 @@
 	const auto found = suspects_.find(stored.key);
 	if (found != suspects_.end())
 	{
-		static_cast<void>(merge_evidence(found->second.stored, stored));
+		static_cast<void>(merge_evidence(found->second.stored, stored, now));
 	}
 }
 
 /// \returns Whether anything was new.
-bool suspect_list::merge_evidence(suspicion& into, const suspicion& from) const
+bool suspect_list::merge_evidence(suspicion& into, const suspicion& from, instant now) const
 {
 	const auto before = into;
 	for (const auto& [process, simultaneous] : from.ended)
 	{
-		add_exit(into, process, simultaneous);
+		const auto known_at = from.exit_times.find(process);
+		add_exit(into, process, simultaneous, known_at == from.exit_times.end() ? now : known_at->second);
+	}
+	if (has_times(into.key))
+	{
+		for (const auto completion : from.survived)
+		{
+			const auto known_at = from.completion_times.find(completion);
+			add_timed_completion(
+				into, completion, known_at == from.completion_times.end() ? now : known_at->second);
+		}
+		return into != before;
 	}
 	into.survived.insert(from.survived.begin(), from.survived.end());
 	keep_smallest(into.survived, max_processes(into.key));
@@ -347,6 +458,7 @@
 void suspect_list::on_change(entry& suspect, instant now)
 {
 	suspect.changed_at = now;
+	suspect.counts.reset();
 	if (is_part(suspect.evidence.key))
 	{
 		is_blame_outdated_ = true;
@@ -360,32 +472,79 @@
 	report_quarantine(suspect, has_unexplained_exits(request.request, request, now));
 }
 
-double suspect_list::required_exits_to_blame(const content_key& part, instant now) const
+bool suspect_list::is_known_part(const suspicion& evidence, instant now) const
 {
-	const bool is_known = completions_.is_known(part, now);
-	return tuning_.part_quarantine_exits * (is_known ? tuning_.known_part_factor : 1);
+	return completions_.is_known(evidence.key, now) || !evidence.survived.empty();
 }
 
-/// Computed when it is asked for: one exit, or one report, changes the evidence against many parts.
-const std::vector<blamed_parts>& suspect_list::blamed(instant now)
+std::optional<part_candidate> suspect_list::candidate(entry& suspect, instant now) const
 {
-	if (!std::exchange(is_blame_outdated_, false))
+	const auto& evidence = suspect.evidence;
+	if (!suspect.counts)
 	{
-		return blamed_;
+		suspect.counts = counted(evidence);
 	}
-	std::vector<part_candidate> candidates;
-	for (const auto& [key, suspect] : suspects_)
+	const auto& counts = *suspect.counts;
+	const bool is_known = is_known_part(evidence, now);
+	const auto required = tuning_.part_quarantine_exits * (is_known ? tuning_.known_part_factor : 1);
+	const auto strength = is_known ? counts.strength : counts.weight;
+	if (strength < required || counts.strength <= 0)
+	{
+		return std::nullopt;
+	}
+	part_candidate found{
+		evidence.key, {}, counts.completions, counts.strength, required, is_known, counts.since};
+	for (const auto& [process, simultaneous] : evidence.ended)
+	{
+		if (evidence.exit_time(process) >= counts.since)
+		{
+			found.exits.insert(process);
+		}
+	}
+	return found;
+}
+
+std::vector<part_candidate> suspect_list::candidates(instant now)
+{
+	next_blame_at_.reset();
+	std::vector<part_candidate> found;
+	for (auto& [key, suspect] : suspects_)
 	{
-		const auto& evidence = suspect.evidence;
-		const auto exits = static_cast<double>(evidence.ended.size());
-		const bool is_candidate =
-			is_part(key) && exits >= tuning_.part_quarantine_exits && find(key, now) != nullptr;
-		if (is_candidate && exceeds_threshold(evidence, 0))
+		const auto exits = static_cast<double>(suspect.evidence.ended.size());
+		if (!is_part(key) || exits < tuning_.part_quarantine_exits || find(key, now) == nullptr)
+		{
+			continue;
+		}
+		const auto possible = candidate(suspect, now);
+		if (!possible)
 		{
-			candidates.push_back({&evidence, required_exits_to_blame(key, now)});
+			suspect.suspected_since.reset();
+			continue;
 		}
+		// Of many exits only the newest are kept, so that the first one that counts becomes later.
+		suspect.suspected_since =
+			std::min(suspect.suspected_since.value_or(possible->since), possible->since);
+		const auto judged_at =
+			*suspect.suspected_since + (possible->is_known ? tuning_.known_part_delay : duration{0});
+		if (judged_at <= now)
+		{
+			found.push_back(*possible);
+			continue;
+		}
+		next_blame_at_ = std::min(next_blame_at_.value_or(judged_at), judged_at);
+	}
+	return found;
+}
+
+/// Computed when it is asked for: one exit, or one report, changes the evidence against many parts.
+const std::vector<blamed_parts>& suspect_list::blamed(instant now)
+{
+	const bool is_due = next_blame_at_ && *next_blame_at_ <= now;
+	if (!std::exchange(is_blame_outdated_, false) && !is_due)
+	{
+		return blamed_;
 	}
-	blamed_ = find_blamed_parts(std::move(candidates));
+	blamed_ = find_blamed_parts(candidates(now));
 	for (auto& [key, suspect] : suspects_)
 	{
 		if (is_part(key))
@@ -407,30 +566,31 @@
 
 std::vector<suspicion> suspect_list::recent_changes(std::size_t min_exits, instant now) const
 {
-	std::vector<const entry*> found;
+	// What may have to be quarantined comes first, and parts before requests, which are fewer.
+	struct ranked_entry
+	{
+		std::tuple<bool, std::size_t, bool> rank;
+		const entry* suspect;
+	};
+	std::vector<ranked_entry> found;
 	for (const auto& [key, suspect] : suspects_)
 	{
-		if (suspect.evidence.ended.size() >= std::max<std::size_t>(1, min_exits) &&
-			now - suspect.changed_at <= tuning_.report_time)
+		const auto exits = suspect.evidence.ended.size();
+		if (exits >= std::max<std::size_t>(1, min_exits) && now - suspect.changed_at <= tuning_.report_time)
 		{
-			found.push_back(&suspect);
+			const bool is_sound_part = is_part(key) && is_cleared(suspect.evidence);
+			found.push_back(
+				{{is_sound_part, std::numeric_limits<std::size_t>::max() - exits, !is_part(key)}, &suspect});
 		}
 	}
-	// What may have to be quarantined comes first, and parts before requests, which are fewer.
-	const auto order = [this](const entry* suspect)
-	{
-		return std::tuple{is_part(suspect->evidence.key) && is_cleared(suspect->evidence),
-			std::numeric_limits<std::size_t>::max() - suspect->evidence.ended.size(),
-			!is_part(suspect->evidence.key)};
-	};
-	std::stable_sort(
-		found.begin(), found.end(), [&](const entry* a, const entry* b) { return order(a) < order(b); });
+	std::stable_sort(found.begin(), found.end(),
+		[](const ranked_entry& a, const ranked_entry& b) { return a.rank < b.rank; });
 	found.resize(std::min(found.size(), tuning_.max_reported));
 	std::vector<suspicion> report;
 	report.reserve(found.size());
-	for (const auto* suspect : found)
+	for (const auto& entry : found)
 	{
-		report.push_back(suspect->evidence);
+		report.push_back(entry.suspect->evidence);
 	}
 	return report;
 }
@@ -443,7 +603,7 @@
 	{
 		auto merged = suspect.stored;
 		if (!is_worth_storing(suspect, for_others) || find(key, now) == nullptr ||
-			!merge_evidence(merged, suspect.evidence))
+			!merge_evidence(merged, suspect.evidence, now))
 		{
 			continue;
 		}
--- a/tests/control/suspect_rows.cpp
+++ b/tests/control/suspect_rows.cpp
@@ -78,6 +78,38 @@
 	}
 }
 
+TEST_CASE("rows hold the times of a part's evidence on the registry's clock", "[quarantine]")
+{
+	const duration ahead = seconds{500};
+	stored_suspicion content{
+		{quarantine::key_of_part(service_id{"s"}, "p"), {{process_instance{4}, {}}}, {process_instance{1}}},
+		registry_time{77}};
+	content.evidence.exit_times[process_instance{4}] = instant{seconds{20}};
+	content.evidence.completion_times[process_instance{1}] = instant{seconds{10}};
+	const auto key = "suspect/" + content.evidence.key.str();
+	const auto value = write_suspicion(content, ahead);
+	const auto read = read_suspicion({"own", key, value, row_version{1}, false}, ahead + seconds{1});
+	REQUIRE(read);
+	CHECK(read->evidence.exit_time(process_instance{4}) == instant{seconds{19}});
+	CHECK(read->evidence.completion_time(process_instance{1}) == instant{seconds{9}});
+}
+
+TEST_CASE("rows and reports of a part's evidence without times are read", "[quarantine]")
+{
+	const auto key = "suspect/" + quarantine::key_of_part(service_id{"s"}, "p").str();
+	const auto read = read_suspicion({"own", key,
+		R"({"ended":[{"life":1,"together":[]}],"survived":[2],"last_end_us":1})", row_version{1}, false});
+	REQUIRE(read);
+	CHECK(read->evidence.exit_times.empty());
+	quarantine::suspect_list list{[](const suspicion&, double) {}};
+	const auto now = proxy::steady_now();
+	list.merge(read->evidence, now, now);
+	const auto merged = list.recent_changes(1, now);
+	REQUIRE(merged.size() == 1);
+	CHECK(merged.front().exit_time(process_instance{1}) == now);
+	CHECK(merged.front().completion_time(process_instance{2}) == now);
+}
+
 TEST_CASE("two exits seen by one VM are stored once, and a failed write is retried", "[quarantine]")
 {
 	stored_suspects vm;
--- a/thrift/relay.thrift
+++ b/thrift/relay.thrift
@@ -89,17 +89,21 @@
 	2: required i64 order
 }
 
-// The life of a replica that ended, and others that ended at the same moment: lives are whole numbers.
+// The life of a replica that ended, and others that ended at the same moment: lives are whole numbers. For a part
+// of prompts also how long ago it ended.
 struct RelayEnd {
 	1: required i64 life
 	2: required list<i64> together
+	3: optional i64 age_us
 }
 
-// A request under which replicas ended.
+// A request, or a part of prompts, under which replicas ended. For a part also how long ago the answers of the
+// completions began, in their order.
 struct RelaySuspicion {
 	1: required string key
 	2: required list<RelayEnd> ended
 	3: required list<i64> survived
+	4: optional list<i64> survived_age_us
 }
 
 // What a VM heard of the requests a second that a replica asks for; without them the replica asks for no limit
