Rows of the registry are compared within its era

Callers saw: requests still reached an engine 2.7 s after it had said that it leaves; before that, for a second, most were refused. Cause: in a drill the registry returns from a copy some seconds old, and its versions go back. Class: a counter taken to rise for ever. Change: the era passes from the registry's answers to the followers, the copies and the VMs that read them. A table of a later era replaces the copy whatever its versions are; answers and copies of an earlier era are dropped; a poll from a version of another era is answered at once. A process that was draining stays so, a newer configuration stays in force (as before), replicas without entries are kept for as long as after an outage, VMs and suspected requests are written again. Sources without an era (older builds, older registries) are read as before until the era has changed.

--- a/include/gingerdyke/control/coordinator.hpp
+++ b/include/gingerdyke/control/coordinator.hpp
@@ -128,6 +128,7 @@
 	void on_evidence_rows(const std::vector<row>& rows);
 	void on_evidence_row(const row& table_row);
 	void on_vm_row(const row& table_row);
+	void on_own_table_restored();
 	void publish_vms();
 	void register_self();
 	void start_remaining_followers();
--- a/include/gingerdyke/control/relay_codec.hpp
+++ b/include/gingerdyke/control/relay_codec.hpp
@@ -29,6 +29,9 @@
 
 	/// Report of the calling VM; none if another of its calls carries it.
 	std::optional<peer_report> report;
+
+	/// Era of `after`; none if it is not known.
+	std::optional<registry_era> era{};
 };
 
 /// \brief The response to a poll.
--- a/include/gingerdyke/control/relay_server.hpp
+++ b/include/gingerdyke/control/relay_server.hpp
@@ -53,6 +53,7 @@
 	/// restart of all VMs.
 	struct packed_table
 	{
+		std::optional<registry_era> era;
 		row_version newest;
 		std::shared_ptr<const std::string> bytes;
 	};
--- a/include/gingerdyke/control/row_store.hpp
+++ b/include/gingerdyke/control/row_store.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <gingerdyke/rollout/version_shift.hpp>
+#include <optional>
 #include <string>
 #include <tl/expected.hpp>
 #include <vector>
@@ -16,6 +17,9 @@
 using rollout::registry_time;
 using rollout::row_version;
 
+/// \brief Rises when the registry returns from an older copy. Versions of one era say nothing on another's.
+using registry_era = quantity<struct registry_era_tag>;
+
 /// \brief A row of a table, or the tombstone of a removed row.
 struct row
 {
@@ -34,6 +38,9 @@
 	/// Newest version that the registry had; the next call continues from it.
 	row_version newest;
 
+	/// Era of these versions; none if the source does not tell.
+	std::optional<registry_era> era{};
+
 	/// Reading of the registry's steady clock when it responded.
 	registry_time at{};
 
--- a/include/gingerdyke/control/shared_store.hpp
+++ b/include/gingerdyke/control/shared_store.hpp
@@ -116,6 +116,9 @@
 		/// When the copy was last known to be the newest; none if the table was never read.
 		std::optional<instant> newest_at;
 
+		/// Era of the copy; none if no source told it.
+		std::optional<registry_era> era;
+
 		/// Source of the last read; none for the registry.
 		std::optional<vm_id> source;
 
--- a/include/gingerdyke/control/suspect_rows.hpp
+++ b/include/gingerdyke/control/suspect_rows.hpp
@@ -64,6 +64,10 @@
 	/// \brief Applies a row that changed or was removed.
 	void on_row(const row& table_row, instant now);
 
+	/// \brief Records that the registry returned from an older copy: nothing is known of the rows that it
+	/// has.
+	void on_table_restored();
+
 	/// \brief Records the registry's clock and applies the rows that arrived before it was known.
 	void record_registry_time(registry_time at, instant now);
 
--- a/include/gingerdyke/control/table_cache.hpp
+++ b/include/gingerdyke/control/table_cache.hpp
@@ -17,7 +17,8 @@
 	explicit table_cache(std::string table) : table_(std::move(table)) {}
 
 	/// \brief Replaces the copy by the full table.
-	void replace(const std::vector<row>& rows, row_version newest);
+	/// \param era Era of the versions; none if the source does not tell.
+	void replace(const std::vector<row>& rows, row_version newest, std::optional<registry_era> era = {});
 
 	/// \brief Applies changes.
 	/// \returns The rows that changed, by version: for several changes of a row only the last one, and none
@@ -49,6 +50,9 @@
 
 	[[nodiscard]] const std::string& table() const noexcept { return table_; }
 
+	/// \brief Era of the versions; none if no source told it.
+	[[nodiscard]] std::optional<registry_era> era() const noexcept { return era_; }
+
   private:
 	/// Orders rows by version; rows of one transaction share theirs.
 	struct by_version
@@ -62,6 +66,7 @@
 	void put(const row& table_row);
 	void drop(const std::string& key);
 	void prune_tombstones();
+	void clear();
 
 	std::string table_;
 	std::map<std::string, row> rows_;
@@ -69,6 +74,7 @@
 	/// The same rows by version: a VM that polls has most of them already.
 	std::set<const row*, by_version> rows_by_version_;
 	std::size_t tombstones_ = 0;
+	std::optional<registry_era> era_;
 	row_version newest_;
 	row_version newest_change_;
 
--- a/include/gingerdyke/control/table_follower.hpp
+++ b/include/gingerdyke/control/table_follower.hpp
@@ -41,6 +41,10 @@
 
 	/// Called after each failed call.
 	std::function<void(store_error)> failed;
+
+	/// Called before the full table of another era than the rows so far: the registry returned from an older
+	/// copy. None: nothing is to be done.
+	std::function<void()> restored{};
 };
 
 /// \brief Follows a table. Never applies rows older than those it has already passed on.
@@ -66,6 +70,9 @@
 	void follow();
 	void on_full_read(store_result<row_batch> result, instant sent_at);
 	void on_changes(store_result<row_batch> result, instant sent_at);
+	[[nodiscard]] bool is_of_earlier_era(const row_batch& batch) const;
+	[[nodiscard]] bool is_of_later_era(const row_batch& batch) const;
+	void record_era(const row_batch& batch);
 	[[nodiscard]] bool is_superseded(unsigned run_id) const noexcept { return stopped_ || run_id != run_id_; }
 	[[nodiscard]] static instant newest_at(instant sent_at, const row_batch& batch);
 	void log_superseded(std::size_t rows, std::size_t changed_rows) const;
@@ -85,6 +92,12 @@
 	/// Version from which the next call continues; none if the full table has to be read.
 	std::optional<row_version> resume_version_;
 
+	/// Era of `newest_seen_`; none if no source told it.
+	std::optional<registry_era> era_;
+
+	/// Whether the era has changed since the start.
+	bool has_era_changed_ = false;
+
 	/// Newest version seen; a full table of an older version is rejected.
 	std::optional<row_version> newest_seen_;
 	duration backoff_;
--- a/include/gingerdyke/quarantine/suspect_list.hpp
+++ b/include/gingerdyke/quarantine/suspect_list.hpp
@@ -130,6 +130,9 @@
 	/// \brief Merges evidence from the registry; it need not be stored again.
 	void merge_stored(const suspicion& stored, instant last_exit, instant now);
 
+	/// \brief Records that the registry holds no evidence, as far as this VM knows.
+	void forget_stored();
+
 	/// \brief Drops the evidence against a request or part, because an operator removed its row.
 	void forget(const content_key& key);
 
--- a/src/control/coordinator.cpp
+++ b/src/control/coordinator.cpp
@@ -68,7 +68,8 @@
 			  {
 				  check_machine_suspension();
 				  shared_store_.abandon();
-			  }},
+			  },
+			  {}},
 		  {.wait = tuning_.operator_poll_wait}),
 	  replica_follower_(gateway.context(), shared_store_, layout_.replica_table, random,
 		  {[this](const auto& rows) { on_replicas(rows); },
@@ -79,17 +80,19 @@
 				  gateway_.replicas().mark_registry_available(newest_at);
 				  expire_replicas();
 			  },
-			  [this](store_error) { gateway_.replicas().mark_registry_unavailable(proxy::steady_now()); }},
+			  [this](store_error) { gateway_.replicas().mark_registry_unavailable(proxy::steady_now()); },
+			  // The copy lacks the entries of replicas that started since, until these write them again.
+			  [this] { gateway_.replicas().mark_registry_unavailable(proxy::steady_now()); }},
 		  {.wait = tuning_.replica_poll_wait, .batch_delay = tuning_.batch_delay}),
 	  own_follower_(gateway.context(), shared_store_, layout_.own_table, random,
 		  {[this](const auto& rows) { on_own_rows(rows); }, [this](const auto& rows) { on_own_rows(rows); },
 			  [this](instant newest_at, registry_time) { gateway_.vms().confirm(newest_at); },
-			  [](store_error) {}},
+			  [](store_error) {}, [this] { on_own_table_restored(); }},
 		  {.wait = tuning_.own_poll_wait, .batch_delay = tuning_.batch_delay}),
 	  evidence_follower_(gateway.context(), registry, layout_.evidence_table, random,
 		  {[this](const auto& rows) { on_evidence_rows(rows); },
 			  [this](const auto& rows) { on_evidence_rows(rows); }, [](instant, registry_time) {},
-			  [](store_error) {}},
+			  [](store_error) {}, {}},
 		  {.wait = tuning_.evidence_poll_wait, .batch_delay = tuning_.batch_delay})
 {
 }
@@ -352,6 +355,15 @@
 	schedule_write();
 }
 
+/// Rows that VMs have written since the copy are gone. This VM writes its own and those of suspects again;
+/// what it knows of other VMs stays until they have done so.
+void coordinator::on_own_table_restored()
+{
+	vms_.erase(self_.vm);
+	registration_checked_ = false;
+	suspect_rows_.on_table_restored();
+}
+
 void coordinator::publish_vms()
 {
 	std::vector<peer> peers;
--- a/src/control/duty_host.cpp
+++ b/src/control/duty_host.cpp
@@ -32,7 +32,7 @@
 	: self_(std::move(self)), settings_(std::move(settings)),
 	  follower_(gateway.context(), registry, settings_.duty_table, random,
 		  {[this](const auto& rows) { on_table(rows); }, [this](const auto& rows) { on_rows(rows); },
-			  [](instant, registry_time) {}, [](store_error) {}},
+			  [](instant, registry_time) {}, [](store_error) {}, {}},
 		  {.wait = settings_.poll_wait, .batch_delay = settings_.batch_delay})
 {
 	const duty::lease_holder holder{self_.vm, process};
--- a/src/control/relay_codec.cpp
+++ b/src/control/relay_codec.cpp
@@ -86,6 +86,10 @@
 	{
 		message.__set_oldest_us(poll.max_age->count());
 	}
+	if (poll.era)
+	{
+		message.__set_era(poll.era->value());
+	}
 	if (poll.report)
 	{
 		message.__set_report(to_wire(*poll.report));
@@ -125,6 +129,10 @@
 		message.__set_packed(*response.packed);
 	}
 	message.newest = batch.newest.value();
+	if (batch.era)
+	{
+		message.__set_era(batch.era->value());
+	}
 	message.registry_time_us = batch.at.count();
 	message.age_us = batch.age.count();
 	return encode_frame(message);
@@ -160,6 +168,10 @@
 	{
 		poll.max_age = duration{message->oldest_us};
 	}
+	if (message->__isset.era)
+	{
+		poll.era = registry_era{message->era};
+	}
 	if (message->__isset.report)
 	{
 		poll.report = from_wire(message->report);
@@ -202,6 +214,10 @@
 		batch.rows = std::move(*rows);
 	}
 	batch.newest = row_version{message->newest};
+	if (message->__isset.era)
+	{
+		batch.era = registry_era{message->era};
+	}
 	batch.at = registry_time{message->registry_time_us};
 	batch.age = std::max(duration{message->age_us}, duration{0});
 	response.result = std::move(batch);
--- a/src/control/relay_server.cpp
+++ b/src/control/relay_server.cpp
@@ -80,6 +80,15 @@
 	arm_timer(due);
 }
 
+namespace
+{
+/// Whether the versions of a poll say nothing on those of the copy.
+bool is_of_other_era(const relay_poll& poll, const table_cache& cache)
+{
+	return poll.after && poll.era && cache.era() && *poll.era != *cache.era();
+}
+} // namespace
+
 bool relay_server::can_respond(const relay_poll& poll, const table_cache* cache, instant now)
 {
 	if (cache == nullptr || !cache->is_loaded())
@@ -87,7 +96,7 @@
 		return false;
 	}
 	return time_until_too_old(poll, cache, now) < duration{0} || !poll.after ||
-		   cache->has_changes_after(*poll.after);
+		   is_of_other_era(poll, *cache) || cache->has_changes_after(*poll.after);
 }
 
 /// Returns how long until this VM's copy exceeds the poll's maximum age, unless it is confirmed before then.
@@ -138,16 +147,23 @@
 void relay_server::add_rows(const table_cache& from, const relay_poll& poll, relay_response& to)
 {
 	const auto now = proxy::steady_now();
+	if (is_of_other_era(poll, from))
+	{
+		const bool is_copy_newer = *from.era() > *poll.era;
+		to.result = tl::make_unexpected(is_copy_newer ? store_error::history_gone : store_error::unavailable);
+		return;
+	}
 	to.result = poll.after ? from.read(poll.after, now) : from.read_metadata(now);
 	if (poll.after || !to.result)
 	{
 		return;
 	}
 	auto& cached = packed_tables_[poll.table];
-	if (!cached.bytes || cached.newest != to.result->newest)
+	if (!cached.bytes || cached.newest != to.result->newest || cached.era != to.result->era)
 	{
 		const auto full_table = from.read(std::nullopt, now);
-		cached = {full_table->newest, std::make_shared<const std::string>(pack_rows(full_table->rows))};
+		cached = {full_table->era, full_table->newest,
+			std::make_shared<const std::string>(pack_rows(full_table->rows))};
 	}
 	to.packed = cached.bytes;
 }
--- a/src/control/suspect_rows.cpp
+++ b/src/control/suspect_rows.cpp
@@ -143,6 +143,13 @@
 	apply_row(table_row, now);
 }
 
+void suspect_rows::on_table_restored()
+{
+	rows_.clear();
+	suspects_.forget_stored();
+	schedule_store();
+}
+
 void suspect_rows::apply_row(const row& table_row, instant now)
 {
 	auto& known = rows_[table_row.key];
--- a/src/control/table_cache.cpp
+++ b/src/control/table_cache.cpp
@@ -18,8 +18,23 @@
 }
 } // namespace
 
-void table_cache::replace(const std::vector<row>& rows, row_version newest)
+/// Forgets all rows with their versions, tombstones included.
+void table_cache::clear()
 {
+	rows_by_version_.clear();
+	rows_.clear();
+	tombstones_ = 0;
+	newest_ = {};
+	newest_change_ = {};
+}
+
+void table_cache::replace(const std::vector<row>& rows, row_version newest, std::optional<registry_era> era)
+{
+	if (era && era_ && *era != *era_)
+	{
+		clear();
+	}
+	era_ = era ? era : era_;
 	std::map<std::string, row> next;
 	for (const auto& table_row : rows)
 	{
@@ -132,6 +147,7 @@
 	}
 	row_batch batch;
 	batch.newest = std::max(newest_, newest_change_);
+	batch.era = era_;
 	batch.at = now.time_since_epoch() + registry_clock_offset_;
 	batch.age = age(now);
 	return batch;
--- a/src/control/table_follower.cpp
+++ b/src/control/table_follower.cpp
@@ -91,6 +91,13 @@
 		record_failure(result.error());
 		return;
 	}
+	if (is_of_earlier_era(*result))
+	{
+		log::write(log::level::info, "table of an earlier era dropped", {{"table", cache_.table()}});
+		retry_after_backoff();
+		return;
+	}
+	record_era(*result);
 	if (newest_seen_ && result->newest < *newest_seen_)
 	{
 		log::write(log::level::warn, "registry returned an older table version",
@@ -101,7 +108,7 @@
 	}
 	resume_version_ = result->newest;
 	newest_seen_ = result->newest;
-	cache_.replace(result->rows, result->newest);
+	cache_.replace(result->rows, result->newest, result->era);
 	confirm_cache(sent_at, *result);
 	hooks_.replaced(result->rows);
 	record_success(sent_at, *result);
@@ -115,6 +122,13 @@
 		record_failure(result.error());
 		return;
 	}
+	if (is_of_earlier_era(*result) || is_of_later_era(*result))
+	{
+		// The version to continue from is not one of this era.
+		resume_version_.reset();
+		is_of_later_era(*result) ? read_next() : retry_after_backoff();
+		return;
+	}
 	resume_version_ = std::max(*resume_version_, result->newest);
 	newest_seen_ = std::max(*newest_seen_, result->newest);
 	const auto changed_rows = cache_.apply(result->rows, result->newest);
@@ -133,6 +147,34 @@
 	follow();
 }
 
+/// A source that tells no era can't be compared. Once the era has changed, it is not known to have noticed.
+bool table_follower::is_of_earlier_era(const row_batch& batch) const
+{
+	return batch.era ? era_ && *batch.era < *era_ : has_era_changed_;
+}
+
+bool table_follower::is_of_later_era(const row_batch& batch) const
+{
+	return batch.era && era_ && *batch.era > *era_;
+}
+
+void table_follower::record_era(const row_batch& batch)
+{
+	if (is_of_later_era(batch))
+	{
+		log::write(log::level::warn, "registry returned from an older copy",
+			{{"table", cache_.table()}, {"era", batch.era->value()}, {"newest", batch.newest.value()},
+				{"known", newest_seen_.value_or(row_version{}).value()}});
+		has_era_changed_ = true;
+		newest_seen_.reset();
+		if (hooks_.restored)
+		{
+			hooks_.restored();
+		}
+	}
+	era_ = batch.era ? batch.era : era_;
+}
+
 /// Logs rows that were dropped because the same response held a newer change of the row, or because the row
 /// was known already.
 void table_follower::log_superseded(std::size_t rows, std::size_t changed_rows) const
--- a/src/quarantine/suspect_list.cpp
+++ b/src/quarantine/suspect_list.cpp
@@ -617,6 +617,15 @@
 	return result;
 }
 
+void suspect_list::forget_stored()
+{
+	for (auto& [key, suspect] : suspects_)
+	{
+		suspect.stored = {};
+		suspect.stored.key = key;
+	}
+}
+
 void suspect_list::forget(const content_key& key)
 {
 	is_blame_outdated_ = suspects_.erase(key) > 0 || is_blame_outdated_;
--- a/src/routing/replica_set.cpp
+++ b/src/routing/replica_set.cpp
@@ -67,6 +67,11 @@
 		entry.is_draining = true;
 	}
 	const auto current = find(entry.id);
+	// A registry that returned from an older copy shows entries from before their replicas began to drain.
+	if (current && current->is_same_process(entry) && current->is_draining)
+	{
+		entry.is_draining = true;
+	}
 	if (current && *current == entry)
 	{
 		return;
--- a/tests/control/relay.cpp
+++ b/tests/control/relay.cpp
@@ -94,3 +94,20 @@
 	test::run_until(context, [&] { return got.has_value(); });
 	CHECK(got->error() == store_error::unreachable);
 }
+
+TEST_CASE("a poll from a version of another era is answered at once", "[control][restored]")
+{
+	for (const auto caller_era : {registry_era{1}, registry_era{3}})
+	{
+		relay_pair pair;
+		pair.cache.replace({make_row("a", 3)}, row_version{3}, registry_era{2});
+		std::optional<store_result<row_batch>> got;
+		relay_poll poll{0, "t", row_version{3}, seconds{5}, std::nullopt, {}, caller_era};
+		pair.client->call(
+			poll, seconds{10}, [&](store_result<row_batch> result) { got = std::move(result); });
+		run_until(pair.context, [&] { return got.has_value(); });
+		REQUIRE_FALSE(*got);
+		const bool is_caller_behind = caller_era == registry_era{1};
+		CHECK(got->error() == (is_caller_behind ? store_error::history_gone : store_error::unavailable));
+	}
+}
--- a/tests/control/table_cache.cpp
+++ b/tests/control/table_cache.cpp
@@ -57,3 +57,17 @@
 	cache.replace({make_row("b", 5)}, row_version{12});
 	CHECK(keys_of(cache.read(row_version{7}, start)) == std::vector<std::string>{"-a"});
 }
+
+TEST_CASE(
+	"a copy of a later era takes rows of lower versions and forgets those before", "[control][restored]")
+{
+	table_cache cache{"t"};
+	cache.replace({make_row("a", 8), make_row("b", 9)}, row_version{9}, registry_era{1});
+	cache.confirm(start, registry_time{1}, start);
+	cache.replace({make_row("a", 3)}, row_version{4}, registry_era{2});
+	CHECK(keys_of(cache.read(std::nullopt, start)) == std::vector<std::string>{"a"});
+	CHECK(cache.read(std::nullopt, start)->newest == row_version{4});
+	CHECK(cache.read(std::nullopt, start)->era == registry_era{2});
+	CHECK(cache.apply({make_row("a", 5, "y")}, row_version{5}).size() == 1);
+	CHECK(cache.read(row_version{4}, start)->rows.size() == 1);
+}
--- a/thrift/relay.thrift
+++ b/thrift/relay.thrift
@@ -175,6 +175,7 @@
 	5: required i64 wait_us
 	6: optional RelayReport report
 	7: optional i64 oldest_us
+	8: optional i64 era
 }
 
 struct RelayRow {
@@ -199,4 +200,5 @@
 	7: optional RelaySummary summary
 	8: optional bool second_hand
 	9: optional binary packed
+	10: optional i64 era
 }
