Plans of version shifts outlive a registry that returned from an older copy

Cause: what VMs wrote since the copy was made is gone and nobody wrote it again; rows of plans went back with their versions, so that a later row was ignored until the counter had caught up, and a VM that started read a plan that was still running for a version that had been rolled back. Change: after such a return the rows of plans are numbered anew; a row that holds an earlier state of the known plan doesn't replace it, and that plan is written again, under the condition that the row is still the one read. Evidence: two tests; without is_known_plan_later the version shifts again (they were written with the change, not run before it).

--- a/include/gingerdyke/rollout/version_shift.hpp
+++ b/include/gingerdyke/rollout/version_shift.hpp
@@ -252,6 +252,10 @@
 	void on_order(const shift_order& order, instant now);
 	void on_plan(const shift_plan& plan, instant now);
 
+	/// \brief Records that the registry returned from an older copy: rows of plans are numbered anew, and may
+	/// be older than the plans that this VM knows. Those are written again.
+	void on_registry_restored(instant now);
+
 	/// \brief Applies another VM's evidence from the registry; it replaces that VM's previous evidence.
 	void on_evidence(const std::string& reporter, const shift_evidence& evidence, instant now);
 
@@ -325,6 +329,12 @@
 		instant followed_since;
 		bool suspended{};
 
+		/// The registry returned from an older copy, and no row has shown since that it holds the plan.
+		bool is_restored{};
+
+		/// The plan has to be written again, as the registry holds none or an earlier one.
+		bool is_rewrite_due{};
+
 		/// Number of replicas by version.
 		std::map<std::string, std::size_t> replicas;
 
@@ -375,6 +385,7 @@
 		return now - last_registry_contact_ < tuning_.registry_contact_limit;
 	}
 	[[nodiscard]] static bool is_running(const service_state& state);
+	[[nodiscard]] static bool is_known_plan_later(const service_state& state, const shift_plan& read);
 
 	/// Number of replicas of the plan's new version, and of all others.
 	[[nodiscard]] static std::size_t count_new_replicas(const service_state& state);
--- a/src/control/coordinator.cpp
+++ b/src/control/coordinator.cpp
@@ -362,6 +362,7 @@
 	vms_.erase(self_.vm);
 	registration_checked_ = false;
 	suspect_rows_.on_table_restored();
+	gateway_.versions().on_registry_restored(proxy::steady_now());
 }
 
 void coordinator::publish_vms()
--- a/src/rollout/version_shift.cpp
+++ b/src/rollout/version_shift.cpp
@@ -91,6 +91,15 @@
 	{
 		return;
 	}
+	if (is_known_plan_later(state, plan))
+	{
+		state.plan->row = plan.row;
+		state.is_rewrite_due = true;
+		schedule(state, now);
+		return;
+	}
+	state.is_restored = false;
+	state.is_rewrite_due = false;
 	if (!state.plan || state.plan->order != plan.order)
 	{
 		state.suspended = false;
@@ -119,6 +128,36 @@
 	schedule(state, now);
 }
 
+/// Whether a row from before the registry's copy was made holds an earlier state of the known plan.
+bool version_shift::is_known_plan_later(const service_state& state, const shift_plan& read)
+{
+	if (!state.is_restored || !state.plan)
+	{
+		return false;
+	}
+	const auto& known = *state.plan;
+	if (known.order != read.order)
+	{
+		return read.order < known.order;
+	}
+	const bool is_end_missing = known.state != shift_state::running && read.state == shift_state::running;
+	return is_end_missing || (known.promoted && !read.promoted);
+}
+
+void version_shift::on_registry_restored(instant now)
+{
+	for (auto& [service, state] : services_)
+	{
+		if (state.plan)
+		{
+			state.plan->row = row_version{0};
+			state.is_restored = true;
+			state.is_rewrite_due = !is_running(state);
+			schedule(state, now);
+		}
+	}
+}
+
 bool version_shift::is_running(const service_state& state)
 {
 	return state.plan && state.plan->state == shift_state::running;
--- a/src/rollout/version_shift_plans.cpp
+++ b/src/rollout/version_shift_plans.cpp
@@ -111,6 +111,10 @@
 	{
 		return first_plan(state);
 	}
+	if (state.is_rewrite_due)
+	{
+		return state.plan;
+	}
 	if (!is_running(state))
 	{
 		return std::nullopt;
@@ -145,6 +149,10 @@
 	{
 		return now + random_delay();
 	}
+	if (state.is_rewrite_due)
+	{
+		return now + random_delay();
+	}
 	if (!is_running(state))
 	{
 		return std::nullopt;
--- a/tests/rollout/version_shift.cpp
+++ b/tests/rollout/version_shift.cpp
@@ -262,6 +262,44 @@
 	CHECK_FALSE(local_vm.shift.next_due());
 }
 
+TEST_CASE("a version stays rolled back after the registry returned from an older copy", "[shift][restored]")
+{
+	vm local_vm{1};
+	const auto running = begin(local_vm);
+	auto rolled_back_plan = running;
+	rolled_back_plan.state = shift_state::rolled_back;
+	rolled_back_plan.row = row_version{20};
+	local_vm.shift.on_plan(rolled_back_plan, local_vm.now);
+	local_vm.shift.on_registry_restored(local_vm.now);
+	SECTION("the copy holds the plan as it was before")
+	{
+		local_vm.shift.on_plan(running, local_vm.now);
+	}
+	SECTION("the copy holds no plan") {}
+	CHECK(measured_share(local_vm) == 0);
+	const auto next = written(local_vm, 12);
+	CHECK(next.state == shift_state::rolled_back);
+	local_vm.shift.on_plan(next, local_vm.now);
+	CHECK(measured_share(local_vm) == 0);
+	local_vm.pass(seconds{2});
+	CHECK_FALSE(local_vm.shift.next_due());
+}
+
+TEST_CASE(
+	"a completed version stays in use after the registry returned from an older copy", "[shift][restored]")
+{
+	vm local_vm{1};
+	const auto running = begin(local_vm);
+	auto completed = running;
+	completed.state = shift_state::completed;
+	completed.row = row_version{20};
+	local_vm.shift.on_plan(completed, local_vm.now);
+	local_vm.shift.on_registry_restored(local_vm.now);
+	local_vm.shift.on_plan(running, local_vm.now);
+	CHECK(measured_share(local_vm) == 1);
+	CHECK(written(local_vm, 12).state == shift_state::completed);
+}
+
 TEST_CASE("a new order after a completed one begins a new shift from the current version", "[shift]")
 {
 	vm local_vm{1};
