What counts of a suspect's evidence is kept until it changes

Cause: each summary for another VM ranks all suspects, and each request asks for the parts to blame; the change point of every suspect was computed anew each time.

--- a/include/gingerdyke/quarantine/suspect_list.hpp
+++ b/include/gingerdyke/quarantine/suspect_list.hpp
@@ -187,8 +187,9 @@
 		/// the first time.
 		std::optional<instant> suspected_since;
 
-		/// What counts of the evidence; none: the evidence has changed since that was computed.
-		std::optional<change_point> counts;
+		/// What counts of the evidence; none: the evidence has changed since that was computed. Hundreds of
+		/// VMs report each second, and each summary ranks all suspects.
+		mutable std::optional<change_point> counts;
 
 		/// Whether a replica to which this VM had sent the request exited while running it.
 		bool is_seen_here{};
@@ -215,11 +216,12 @@
 
 	/// The exits and completions that count: of a part, those from its change point on.
 	[[nodiscard]] change_point counted(const suspicion& evidence) const;
+	[[nodiscard]] const change_point& counts_of(const entry& suspect) const;
 	[[nodiscard]] double weight_of(const suspicion& evidence) const { return counted(evidence).weight; }
 	[[nodiscard]] bool exceeds_threshold(const suspicion& evidence, std::size_t additional_exits) const;
 	[[nodiscard]] bool is_cleared(const suspicion& evidence) const;
 	[[nodiscard]] bool is_known_part(const suspicion& evidence, instant now) const;
-	[[nodiscard]] std::optional<part_candidate> candidate(entry& suspect, instant now) const;
+	[[nodiscard]] std::optional<part_candidate> candidate(const entry& suspect, instant now) const;
 	[[nodiscard]] bool add_simultaneous(
 		suspicion& evidence, const std::vector<process_instance>& processes) const;
 	[[nodiscard]] bool is_worth_storing(const entry& suspect, bool for_others) const;
@@ -228,7 +230,8 @@
 	void add_exit(suspicion& to, process_instance process, const std::set<process_instance>& simultaneous,
 		instant at) const;
 	[[nodiscard]] bool is_completion_needed(const suspicion& evidence) const;
-	void add_timed_completion(suspicion& to, process_instance completion, instant began_at) const;
+	/// \returns Whether the completion was new.
+	bool add_timed_completion(suspicion& to, process_instance completion, instant began_at) const;
 	[[nodiscard]] bool merge_evidence(suspicion& into, const suspicion& from, instant now) const;
 	[[nodiscard]] std::vector<part_candidate> candidates(instant now);
 	void on_change(entry& suspect, instant now);
--- a/src/quarantine/suspect_list.cpp
+++ b/src/quarantine/suspect_list.cpp
@@ -24,7 +24,7 @@
 template <typename Set>
 void keep_newest(Set& elements, std::map<process_instance, instant>& times, std::size_t max_count)
 {
-	while (elements.size() > max_count)
+	while (elements.size() > max_count && !times.empty())
 	{
 		const auto oldest = std::min_element(
 			times.begin(), times.end(), [](const auto& a, const auto& b) { return a.second < b.second; });
@@ -144,7 +144,7 @@
 	{
 		return (for_others || suspect.is_seen_here) && is_part_worth_storing(suspect);
 	}
-	const auto weight = weight_of(suspect.evidence);
+	const auto weight = counts_of(suspect).weight;
 	const bool has_isolated_exit = std::any_of(suspect.evidence.ended.begin(), suspect.evidence.ended.end(),
 		[&](const auto& exit) { return !has_other_cause(exit.second, suspect.evidence); });
 	if (weight >= tuning_.direct_store_weight)
@@ -158,8 +158,8 @@
 bool suspect_list::is_part_worth_storing(const entry& suspect) const
 {
 	const bool has_exits = static_cast<double>(suspect.evidence.ended.size()) >= tuning_.direct_store_weight;
-	const bool is_suspicious = has_exits && weight_of(suspect.evidence) >= tuning_.direct_store_weight &&
-							   !is_cleared(suspect.evidence);
+	const bool is_suspicious = has_exits && counts_of(suspect).weight >= tuning_.direct_store_weight &&
+							   counts_of(suspect).strength > 0;
 	const bool is_stored_suspicious = !suspect.stored.ended.empty() && !is_cleared(suspect.stored);
 	return is_suspicious || is_stored_suspicious;
 }
@@ -238,8 +238,8 @@
 		return false;
 	}
 	const bool is_request = !is_part(key) && !is_combination(key);
-	const bool is_suspicious = is_request || !is_cleared(suspect->evidence);
-	return is_suspicious && weight_of(suspect->evidence) >= required_exits(key) - 1;
+	const auto& counts = counts_of(*suspect);
+	return (is_request || counts.strength > 0) && counts.weight >= required_exits(key) - 1;
 }
 
 bool suspect_list::is_near_quarantine(const content_keys& request, instant now) const
@@ -352,19 +352,21 @@
 		   static_cast<double>(max_processes(evidence.key));
 }
 
-void suspect_list::add_timed_completion(suspicion& to, process_instance completion, instant began_at) const
+bool suspect_list::add_timed_completion(suspicion& to, process_instance completion, instant began_at) const
 {
 	if (to.survived.contains(completion))
 	{
 		record_time(to.completion_times, completion, began_at);
-		return;
+		return false;
 	}
-	if (is_completion_needed(to))
+	if (!is_completion_needed(to))
 	{
-		to.survived.insert(completion);
-		record_time(to.completion_times, completion, began_at);
-		keep_newest(to.survived, to.completion_times, max_processes(to.key));
+		return false;
 	}
+	to.survived.insert(completion);
+	record_time(to.completion_times, completion, began_at);
+	keep_newest(to.survived, to.completion_times, max_processes(to.key));
+	return true;
 }
 
 void suspect_list::retract(process_instance process)
@@ -399,9 +401,7 @@
 	{
 		return;
 	}
-	const auto before = found->second.evidence.survived;
-	add_timed_completion(found->second.evidence, completed.id, completed.began_at);
-	if (found->second.evidence.survived != before)
+	if (add_timed_completion(found->second.evidence, completed.id, completed.began_at))
 	{
 		on_change(found->second, now);
 	}
@@ -477,14 +477,19 @@
 	return completions_.is_known(evidence.key, now) || !evidence.survived.empty();
 }
 
-std::optional<part_candidate> suspect_list::candidate(entry& suspect, instant now) const
+const change_point& suspect_list::counts_of(const entry& suspect) const
 {
-	const auto& evidence = suspect.evidence;
 	if (!suspect.counts)
 	{
-		suspect.counts = counted(evidence);
+		suspect.counts = counted(suspect.evidence);
 	}
-	const auto& counts = *suspect.counts;
+	return *suspect.counts;
+}
+
+std::optional<part_candidate> suspect_list::candidate(const entry& suspect, instant now) const
+{
+	const auto& evidence = suspect.evidence;
+	const auto& counts = counts_of(suspect);
 	const bool is_known = is_known_part(evidence, now);
 	const auto required = tuning_.part_quarantine_exits * (is_known ? tuning_.known_part_factor : 1);
 	const auto strength = is_known ? counts.strength : counts.weight;
@@ -559,7 +564,7 @@
 {
 	if (is_quarantined && !suspect.is_quarantine_reported)
 	{
-		on_quarantine_(suspect.evidence, weight_of(suspect.evidence));
+		on_quarantine_(suspect.evidence, counts_of(suspect).weight);
 	}
 	suspect.is_quarantine_reported = is_quarantined;
 }
@@ -578,7 +583,7 @@
 		const auto exits = suspect.evidence.ended.size();
 		if (exits >= std::max<std::size_t>(1, min_exits) && now - suspect.changed_at <= tuning_.report_time)
 		{
-			const bool is_sound_part = is_part(key) && is_cleared(suspect.evidence);
+			const bool is_sound_part = is_part(key) && counts_of(suspect).strength <= 0;
 			found.push_back(
 				{{is_sound_part, std::numeric_limits<std::size_t>::max() - exits, !is_part(key)}, &suspect});
 		}
@@ -607,7 +612,7 @@
 		{
 			continue;
 		}
-		const bool is_single_exit = weight_of(suspect.evidence) < tuning_.direct_store_weight;
+		const bool is_single_exit = counts_of(suspect).weight < tuning_.direct_store_weight;
 		(is_single_exit ? single_exits : result).push_back(std::move(merged));
 	}
 	if (single_exits.size() <= tuning_.max_singles_stored)
