Sources without an era: one comparison of eras for followers and for the choice of a source

Cause: whether an answer is of an earlier era was asked in two places with two rules. After a return a VM's store took tables from a source without an era (an older build) as fresh, and its follower dropped them, again and again: such a VM would have had no table until the source went. And versions learned from such a source held back a table of lower versions whose era was told. Change: control/era_tracker, used by both; the first era told after answers without is read in full.

--- a/include/gingerdyke/control/shared_store.hpp
+++ b/include/gingerdyke/control/shared_store.hpp
@@ -3,6 +3,7 @@
 // registry itself is called a reader; see source_selector.hpp.
 #pragma once
 
+#include <gingerdyke/control/era_tracker.hpp>
 #include <gingerdyke/control/relay_client.hpp>
 #include <gingerdyke/control/source_selector.hpp>
 
@@ -116,8 +117,8 @@
 		/// When the copy was last known to be the newest; none if the table was never read.
 		std::optional<instant> newest_at;
 
-		/// Era of the copy; none if no source told it.
-		std::optional<registry_era> era;
+		/// Era of the copy.
+		era_tracker eras;
 
 		/// Source of the last read; none for the registry.
 		std::optional<vm_id> source;
--- a/include/gingerdyke/control/table_follower.hpp
+++ b/include/gingerdyke/control/table_follower.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <gingerdyke/base/random.hpp>
+#include <gingerdyke/control/era_tracker.hpp>
 #include <gingerdyke/control/table_cache.hpp>
 #include <gingerdyke/proxy/asio.hpp>
 #include <memory>
@@ -70,9 +71,7 @@
 	void follow();
 	void on_full_read(store_result<row_batch> result, instant sent_at);
 	void on_changes(store_result<row_batch> result, instant sent_at);
-	[[nodiscard]] bool is_of_earlier_era(const row_batch& batch) const;
-	[[nodiscard]] bool is_of_later_era(const row_batch& batch) const;
-	void record_era(const row_batch& batch);
+	void on_later_era(const row_batch& batch);
 	[[nodiscard]] bool is_superseded(unsigned run_id) const noexcept { return stopped_ || run_id != run_id_; }
 	[[nodiscard]] static instant newest_at(instant sent_at, const row_batch& batch);
 	void log_superseded(std::size_t rows, std::size_t changed_rows) const;
@@ -92,11 +91,8 @@
 	/// Version from which the next call continues; none if the full table has to be read.
 	std::optional<row_version> resume_version_;
 
-	/// Era of `newest_seen_`; none if no source told it.
-	std::optional<registry_era> era_;
-
-	/// Whether the era has changed since the start.
-	bool has_era_changed_ = false;
+	/// Era of `newest_seen_`.
+	era_tracker eras_;
 
 	/// Newest version seen; a full table of an older version is rejected.
 	std::optional<row_version> newest_seen_;
--- a/src/control/shared_store.cpp
+++ b/src/control/shared_store.cpp
@@ -193,7 +193,7 @@
 	}
 	const auto newest_at = sent_at + result->held;
 	record_newest(call.table, newest_at);
-	tables_[call.table].era = result->era;
+	tables_[call.table].eras.record(result->era);
 	if (call.table == tuning_.liveness_table)
 	{
 		confirm_waiting_tables(call.table, newest_at);
@@ -231,7 +231,7 @@
 	poll.max_age = has_copy ? std::optional{tuning_.max_peer_copy_age} : std::nullopt;
 	poll.report = call.after ? hooks_.report(call.table) : std::nullopt;
 	poll.wait = wait_at_peer(call);
-	poll.era = tables_[call.table].era;
+	poll.era = tables_[call.table].eras.known();
 	const auto limit = call.after ? poll.wait + tuning_.response_timeout : tuning_.full_read_timeout;
 	const auto sent_at = proxy::steady_now();
 	client_of(from)->call(poll, limit,
@@ -256,13 +256,13 @@
 	}
 	// A VM that has just started accepts a copy of any age; later responses are checked by their age.
 	const bool has_copy = tables_[call.table].newest_at.has_value();
-	auto& era = tables_[call.table].era;
-	const bool is_of_earlier_era = result && result->era && era && *result->era < *era;
+	auto& eras = tables_[call.table].eras;
+	const bool is_of_earlier_era = result && eras.is_earlier(result->era);
 	const bool is_fresh =
 		result && !is_of_earlier_era && (!has_copy || result->age <= tuning_.max_peer_copy_age);
 	if (is_fresh)
 	{
-		era = result->era ? result->era : era;
+		eras.record(result->era);
 		record_newest(call.table, sent_at + result->held - result->age);
 		if (result->is_relayed)
 		{
@@ -277,9 +277,7 @@
 	}
 	log::write(log::level::info, "registry source failed",
 		{{"vm", from.vm.str()}, {"table", call.table},
-			{"why", is_of_earlier_era ? "earlier era"
-					: result          ? "old copy"
-									  : name_of(result.error())},
+			{"why", result ? (is_of_earlier_era ? "earlier era" : "old copy") : name_of(result.error())},
 			{"age_ms", result ? to_milliseconds(result->age) : 0.0}});
 	++call.failures;
 	drop_source(from, call.table, result.has_value());
--- a/src/control/table_cache.cpp
+++ b/src/control/table_cache.cpp
@@ -30,7 +30,7 @@
 
 void table_cache::replace(const std::vector<row>& rows, row_version newest, std::optional<registry_era> era)
 {
-	if (era && era_ && *era != *era_)
+	if (era && era != era_)
 	{
 		clear();
 	}
--- a/src/control/table_follower.cpp
+++ b/src/control/table_follower.cpp
@@ -91,13 +91,16 @@
 		record_failure(result.error());
 		return;
 	}
-	if (is_of_earlier_era(*result))
+	if (eras_.is_earlier(result->era))
 	{
 		log::write(log::level::info, "table of an earlier era dropped", {{"table", cache_.table()}});
 		retry_after_backoff();
 		return;
 	}
-	record_era(*result);
+	if (eras_.is_later(result->era))
+	{
+		on_later_era(*result);
+	}
 	if (newest_seen_ && result->newest < *newest_seen_)
 	{
 		log::write(log::level::warn, "registry returned an older table version",
@@ -122,11 +125,12 @@
 		record_failure(result.error());
 		return;
 	}
-	if (is_of_earlier_era(*result) || is_of_later_era(*result))
+	const bool is_later = eras_.is_later(result->era);
+	if (is_later || eras_.is_earlier(result->era))
 	{
-		// The version to continue from is not one of this era.
+		// The version to continue from may not be one of this era.
 		resume_version_.reset();
-		is_of_later_era(*result) ? read_next() : retry_after_backoff();
+		is_later ? read_next() : retry_after_backoff();
 		return;
 	}
 	resume_version_ = std::max(*resume_version_, result->newest);
@@ -147,32 +151,22 @@
 	follow();
 }
 
-/// A source that tells no era can't be compared. Once the era has changed, it is not known to have noticed.
-bool table_follower::is_of_earlier_era(const row_batch& batch) const
-{
-	return batch.era ? era_ && *batch.era < *era_ : has_era_changed_;
-}
-
-bool table_follower::is_of_later_era(const row_batch& batch) const
+/// The versions known so far say nothing on those of the table that was read.
+void table_follower::on_later_era(const row_batch& batch)
 {
-	return batch.era && era_ && *batch.era > *era_;
-}
-
-void table_follower::record_era(const row_batch& batch)
-{
-	if (is_of_later_era(batch))
+	const bool is_restored = eras_.known().has_value();
+	eras_.record(batch.era);
+	if (is_restored)
 	{
 		log::write(log::level::warn, "registry returned from an older copy",
 			{{"table", cache_.table()}, {"era", batch.era->value()}, {"newest", batch.newest.value()},
 				{"known", newest_seen_.value_or(row_version{}).value()}});
-		has_era_changed_ = true;
-		newest_seen_.reset();
-		if (hooks_.restored)
-		{
-			hooks_.restored();
-		}
 	}
-	era_ = batch.era ? batch.era : era_;
+	newest_seen_.reset();
+	if (is_restored && hooks_.restored)
+	{
+		hooks_.restored();
+	}
 }
 
 /// Logs rows that were dropped because the same response held a newer change of the row, or because the row
--- a/tests/support/control_world.hpp
+++ b/tests/support/control_world.hpp
@@ -113,12 +113,13 @@
 	void change(const row_change&, std::function<void(store_result<change_result>)>) override {}
 
 	/// Answers the oldest call for a whole table.
-	void answer_whole(row_version newest)
+	void answer_whole(row_version newest, std::optional<registry_era> era = {})
 	{
 		const auto done = std::move(whole_reads.front());
 		whole_reads.erase(whole_reads.begin());
 		row_batch batch;
 		batch.newest = newest;
+		batch.era = era;
 		done(batch);
 	}
 
