--- a/tests/platform/restored_registry.cpp
+++ b/tests/platform/restored_registry.cpp
@@ -103,3 +103,26 @@
 	CHECK_FALSE(is_registered());
 	replicas.world.run_until(is_registered);
 }
+
+TEST_CASE("a write that an earlier era acknowledges late is not taken for done", "[platform][restored]")
+{
+	proxy_world world;
+	platform::standin::registry rows{world.context};
+	platform::registry_client client{world.context, rows.at()};
+	std::optional<bool> is_committed;
+	const auto write = [&]
+	{
+		is_committed.reset();
+		control::row_change change;
+		change.puts.push_back({"gingerdyke", "k", "v"});
+		client.change(change, [&](const control::store_result<control::change_result>& result)
+			{ is_committed = result && result->committed; });
+		world.run_until([&] { return is_committed.has_value(); });
+		return *is_committed;
+	};
+	CHECK(write());
+	rows.answer_as_era(2);
+	CHECK(write());
+	rows.answer_as_era(1);
+	CHECK_FALSE(write());
+}
