An answer counts as a completion of its parts once it has been written for a second

Cause: with 300 ms, which stays the time after which an exit is not held against the parts, an event loop that falls behind by as much reads bytes that came before the replica exited and takes the part for sound; each such completion outweighs two exits. Found by reading; no run showed it. The virtual fleet's tests of parts with a sound past pass as before, without a change of bounds.

--- a/include/gingerdyke/quarantine/replica_runs.hpp
+++ b/include/gingerdyke/quarantine/replica_runs.hpp
@@ -41,6 +41,10 @@
 	/// A part makes a replica exit as soon as it writes an answer on it. An execution whose answer has been
 	/// written for longer than this clears the parts of its prompt of the exit.
 	duration part_exit_time = std::chrono::milliseconds{300};
+
+	/// An answer that has been written for this long is as good as a whole one. Longer than an event loop
+	/// falls behind under load: it may read bytes that came before the replica exited only after that.
+	duration sound_answer_time = std::chrono::seconds{1};
 };
 
 /// \brief Keeps the executions of this VM's requests by replica process.
@@ -49,6 +53,8 @@
   public:
 	explicit replica_runs(replica_runs_tuning tuning = {}) : tuning_(tuning) {}
 
+	[[nodiscard]] const replica_runs_tuning& tuning() const noexcept { return tuning_; }
+
 	/// \brief Records that a request is sent to a replica.
 	[[nodiscard]] run_number begin(const routing::replica& target, content_keys keys, instant now);
 
--- a/src/control/coordinator.cpp
+++ b/src/control/coordinator.cpp
@@ -355,8 +355,8 @@
 	schedule_write();
 }
 
-/// Rows that VMs have written since the copy are gone. This VM writes its own and those of suspects again;
-/// what it knows of other VMs stays until they have done so.
+/// Rows that VMs have written since the copy are gone. This VM writes its own again, and those of
+/// suspects and plans; what it knows of other VMs stays until they have done so.
 void coordinator::on_own_table_restored()
 {
 	vms_.erase(self_.vm);
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -357,14 +357,13 @@
 	}
 }
 
-/// A part that makes replicas exit does so as soon as they write an answer on it. An answer that has been
-/// written for a while is as good as a whole one.
+/// A part that makes replicas exit does so as soon as they write an answer on it.
 void exchange::record_long_answer(attempt& current)
 {
 	const auto now = steady_now();
-	const auto began_at = current.sent_at + current.first_byte;
-	if (!current.is_part_completion_recorded &&
-		now - began_at > quarantine::replica_runs_tuning{}.part_exit_time)
+	const auto written_for = now - (current.sent_at + current.first_byte);
+	const auto sound_after = shared_.exit_detector().runs().tuning().sound_answer_time;
+	if (!current.is_part_completion_recorded && written_for > sound_after)
 	{
 		current.is_part_completion_recorded = true;
 		record_part_completion(current, now);
--- a/src/quarantine/suspect_list.cpp
+++ b/src/quarantine/suspect_list.cpp
@@ -45,6 +45,7 @@
 	}
 }
 
+/// Only the evidence against parts, and combinations of them, holds times.
 bool has_times(const content_key& key) noexcept
 {
 	return is_part(key) || is_combination(key);
@@ -110,12 +111,12 @@
 
 double suspect_list::required_exits(const content_key& key) const
 {
-	return is_part(key) || is_combination(key) ? tuning_.part_quarantine_exits : tuning_.quarantine_exits;
+	return has_times(key) ? tuning_.part_quarantine_exits : tuning_.quarantine_exits;
 }
 
 std::size_t suspect_list::max_processes(const content_key& key) const
 {
-	return is_part(key) || is_combination(key) ? tuning_.max_processes_of_part : tuning_.max_processes;
+	return has_times(key) ? tuning_.max_processes_of_part : tuning_.max_processes;
 }
 
 bool suspect_list::exceeds_threshold(const suspicion& evidence, std::size_t additional_exits) const
--- a/tests/support/suspect_fleet.hpp
+++ b/tests/support/suspect_fleet.hpp
@@ -134,6 +134,7 @@
 	static constexpr duration row_delay = std::chrono::milliseconds{300};
 	static constexpr duration answer_delay = std::chrono::milliseconds{150};
 	static constexpr duration part_exit_time = quarantine::replica_runs_tuning{}.part_exit_time;
+	static constexpr duration sound_answer_time = quarantine::replica_runs_tuning{}.sound_answer_time;
 	static constexpr duration restart_time = std::chrono::seconds{3};
 	static constexpr duration first_crash_after = std::chrono::seconds{5};
 	static constexpr duration correlation_window = std::chrono::milliseconds{200};
@@ -308,7 +309,7 @@
 			schedule(delay, [this, target, number] { crash(target, number); });
 			return;
 		}
-		schedule(delay + part_exit_time, [this, target, number] { record_long_answer(target, number); });
+		schedule(delay + sound_answer_time, [this, target, number] { record_long_answer(target, number); });
 		schedule(delay + scaled(shape_.answer_time, 0.5 + random_unit(random_)),
 			[this, target, number] { complete(target, number); });
 	}
