--- a/include/gingerdyke/control/frame_link.hpp
+++ b/include/gingerdyke/control/frame_link.hpp
@@ -36,6 +36,12 @@
 	/// \brief Whether the connection was established.
 	[[nodiscard]] bool is_connected() const noexcept { return connected_; }
 
+	/// \brief Bytes received so far.
+	[[nodiscard]] std::uint64_t received_bytes() const noexcept { return received_bytes_; }
+
+	/// \brief Whether a frame has arrived in part.
+	[[nodiscard]] bool is_receiving_frame() const noexcept { return buffer_.size() > 0; }
+
 	/// \brief Closes the connection without calling `closed`.
 	void close();
 
@@ -50,6 +56,7 @@
 	proxy::beast::flat_buffer buffer_;
 	std::string queued_bytes_;
 	std::string bytes_in_flight_;
+	std::uint64_t received_bytes_ = 0;
 	bool connected_ = false;
 	bool closed_ = false;
 };
--- a/include/gingerdyke/control/relay_client.hpp
+++ b/include/gingerdyke/control/relay_client.hpp
@@ -33,9 +33,14 @@
 		std::string table;
 		done_hook done;
 		std::shared_ptr<proxy::boot_timer> timer;
+
+		/// When the call was sent, and what the connection had received by then.
+		instant sent_at;
+		std::uint64_t received_bytes{};
 	};
 
 	void connect();
+	void on_timeout(std::int64_t call_id);
 	void start_connect_timeout();
 	void on_frame(std::string_view frame);
 	void end_call(std::int64_t call_id, store_result<row_batch> result);
--- a/src/control/frame_link.cpp
+++ b/src/control/frame_link.cpp
@@ -73,6 +73,7 @@
 		return;
 	}
 	buffer_.commit(size);
+	received_bytes_ += size;
 	while (buffer_.size() >= frame_header_bytes && !closed_)
 	{
 		const std::string_view bytes{static_cast<const char*>(buffer_.data().data()), buffer_.size()};
--- a/src/control/relay_client.cpp
+++ b/src/control/relay_client.cpp
@@ -29,10 +29,12 @@
 		{
 			if (!error)
 			{
-				self->end_call(call_id, tl::make_unexpected(store_error::unreachable));
+				self->on_timeout(call_id);
 			}
 		});
-	pending_calls_[call_id] = {poll.table, std::move(done), std::move(timer)};
+	const auto received_bytes = connection_ ? connection_->received_bytes() : 0;
+	pending_calls_[call_id] = {
+		poll.table, std::move(done), std::move(timer), proxy::steady_now(), received_bytes};
 	if (!connection_)
 	{
 		connect();
@@ -43,6 +45,23 @@
 	}
 }
 
+void relay_client::on_timeout(std::int64_t call_id)
+{
+	const auto found = pending_calls_.find(call_id);
+	if (found == pending_calls_.end())
+	{
+		return;
+	}
+	const auto& call = found->second;
+	log::write(log::level::info, "relay call timed out",
+		{{"vm", to_.vm.str()}, {"table", call.table},
+			{"after_ms", to_milliseconds(proxy::steady_now() - call.sent_at)},
+			{"received_bytes", connection_ ? connection_->received_bytes() - call.received_bytes : 0},
+			{"is_receiving", connection_ && connection_->is_receiving_frame()},
+			{"calls_on_connection", pending_calls_.size()}});
+	end_call(call_id, tl::make_unexpected(store_error::unreachable));
+}
+
 void relay_client::connect()
 {
 	proxy::error_code error;
