--- a/include/gingerdyke/control/coordinator.hpp
+++ b/include/gingerdyke/control/coordinator.hpp
@@ -133,6 +133,7 @@
 	void register_self();
 	void start_remaining_followers();
 	[[nodiscard]] table_follower* follower_of(const std::string& table);
+	[[nodiscard]] const table_cache* find_copy(const std::string& table);
 	void apply_catalog(const routing::catalog_ptr& catalog);
 	void expire_replicas();
 	void write_due_changes();
--- a/include/gingerdyke/control/relay_codec.hpp
+++ b/include/gingerdyke/control/relay_codec.hpp
@@ -4,12 +4,32 @@
 
 #include <gingerdyke/control/peer_report.hpp>
 #include <gingerdyke/control/row_store.hpp>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
 
 namespace gingerdyke::control
 {
+/// \brief A version of a row with a large value.
+struct known_row
+{
+	std::string key;
+	row_version version;
+};
+
+/// \brief A row with a large value, as compressed by `compress_value`.
+struct compressed_row
+{
+	std::string key;
+	row_version version;
+
+	/// Version whose value is the base; none if the value is compressed by itself. If it equals `version`, there
+	/// are no bytes: the receiver has the value.
+	std::optional<row_version> base;
+	std::shared_ptr<const std::string> bytes;
+};
+
 /// \brief A long poll of another VM for a full table or for its changes.
 struct relay_poll
 {
@@ -30,8 +50,11 @@
 	/// Report of the calling VM; none if another of its calls carries it.
 	std::optional<peer_report> report;
 
-	/// Era of `after`; none if it is not known.
+	/// Era of `after` and `known_rows`; none if it is not known.
 	std::optional<registry_era> era{};
+
+	/// Large rows that the caller has; none if it does not decode compressed rows.
+	std::optional<std::vector<known_row>> known_rows{};
 };
 
 /// \brief The response to a poll.
@@ -43,6 +66,9 @@
 	/// The rows as packed by `pack_rows`, in place of those in `result`; null if the rows are in `result`.
 	std::shared_ptr<const std::string> packed;
 
+	/// Rows in addition to these.
+	std::vector<compressed_row> compressed_rows;
+
 	/// Whether the responding VM itself reads the registry through another VM.
 	bool is_relayed{};
 
--- a/include/gingerdyke/control/relay_server.hpp
+++ b/include/gingerdyke/control/relay_server.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <gingerdyke/control/frame_link.hpp>
+#include <gingerdyke/control/row_encoder.hpp>
 #include <gingerdyke/control/table_cache.hpp>
 #include <list>
 #include <map>
@@ -49,15 +50,6 @@
 		instant until;
 	};
 
-	/// A full table in packed form, kept because all VMs of a failure domain request it at once after a
-	/// restart of all VMs.
-	struct packed_table
-	{
-		std::optional<registry_era> era;
-		row_version newest;
-		std::shared_ptr<const std::string> bytes;
-	};
-
 	void accept();
 	void on_frame(const std::shared_ptr<frame_link>& from, std::string_view frame);
 	[[nodiscard]] static bool can_respond(const relay_poll& poll, const table_cache* cache, instant now);
@@ -79,7 +71,7 @@
 
 	/// When the held polls are checked next; none if none is held.
 	std::optional<instant> check_at_;
-	std::map<std::string, packed_table> packed_tables_;
+	row_encoder encoder_;
 	std::list<std::shared_ptr<frame_link>> connections_;
 };
 } // namespace gingerdyke::control
--- a/include/gingerdyke/control/shared_store.hpp
+++ b/include/gingerdyke/control/shared_store.hpp
@@ -6,6 +6,7 @@
 #include <gingerdyke/control/era_tracker.hpp>
 #include <gingerdyke/control/relay_client.hpp>
 #include <gingerdyke/control/source_selector.hpp>
+#include <gingerdyke/control/table_cache.hpp>
 
 namespace gingerdyke::control
 {
@@ -64,6 +65,9 @@
 	/// Returns the report to send with a poll for changes of a table; none for most tables.
 	std::function<std::optional<peer_report>(const std::string& table)> report;
 
+	/// Returns this VM's copy of a table; null if it has none.
+	std::function<const table_cache*(const std::string& table)> find_copy;
+
 	/// Called with each summary received.
 	std::function<void(const peer_summary&)> summary_received;
 
@@ -123,6 +127,9 @@
 		/// Source of the last read; none for the registry.
 		std::optional<vm_id> source;
 
+		/// Whether the last response could not be decompressed; the next poll then names no known rows.
+		bool failed_to_decompress{};
+
 		/// True until the first read.
 		bool never_read = true;
 
@@ -146,14 +153,19 @@
 	void read_peer(const peer& from, read_call call);
 	void on_peer_response(const peer& from, read_call call, instant sent_at, store_result<row_batch> result);
 	void record_source(const std::string& table, const std::optional<peer>& source);
-	std::shared_ptr<relay_client> client_of(const peer& to);
+	/// Versions of another era say nothing on those of the source.
+	[[nodiscard]] std::vector<known_row> known_rows(const std::string& table) const;
+	std::shared_ptr<relay_client> client_of(const peer& to, const std::string& table);
+	void abandon_calls_to(const peer& to);
 
 	proxy::asio::io_context& context_;
 	row_store& registry_;
 	source_selector& sources_;
 	shared_store_hooks hooks_;
 	shared_store_tuning tuning_;
-	std::map<vm_id, std::shared_ptr<relay_client>> clients_;
+
+	/// By VM and table: on a shared connection a large change of one table would delay those of the others.
+	std::map<std::pair<vm_id, std::string>, std::shared_ptr<relay_client>> clients_;
 	std::map<std::string, table_state> tables_;
 };
 } // namespace gingerdyke::control
--- a/include/gingerdyke/control/table_cache.hpp
+++ b/include/gingerdyke/control/table_cache.hpp
@@ -2,7 +2,9 @@
 // Local copy of one registry table, from which a VM answers other VMs.
 #pragma once
 
+#include <deque>
 #include <gingerdyke/control/row_store.hpp>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -34,7 +36,16 @@
 
 	/// \brief Returns the full table, or the changes after a version if the history goes back that far.
 	/// \param after None for the full table.
-	[[nodiscard]] store_result<row_batch> read(std::optional<row_version> after, instant now) const;
+	/// \param max_value_bytes Rows with a value of this size or more are left out.
+	[[nodiscard]] store_result<row_batch> read(std::optional<row_version> after, instant now,
+		std::size_t max_value_bytes = std::numeric_limits<std::size_t>::max()) const;
+
+	/// \brief Returns the rows with large values among those of `read`; valid until the next change.
+	[[nodiscard]] std::vector<const row*> large_rows(std::optional<row_version> after) const;
+
+	/// \brief Returns the value that a row had at a version, if that is the current one or one of the last
+	/// large ones; null otherwise.
+	[[nodiscard]] const std::string* find_value(const std::string& key, row_version version) const;
 
 	/// \brief Returns the result of `read` without its rows.
 	[[nodiscard]] store_result<row_batch> read_metadata(instant now) const;
@@ -65,6 +76,7 @@
 
 	void put(const row& table_row);
 	void drop(const std::string& key);
+	void keep_previous(const row& table_row);
 	void prune_tombstones();
 	void clear();
 
@@ -73,7 +85,13 @@
 
 	/// The same rows by version: a VM that polls has most of them already.
 	std::set<const row*, by_version> rows_by_version_;
+
+	/// Those with large values.
+	std::set<const row*, by_version> large_rows_;
 	std::size_t tombstones_ = 0;
+
+	/// Replaced large rows, the latest first: other VMs may have them, and are sent only what changed since.
+	std::deque<row> previous_rows_;
 	std::optional<registry_era> era_;
 	row_version newest_;
 	row_version newest_change_;
--- a/src/control/coordinator.cpp
+++ b/src/control/coordinator.cpp
@@ -184,6 +184,12 @@
 	return nullptr;
 }
 
+const table_cache* coordinator::find_copy(const std::string& table)
+{
+	const auto* follower = follower_of(table);
+	return follower == nullptr ? nullptr : &follower->cache();
+}
+
 /// An evacuation without a row has been withdrawn, possibly while this VM had no contact with the registry.
 void coordinator::on_operator_table(const std::vector<row>& rows)
 {
--- a/src/control/coordinator_peers.cpp
+++ b/src/control/coordinator_peers.cpp
@@ -17,6 +17,7 @@
 {
 	shared_store_hooks hooks;
 	hooks.report = [this](const std::string& table) { return make_report(table); };
+	hooks.find_copy = [this](const std::string& table) { return find_copy(table); };
 	hooks.summary_received = [this](const peer_summary& summary) { on_peer_summary(summary); };
 	hooks.reader_role_changed = [this](bool reads_registry)
 	{
@@ -55,11 +56,7 @@
 relay_server_hooks coordinator::server_hooks()
 {
 	relay_server_hooks hooks;
-	hooks.find_table = [this](const std::string& table)
-	{
-		const auto* follower = follower_of(table);
-		return follower == nullptr ? nullptr : &follower->cache();
-	};
+	hooks.find_table = [this](const std::string& table) { return find_copy(table); };
 	hooks.reads_registry = [this](const std::string& table) { return shared_store_.reads_registry(table); };
 	hooks.report_received = [this](const peer_report& report) { on_peer_report(report); };
 	hooks.make_summary = [this](const std::string& reporter) { return summary_for(reporter); };
--- a/src/control/relay_codec.cpp
+++ b/src/control/relay_codec.cpp
@@ -72,6 +72,31 @@
 	}
 }
 
+wire::RelayCompressedRow to_wire(const compressed_row& compressed)
+{
+	wire::RelayCompressedRow message;
+	message.key = compressed.key;
+	message.version = compressed.version.value();
+	message.bytes = *compressed.bytes;
+	if (compressed.base)
+	{
+		message.__set_base(compressed.base->value());
+	}
+	return message;
+}
+
+compressed_row from_wire(const wire::RelayCompressedRow& message)
+{
+	compressed_row compressed;
+	compressed.key = message.key;
+	compressed.version = row_version{message.version};
+	if (message.__isset.base)
+	{
+		compressed.base = row_version{message.base};
+	}
+	compressed.bytes = std::make_shared<const std::string>(message.bytes);
+	return compressed;
+}
 } // namespace
 
 std::string write_frame(const relay_poll& poll)
@@ -94,6 +119,16 @@
 	{
 		message.__set_report(to_wire(*poll.report));
 	}
+	if (poll.known_rows)
+	{
+		message.__isset.known_rows = true;
+		for (const auto& known : *poll.known_rows)
+		{
+			auto& wire_row = message.known_rows.emplace_back();
+			wire_row.key = known.key;
+			wire_row.version = known.version.value();
+		}
+	}
 	return encode_frame(message);
 }
 
@@ -128,6 +163,11 @@
 	{
 		message.__set_packed(*response.packed);
 	}
+	for (const auto& compressed : response.compressed_rows)
+	{
+		message.__isset.compressed = true;
+		message.compressed.push_back(to_wire(compressed));
+	}
 	message.newest = batch.newest.value();
 	if (batch.era)
 	{
@@ -176,6 +216,14 @@
 	{
 		poll.report = from_wire(message->report);
 	}
+	if (message->__isset.known_rows)
+	{
+		poll.known_rows.emplace();
+		for (const auto& known : message->known_rows)
+		{
+			poll.known_rows->push_back({known.key, row_version{known.version}});
+		}
+	}
 	return poll;
 }
 
@@ -213,6 +261,10 @@
 		}
 		batch.rows = std::move(*rows);
 	}
+	for (const auto& compressed : message->compressed)
+	{
+		response.compressed_rows.push_back(from_wire(compressed));
+	}
 	batch.newest = row_version{message->newest};
 	if (message->__isset.era)
 	{
--- a/src/control/relay_server.cpp
+++ b/src/control/relay_server.cpp
@@ -2,7 +2,6 @@
 // Server that answers other VMs' polls from this VM's copies of registry tables.
 #include <algorithm>
 #include <gingerdyke/control/relay_server.hpp>
-#include <gingerdyke/control/row_packing.hpp>
 #include <gingerdyke/log/log.hpp>
 
 namespace gingerdyke::control
@@ -153,19 +152,7 @@
 		to.result = tl::make_unexpected(is_copy_newer ? store_error::history_gone : store_error::unavailable);
 		return;
 	}
-	to.result = poll.after ? from.read(poll.after, now) : from.read_metadata(now);
-	if (poll.after || !to.result)
-	{
-		return;
-	}
-	auto& cached = packed_tables_[poll.table];
-	if (!cached.bytes || cached.newest != to.result->newest || cached.era != to.result->era)
-	{
-		const auto full_table = from.read(std::nullopt, now);
-		cached = {full_table->era, full_table->newest,
-			std::make_shared<const std::string>(pack_rows(full_table->rows))};
-	}
-	to.packed = cached.bytes;
+	encoder_.add_rows(from, poll, now, to);
 }
 
 void relay_server::on_change(const std::string& table)
--- a/src/control/shared_store.cpp
+++ b/src/control/shared_store.cpp
@@ -232,9 +232,10 @@
 	poll.report = call.after ? hooks_.report(call.table) : std::nullopt;
 	poll.wait = wait_at_peer(call);
 	poll.era = tables_[call.table].eras.known();
+	poll.known_rows = known_rows(call.table);
 	const auto limit = call.after ? poll.wait + tuning_.response_timeout : tuning_.full_read_timeout;
 	const auto sent_at = proxy::steady_now();
-	client_of(from)->call(poll, limit,
+	client_of(from, call.table)->call(poll, limit,
 		[this, from, sent_at, wait = poll.wait, call = std::move(call)](
 			store_result<row_batch> result) mutable
 		{
@@ -254,6 +255,7 @@
 		call.done(std::move(result));
 		return;
 	}
+	tables_[call.table].failed_to_decompress = !result && result.error() == store_error::bad_response;
 	// A VM that has just started accepts a copy of any age; later responses are checked by their age.
 	const bool has_copy = tables_[call.table].newest_at.has_value();
 	auto& eras = tables_[call.table].eras;
@@ -302,7 +304,7 @@
 		sources_.record_unusable(from, now);
 	}
 	// The other calls to this VM would only fail later or return stale rows.
-	client_of(from)->abandon();
+	abandon_calls_to(from);
 }
 
 void shared_store::record_source(const std::string& table, const std::optional<peer>& source)
@@ -322,13 +324,53 @@
 	}
 }
 
-std::shared_ptr<relay_client> shared_store::client_of(const peer& to)
+std::shared_ptr<relay_client> shared_store::client_of(const peer& to, const std::string& table)
 {
-	auto& client = clients_[to.vm];
+	auto& client = clients_[{to.vm, table}];
 	if (!client || client->to() != to)
 	{
-		client = std::make_shared<relay_client>(context_, to, hooks_.summary_received);
+		const auto find_value = [this](const std::string& name, const known_row& row)
+		{
+			const auto* copy = hooks_.find_copy(name);
+			return copy == nullptr ? nullptr : copy->find_value(row.key, row.version);
+		};
+		client = std::make_shared<relay_client>(context_, to, hooks_.summary_received, find_value);
 	}
 	return client;
 }
+
+void shared_store::abandon_calls_to(const peer& to)
+{
+	std::vector<std::shared_ptr<relay_client>> abandoned;
+	for (const auto& [key, client] : clients_)
+	{
+		if (key.first == to.vm)
+		{
+			abandoned.push_back(client);
+		}
+	}
+	// Calls that fail start others, which may add clients.
+	for (const auto& client : abandoned)
+	{
+		client->abandon();
+	}
+}
+
+std::vector<known_row> shared_store::known_rows(const std::string& table) const
+{
+	const auto* copy = hooks_.find_copy(table);
+	const auto state = tables_.find(table);
+	std::vector<known_row> known;
+	const bool is_usable = copy != nullptr && state != tables_.end() && !state->second.failed_to_decompress &&
+						   copy->era() == state->second.eras.known();
+	if (!is_usable)
+	{
+		return known;
+	}
+	for (const auto* large : copy->large_rows(std::nullopt))
+	{
+		known.push_back({large->key, large->version});
+	}
+	return known;
+}
 } // namespace gingerdyke::control
--- a/src/control/table_cache.cpp
+++ b/src/control/table_cache.cpp
@@ -2,6 +2,7 @@
 // Local copy of one registry table.
 #include <algorithm>
 #include <gingerdyke/control/table_cache.hpp>
+#include <gingerdyke/control/value_compression.hpp>
 #include <set>
 
 namespace gingerdyke::control
@@ -12,17 +13,29 @@
 /// are behind have to read the full table.
 constexpr std::size_t max_tombstones = 2000;
 
+/// Maximum number and total size of the replaced large rows that are kept.
+constexpr std::size_t max_previous_rows = 8;
+constexpr std::size_t max_previous_bytes = 6U << 20U;
+
 bool has_lower_version(const row& a, const row& b) noexcept
 {
 	return a.version < b.version;
 }
+
+/// Returns a row that is ordered before all rows of a later version than `after`.
+row first_after(std::optional<row_version> after)
+{
+	return {{}, {}, {}, after.value_or(row_version{}) + row_version{after ? 1 : 0}, false};
+}
 } // namespace
 
 /// Forgets all rows with their versions, tombstones included.
 void table_cache::clear()
 {
 	rows_by_version_.clear();
+	large_rows_.clear();
 	rows_.clear();
+	previous_rows_.clear();
 	tombstones_ = 0;
 	newest_ = {};
 	newest_change_ = {};
@@ -42,7 +55,12 @@
 	}
 	for (auto& [key, known] : rows_)
 	{
-		if (!next.contains(key))
+		const auto replacement = next.find(key);
+		if (replacement == next.end() || replacement->second.version != known.version)
+		{
+			keep_previous(known);
+		}
+		if (replacement == next.end())
 		{
 			auto tombstone = known;
 			// The row was removed at an unknown version up to `newest`; `newest` makes every reader of an
@@ -58,6 +76,7 @@
 		history_start_ = newest;
 	}
 	rows_by_version_.clear();
+	large_rows_.clear();
 	rows_.clear();
 	tombstones_ = 0;
 	for (const auto& [key, table_row] : next)
@@ -97,6 +116,10 @@
 	drop(table_row.key);
 	const auto& stored = rows_.emplace(table_row.key, table_row).first->second;
 	rows_by_version_.insert(&stored);
+	if (stored.value.size() >= large_value_bytes)
+	{
+		large_rows_.insert(&stored);
+	}
 	tombstones_ += stored.removed ? 1 : 0;
 	newest_change_ = std::max(newest_change_, table_row.version);
 }
@@ -108,11 +131,34 @@
 	{
 		return;
 	}
+	keep_previous(known->second);
 	rows_by_version_.erase(&known->second);
+	large_rows_.erase(&known->second);
 	tombstones_ -= known->second.removed ? 1 : 0;
 	rows_.erase(known);
 }
 
+void table_cache::keep_previous(const row& table_row)
+{
+	if (table_row.value.size() < large_value_bytes)
+	{
+		return;
+	}
+	previous_rows_.push_front(table_row);
+	std::size_t bytes = 0;
+	const auto end = std::find_if(previous_rows_.begin(), previous_rows_.end(),
+		[&](const row& previous)
+		{
+			bytes += previous.value.size();
+			return bytes > max_previous_bytes;
+		});
+	previous_rows_.erase(end, previous_rows_.end());
+	if (previous_rows_.size() > max_previous_rows)
+	{
+		previous_rows_.pop_back();
+	}
+}
+
 void table_cache::prune_tombstones()
 {
 	if (tombstones_ <= max_tombstones)
@@ -153,7 +199,26 @@
 	return batch;
 }
 
-store_result<row_batch> table_cache::read(std::optional<row_version> after, instant now) const
+std::vector<const row*> table_cache::large_rows(std::optional<row_version> after) const
+{
+	const auto first = first_after(after);
+	return {large_rows_.lower_bound(&first), large_rows_.end()};
+}
+
+const std::string* table_cache::find_value(const std::string& key, row_version version) const
+{
+	const auto current = rows_.find(key);
+	if (current != rows_.end() && current->second.version == version)
+	{
+		return &current->second.value;
+	}
+	const auto previous = std::find_if(previous_rows_.begin(), previous_rows_.end(),
+		[&](const row& candidate) { return candidate.key == key && candidate.version == version; });
+	return previous == previous_rows_.end() ? nullptr : &previous->value;
+}
+
+store_result<row_batch> table_cache::read(
+	std::optional<row_version> after, instant now, std::size_t max_value_bytes) const
 {
 	auto batch = read_metadata(now);
 	if (!batch)
@@ -164,10 +229,10 @@
 	{
 		return tl::make_unexpected(store_error::history_gone);
 	}
-	const row first{{}, {}, {}, after.value_or(row_version{}) + row_version{after ? 1 : 0}, false};
+	const auto first = first_after(after);
 	for (auto entry = rows_by_version_.lower_bound(&first); entry != rows_by_version_.end(); ++entry)
 	{
-		if (after || !(*entry)->removed)
+		if ((after || !(*entry)->removed) && (*entry)->value.size() < max_value_bytes)
 		{
 			batch->rows.push_back(**entry);
 		}
--- a/tests/control/peer_report.cpp
+++ b/tests/control/peer_report.cpp
@@ -92,7 +92,7 @@
 	REQUIRE_FALSE(server.listen({"127.0.0.1", port}));
 	std::optional<peer_summary> summary;
 	const auto client = std::make_shared<relay_client>(context, make_peer("other", "a", port),
-		[&](const peer_summary& received_summary) { summary = received_summary; });
+		[&](const peer_summary& received_summary) { summary = received_summary; }, no_values);
 	rollout::shift_evidence new_evidence{service_id{"s"}, row_version{12}, {}};
 	new_evidence.seen.by_route["r"].pre_trial = {70, 2};
 	new_evidence.seen.by_route["r"].old_version[30] = {50, 1};
--- a/tests/control/relay.cpp
+++ b/tests/control/relay.cpp
@@ -87,7 +87,7 @@
 		fillers.back().async_connect(at, [](const proxy::error_code&) {});
 	}
 	const auto client = std::make_shared<relay_client>(
-		context, make_peer("other", "a", at.port()), [](const peer_summary&) {});
+		context, make_peer("other", "a", at.port()), [](const peer_summary&) {}, no_values);
 	std::optional<store_result<row_batch>> got;
 	client->call({0, "t", std::nullopt, std::chrono::hours{1}, {}, {}}, std::chrono::hours{1},
 		[&](store_result<row_batch> result) { got = std::move(result); });
--- a/tests/support/control_world.hpp
+++ b/tests/support/control_world.hpp
@@ -35,6 +35,12 @@
 	return {vm_id{name}, failure_domain_id{domain}, {"127.0.0.1", port}, 0};
 }
 
+/// For callers without a copy of the table.
+inline const std::string* no_values(const std::string&, const known_row&)
+{
+	return nullptr;
+}
+
 /// A server of one copy that has nothing to do with reports.
 inline relay_server_hooks serving(const table_cache& cache)
 {
@@ -95,7 +101,7 @@
 	relay_server server{context, serving(cache)};
 	std::uint16_t port = free_port(context);
 	std::shared_ptr<relay_client> client =
-		std::make_shared<relay_client>(context, make_peer("other", "a", port), [](const peer_summary&) {});
+		std::make_shared<relay_client>(context, make_peer("other", "a", port), [](const peer_summary&) {}, no_values);
 	std::optional<store_result<row_batch>> got;
 };
 
@@ -140,6 +146,7 @@
 {
 	shared_store_hooks hooks;
 	hooks.report = [](const std::string&) { return std::nullopt; };
+	hooks.find_copy = [](const std::string&) { return nullptr; };
 	hooks.summary_received = [](const peer_summary&) {};
 	hooks.reader_role_changed = [](bool) {};
 	hooks.copy_confirmed = [](const std::string&, instant) {};
--- a/thrift/relay.thrift
+++ b/thrift/relay.thrift
@@ -167,6 +167,13 @@
 	11: optional list<RelayServiceLoad> loads
 }
 
+// A row with a large value that the caller has.
+struct RelayKnownRow {
+	1: required string key
+	2: required i64 version
+}
+
+// A caller that lists its large rows, or none, decodes compressed rows.
 struct RelayPoll {
 	1: required i64 call
 	2: required string table
@@ -176,6 +183,7 @@
 	6: optional RelayReport report
 	7: optional i64 oldest_us
 	8: optional i64 era
+	9: optional list<RelayKnownRow> known_rows
 }
 
 struct RelayRow {
@@ -190,6 +198,14 @@
 	1: required list<RelayRow> rows
 }
 
+// A row with a large value, compressed; with a base, as the difference to the value of that version.
+struct RelayCompressedRow {
+	1: required string key
+	2: required i64 version
+	3: required binary bytes
+	4: optional i64 base
+}
+
 struct RelayAnswer {
 	1: required i64 call
 	2: required i32 outcome
@@ -201,4 +217,5 @@
 	8: optional bool second_hand
 	9: optional binary packed
 	10: optional i64 era
+	11: optional list<RelayCompressedRow> compressed
 }
