Answers of the registry that make progress are not given up; changes too large lead to a full read

A VM that reads the registry itself gave a call up 900 ms after its wait, whatever had arrived: at 10 Mbit/s no configuration of 5,000 routes, and a failed call of one table abandoned those of the others on their way. Versions of a large row in quick succession were read one by one.

Tests on the code before: a table over a slow link and an answer on its way when another call fails, failed; the other new ones passed or could not be built there (the kind of error is new). All pass now.

--- a/include/gingerdyke/control/row_store.hpp
+++ b/include/gingerdyke/control/row_store.hpp
@@ -66,8 +66,16 @@
 	history_gone,
 	/// The response is malformed.
 	bad_response,
+	/// The changes exceed what this VM accepts; the table has to be read in full.
+	too_large,
 };
 
+/// \brief Whether the table has to be read in full, while its source is well.
+[[nodiscard]] inline bool needs_full_read(store_error error) noexcept
+{
+	return error == store_error::history_gone || error == store_error::too_large;
+}
+
 /// \brief Returns the name of an error as it is logged.
 [[nodiscard]] const char* name_of(store_error error) noexcept;
 
--- a/include/gingerdyke/control/table_follower.hpp
+++ b/include/gingerdyke/control/table_follower.hpp
@@ -74,6 +74,7 @@
 	void on_later_era(const row_batch& batch);
 	[[nodiscard]] bool is_superseded(unsigned run_id) const noexcept { return stopped_ || run_id != run_id_; }
 	[[nodiscard]] static instant newest_at(instant sent_at, const row_batch& batch);
+	[[nodiscard]] static bool has_superseded_large_rows(const std::vector<row>& rows);
 	void log_superseded(std::size_t rows, std::size_t changed_rows) const;
 	void confirm_cache(instant sent_at, const row_batch& batch);
 	void record_success(instant sent_at, const row_batch& batch);
--- a/src/control/relay_client.cpp
+++ b/src/control/relay_client.cpp
@@ -17,6 +17,9 @@
 constexpr duration stall_limit = std::chrono::milliseconds{250};
 constexpr std::uint64_t min_progress = 2048;
 
+/// Maximum duration of a call, however much progress its response makes.
+constexpr duration max_call_duration = std::chrono::seconds{10};
+
 /// Returns the value of a compressed row; none if the value that it is based on is not known or not the same.
 std::optional<std::string> decompress(const compressed_row& compressed, const std::string* base)
 {
@@ -81,7 +84,8 @@
 	auto& call = found->second;
 	const bool is_receiving = connection_ && connection_->is_receiving_frame();
 	const auto received_bytes = connection_ ? connection_->received_bytes() : 0;
-	if (is_receiving && received_bytes >= call.received_at_check + min_progress)
+	const bool may_continue = proxy::steady_now() - call.sent_at < max_call_duration;
+	if (may_continue && is_receiving && received_bytes >= call.received_at_check + min_progress)
 	{
 		call.received_at_check = received_bytes;
 		arm_timeout(call_id, stall_limit);
--- a/src/control/shared_store.cpp
+++ b/src/control/shared_store.cpp
@@ -180,7 +180,7 @@
 	const read_call& call, instant sent_at, const store_result<row_batch>& result)
 {
 	tables_[call.table].registry_wait_since.reset();
-	const bool failed = !result && result.error() != store_error::history_gone;
+	const bool failed = !result && !needs_full_read(result.error());
 	if (failed)
 	{
 		sources_.record_unusable(std::nullopt, proxy::steady_now());
--- a/src/control/table_follower.cpp
+++ b/src/control/table_follower.cpp
@@ -2,6 +2,7 @@
 // Follows one registry table.
 #include <algorithm>
 #include <gingerdyke/control/table_follower.hpp>
+#include <gingerdyke/control/value_compression.hpp>
 #include <gingerdyke/log/log.hpp>
 
 namespace gingerdyke::control
@@ -18,6 +19,8 @@
 		return "history gone";
 	case store_error::bad_response:
 		return "bad answer";
+	case store_error::too_large:
+		return "too large";
 	}
 	return "unknown";
 }
@@ -133,6 +136,7 @@
 		is_later ? read_next() : retry_after_backoff();
 		return;
 	}
+	const bool has_superseded = has_superseded_large_rows(result->rows);
 	resume_version_ = std::max(*resume_version_, result->newest);
 	newest_seen_ = std::max(*newest_seen_, result->newest);
 	const auto changed_rows = cache_.apply(result->rows, result->newest);
@@ -143,6 +147,12 @@
 		hooks_.changed(changed_rows);
 	}
 	record_success(sent_at, *result);
+	if (has_superseded)
+	{
+		// More versions follow each other than can be read one by one; a full table holds only the last.
+		read_all();
+		return;
+	}
 	if (!result->rows.empty() && tuning_.batch_delay > duration{0})
 	{
 		read_next_after(tuning_.batch_delay);
@@ -169,6 +179,15 @@
 	}
 }
 
+/// Returns whether a batch holds several versions of a large row.
+bool table_follower::has_superseded_large_rows(const std::vector<row>& rows)
+{
+	std::set<std::string> large_keys;
+	return std::any_of(rows.begin(), rows.end(),
+		[&](const row& table_row)
+		{ return table_row.value.size() >= large_value_bytes && !large_keys.insert(table_row.key).second; });
+}
+
 /// Logs rows that were dropped because the same response held a newer change of the row, or because the row
 /// was known already.
 void table_follower::log_superseded(std::size_t rows, std::size_t changed_rows) const
@@ -205,10 +224,13 @@
 
 void table_follower::record_failure(store_error error)
 {
-	if (error == store_error::history_gone)
+	const bool are_changes_too_large = error == store_error::too_large && resume_version_;
+	if (error == store_error::history_gone || are_changes_too_large)
 	{
-		log::write(
-			log::level::info, "registry history discarded, reading full table", {{"table", cache_.table()}});
+		log::write(log::level::info,
+			are_changes_too_large ? "changes too large, reading full table"
+								  : "registry history discarded, reading full table",
+			{{"table", cache_.table()}});
 		resume_version_.reset();
 		retry_after_backoff();
 		return;
