--- a/include/gingerdyke/control/relay_client.hpp
+++ b/include/gingerdyke/control/relay_client.hpp
@@ -23,8 +23,8 @@
 	relay_client(proxy::asio::io_context& context, peer to, summary_hook on_summary, value_hook find_value);
 
 	/// \brief Sends a poll.
-	/// \param limit Time after which the call fails as unreachable, unless its response is on the way: then it
-	/// fails once the response makes no progress any more.
+	/// \param limit Time after which the call fails as unreachable, unless its response is on the way: then
+	/// it fails once the response makes no progress any more.
 	void call(relay_poll poll, duration limit, done_hook done);
 
 	/// \brief Closes the connection; all pending calls fail as unreachable.
--- a/include/gingerdyke/control/relay_codec.hpp
+++ b/include/gingerdyke/control/relay_codec.hpp
@@ -24,8 +24,8 @@
 	std::string key;
 	row_version version;
 
-	/// Version whose value is the base; none if the value is compressed by itself. If it equals `version`, there
-	/// are no bytes: the receiver has the value.
+	/// Version whose value is the base; none if the value is compressed by itself. If it equals `version`,
+	/// there are no bytes: the receiver has the value.
 	std::optional<row_version> base;
 	std::shared_ptr<const std::string> bytes;
 };
--- a/include/gingerdyke/control/row_encoder.hpp
+++ b/include/gingerdyke/control/row_encoder.hpp
@@ -8,8 +8,8 @@
 
 namespace gingerdyke::control
 {
-/// \brief Packs and compresses rows. Results are kept, as all VMs of a failure domain request the same rows at
-/// about the same time.
+/// \brief Packs and compresses rows. Results are kept, as all VMs of a failure domain request the same rows
+/// at about the same time.
 class row_encoder
 {
   public:
--- a/include/gingerdyke/control/value_compression.hpp
+++ b/include/gingerdyke/control/value_compression.hpp
@@ -16,7 +16,7 @@
 /// none.
 [[nodiscard]] std::string compress_value(std::string_view value, std::string_view base);
 
-/// \brief Restores a value; none if the bytes are malformed, were made with another base, or declare more than
-/// `max_unpacked_bytes`.
+/// \brief Restores a value; none if the bytes are malformed, were made with another base, or declare more
+/// than `max_unpacked_bytes`.
 [[nodiscard]] std::optional<std::string> decompress_value(std::string_view bytes, std::string_view base);
 } // namespace gingerdyke::control
--- a/src/control/relay_client.cpp
+++ b/src/control/relay_client.cpp
@@ -31,7 +31,8 @@
 	{
 		return *base;
 	}
-	return decompress_value(*compressed.bytes, base == nullptr ? std::string_view{} : std::string_view{*base});
+	return decompress_value(
+		*compressed.bytes, base == nullptr ? std::string_view{} : std::string_view{*base});
 }
 } // namespace
 
@@ -175,8 +176,7 @@
 	batch.is_relayed = response.is_relayed;
 	for (const auto& compressed : response.compressed_rows)
 	{
-		const auto* base =
-			compressed.base ? find_value_(table, {compressed.key, *compressed.base}) : nullptr;
+		const auto* base = compressed.base ? find_value_(table, {compressed.key, *compressed.base}) : nullptr;
 		auto value = decompress(compressed, base);
 		if (!value)
 		{
--- a/src/control/row_encoder.cpp
+++ b/src/control/row_encoder.cpp
@@ -44,8 +44,7 @@
 }
 } // namespace
 
-void row_encoder::add_rows(
-	const table_cache& from, const relay_poll& poll, instant now, relay_response& to)
+void row_encoder::add_rows(const table_cache& from, const relay_poll& poll, instant now, relay_response& to)
 {
 	const auto large_rows = from.large_rows(poll.after);
 	const bool packs_changes = !poll.known_rows && !large_rows.empty();
@@ -77,8 +76,7 @@
 	}
 	const auto max_value_bytes = max_value_bytes_for(poll);
 	auto& batches = packed_batches_[poll.table];
-	std::erase_if(batches,
-		[&](const packed_batch& batch)
+	std::erase_if(batches, [&](const packed_batch& batch)
 		{ return batch.newest != to.result->newest || batch.era != to.result->era; });
 	const auto found = std::find_if(batches.begin(), batches.end(),
 		[&](const packed_batch& batch)
@@ -106,8 +104,8 @@
 		return {large.key, large.version, base, std::make_shared<const std::string>()};
 	}
 	auto& values = compressed_values_[{from.table(), large.key}];
-	std::erase_if(values,
-		[&](const compressed_value& value) { return value.version != large.version || value.era != from.era(); });
+	std::erase_if(values, [&](const compressed_value& value)
+		{ return value.version != large.version || value.era != from.era(); });
 	const auto found = std::find_if(
 		values.begin(), values.end(), [&](const compressed_value& value) { return value.base == base; });
 	if (found != values.end())
@@ -115,8 +113,8 @@
 		return {large.key, large.version, base, found->bytes};
 	}
 	const auto* base_value = base ? from.find_value(large.key, *base) : nullptr;
-	const auto bytes = std::make_shared<const std::string>(
-		compress_value(large.value, base_value == nullptr ? std::string_view{} : std::string_view{*base_value}));
+	const auto bytes = std::make_shared<const std::string>(compress_value(
+		large.value, base_value == nullptr ? std::string_view{} : std::string_view{*base_value}));
 	keep(values, {from.era(), large.version, base, bytes});
 	return {large.key, large.version, base, bytes};
 }
--- a/src/control/value_compression.cpp
+++ b/src/control/value_compression.cpp
@@ -43,8 +43,7 @@
 		ZSTD_CCtx_refPrefix(context.get(), base.data(), base.size());
 	}
 	std::string bytes(ZSTD_compressBound(value.size()), '\0');
-	const auto size =
-		ZSTD_compress2(context.get(), bytes.data(), bytes.size(), value.data(), value.size());
+	const auto size = ZSTD_compress2(context.get(), bytes.data(), bytes.size(), value.data(), value.size());
 	// Fails only for lack of memory, as the output has the size that the library asks for.
 	if (ZSTD_isError(size) != 0)
 	{
--- a/tests/control/large_rows.cpp
+++ b/tests/control/large_rows.cpp
@@ -58,7 +58,8 @@
 	return {"t", "large", std::move(value), row_version{version}, false};
 }
 
-/// A VM that answers from its copy through a link of limited bandwidth, and another one that reads through it.
+/// A VM that answers from its copy through a link of limited bandwidth, and another one that reads through
+/// it.
 struct linked_pair
 {
 	explicit linked_pair(double bytes_per_s = small_link_bytes_per_s)
@@ -201,8 +202,8 @@
 	CHECK(pair.own_copy.large_rows(std::nullopt).front()->value == configuration(11, 4200, 1011));
 }
 
-TEST_CASE("a VM that has a large row reads a full table without receiving the row again",
-	"[relay][large_rows]")
+TEST_CASE(
+	"a VM that has a large row reads a full table without receiving the row again", "[relay][large_rows]")
 {
 	linked_pair pair;
 	pair.change(4, configuration(4, 5600));
--- a/tests/control/peer_report.cpp
+++ b/tests/control/peer_report.cpp
@@ -91,7 +91,8 @@
 	const auto port = free_port(context);
 	REQUIRE_FALSE(server.listen({"127.0.0.1", port}));
 	std::optional<peer_summary> summary;
-	const auto client = std::make_shared<relay_client>(context, make_peer("other", "a", port),
+	const auto client = std::make_shared<relay_client>(
+		context, make_peer("other", "a", port),
 		[&](const peer_summary& received_summary) { summary = received_summary; }, no_values);
 	rollout::shift_evidence new_evidence{service_id{"s"}, row_version{12}, {}};
 	new_evidence.seen.by_route["r"].pre_trial = {70, 2};
--- a/tests/platform/large_answers.cpp
+++ b/tests/platform/large_answers.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: MIT
 // Large answers of the registry, slow ones and ones without end.
 #include "../support/control_world.hpp"
+#include "../support/endless_server.hpp"
 #include "../support/slow_link.hpp"
 #include <gingerdyke/control/table_follower.hpp>
 #include <registry_client.hpp>
@@ -35,48 +36,6 @@
 	platform::registry_client client{context, link.at()};
 	std::optional<store_result<row_batch>> got;
 };
-
-/// Answers whatever is asked with the same bytes, again and again, until the caller closes.
-class endless_server
-{
-  public:
-	endless_server(proxy::asio::io_context& context, std::string head, std::string repeated)
-		: acceptor_(context, {proxy::asio::ip::address_v4::loopback(), 0}), socket_(context),
-		  head_(std::move(head)), repeated_(std::move(repeated))
-	{
-		acceptor_.async_accept(socket_,
-			[this](const proxy::error_code& error)
-			{
-				if (!error)
-				{
-					send(head_);
-				}
-			});
-	}
-
-	[[nodiscard]] routing::address at() const { return {"127.0.0.1", acceptor_.local_endpoint().port()}; }
-	[[nodiscard]] bool is_closed() const noexcept { return is_closed_; }
-
-  private:
-	void send(const std::string& bytes)
-	{
-		proxy::asio::async_write(socket_, proxy::asio::buffer(bytes),
-			[this](const proxy::error_code& error, std::size_t)
-			{
-				is_closed_ = static_cast<bool>(error);
-				if (!error)
-				{
-					send(repeated_);
-				}
-			});
-	}
-
-	proxy::tcp::acceptor acceptor_;
-	proxy::tcp::socket socket_;
-	std::string head_;
-	std::string repeated_;
-	bool is_closed_ = false;
-};
 } // namespace
 
 TEST_CASE("a table is read through a link on which it takes longer than the time limit of a call",
@@ -96,8 +55,8 @@
 	CHECK((*registry.got)->rows.front().value.size() > 200'000);
 }
 
-TEST_CASE("an answer of the registry that makes no progress any more is given up soon",
-	"[platform][large_rows]")
+TEST_CASE(
+	"an answer of the registry that makes no progress any more is given up soon", "[platform][large_rows]")
 {
 	distant_registry registry{150'000};
 	registry.rows.put("op", "config", std::string(200'000, 'x'));
@@ -109,8 +68,8 @@
 	CHECK(proxy::steady_now() - begin < seconds{3});
 }
 
-TEST_CASE("an answer of the registry on its way is not abandoned when another call fails",
-	"[platform][large_rows]")
+TEST_CASE(
+	"an answer of the registry on its way is not abandoned when another call fails", "[platform][large_rows]")
 {
 	distant_registry registry{150'000};
 	registry.rows.put("op", "config", std::string(100'000, 'x'));
@@ -124,7 +83,8 @@
 TEST_CASE("changes larger than a VM accepts are told apart from a lost registry", "[platform][large_rows]")
 {
 	proxy::asio::io_context context{1};
-	endless_server server{context, "HTTP/1.1 200 OK\r\nContent-Length: 6000000\r\n\r\n", std::string(0x1000, 'x')};
+	endless_server server{
+		context, "HTTP/1.1 200 OK\r\nContent-Length: 6000000\r\n\r\n", std::string(0x1000, 'x')};
 	platform::registry_client client{context, server.at()};
 	std::optional<store_result<row_batch>> got;
 	client.follow("op", row_version{3}, milliseconds{100},
@@ -170,11 +130,12 @@
 	const auto repeated = is_chunked ? "1000\r\n" + std::string(0x1000, 'x') + "\r\n"
 						  : has_head ? std::string(0x1000, 'x')
 									 : "Name: " + std::string(1000, 'x') + "\r\n";
-	endless_server server{context, start_of_answer.empty() ? std::string(1000, '\0') : start_of_answer, repeated};
+	endless_server server{
+		context, start_of_answer.empty() ? std::string(1000, '\0') : start_of_answer, repeated};
 	platform::registry_client client{context, server.at()};
 	std::optional<store_result<row_batch>> got;
 	client.read_all("op", [&](store_result<row_batch> result) { got = std::move(result); });
-	test::run_until(context, [&] { return got.has_value() && server.is_closed(); });
+	test::run_until(context, [&] { return got.has_value() && server.closed() == 1; });
 	CHECK_FALSE(got->has_value());
 }
 
@@ -189,6 +150,6 @@
 	std::optional<store_result<row_batch>> got;
 	client->call({0, "t", row_version{3}, seconds{1}, {}, {}}, seconds{1},
 		[&](store_result<row_batch> result) { got = std::move(result); });
-	test::run_until(context, [&] { return got.has_value() && server.is_closed(); });
+	test::run_until(context, [&] { return got.has_value() && server.closed() == 1; });
 	CHECK_FALSE(got->has_value());
 }
--- a/tests/support/control_world.hpp
+++ b/tests/support/control_world.hpp
@@ -100,8 +100,8 @@
 	table_cache cache;
 	relay_server server{context, serving(cache)};
 	std::uint16_t port = free_port(context);
-	std::shared_ptr<relay_client> client =
-		std::make_shared<relay_client>(context, make_peer("other", "a", port), [](const peer_summary&) {}, no_values);
+	std::shared_ptr<relay_client> client = std::make_shared<relay_client>(
+		context, make_peer("other", "a", port), [](const peer_summary&) {}, no_values);
 	std::optional<store_result<row_batch>> got;
 };
 
--- a/tests/support/proxy_world.hpp
+++ b/tests/support/proxy_world.hpp
@@ -66,16 +66,27 @@
 
 	/// \brief Puts the configuration in force and makes the replicas known.
 	void start(const std::vector<std::pair<std::string, const scripted_replica*>>& replicas)
+	{
+		std::vector<std::pair<std::string, routing::address>> addresses;
+		for (const auto& [service, one] : replicas)
+		{
+			addresses.emplace_back(service, one->at());
+		}
+		start_at(addresses);
+	}
+
+	/// \brief Starts with replicas at some addresses, by service.
+	void start_at(const std::vector<std::pair<std::string, routing::address>>& replicas)
 	{
 		gateway_.apply_catalog(std::make_shared<const routing::catalog>(data));
 		gateway_.confirm_catalog(proxy::steady_now());
 		std::vector<routing::replica> entries;
-		for (const auto& [service, one] : replicas)
+		for (const auto& [service, at] : replicas)
 		{
 			routing::replica entry;
 			entry.id = replica_id{"r" + std::to_string(entries.size())};
 			entry.service = service_id{service};
-			entry.at = one->at();
+			entry.at = at;
 			entry.version = "v1";
 			entries.push_back(entry);
 		}
--- a/tests/support/slow_link.hpp
+++ b/tests/support/slow_link.hpp
@@ -89,7 +89,8 @@
 				return;
 			}
 			link_->passed_bytes += size;
-			const auto needed = scaled(std::chrono::seconds{1}, static_cast<double>(size) / link_->bytes_per_s);
+			const auto needed =
+				scaled(std::chrono::seconds{1}, static_cast<double>(size) / link_->bytes_per_s);
 			link_->free_at = std::max(link_->free_at, proxy::steady_now()) + needed;
 			timer_.expires_after(link_->free_at - proxy::steady_now());
 			timer_.async_wait(
