--- a/src/control/shared_store.cpp
+++ b/src/control/shared_store.cpp
@@ -235,17 +235,17 @@
 	poll.known_rows = known_rows(call.table);
 	const auto limit = call.after ? poll.wait + tuning_.response_timeout : tuning_.full_read_timeout;
 	const auto sent_at = proxy::steady_now();
-	client_of(from, call.table)
-		->call(poll, limit,
-			[this, from, sent_at, wait = poll.wait, call = std::move(call)](
-				store_result<row_batch> result) mutable
+	const auto client = client_of(from, call.table);
+	client->call(poll, limit,
+		[this, from, sent_at, wait = poll.wait, call = std::move(call)](
+			store_result<row_batch> result) mutable
+		{
+			if (result && result->rows.empty() && proxy::steady_now() - sent_at >= wait)
 			{
-				if (result && result->rows.empty() && proxy::steady_now() - sent_at >= wait)
-				{
-					result->held = wait;
-				}
-				on_peer_response(from, std::move(call), sent_at, std::move(result));
-			});
+				result->held = wait;
+			}
+			on_peer_response(from, std::move(call), sent_at, std::move(result));
+		});
 }
 
 void shared_store::on_peer_response(
