--- a/tests/support/proxy_world.hpp
+++ b/tests/support/proxy_world.hpp
@@ -68,6 +68,7 @@
 	void start(const std::vector<std::pair<std::string, const scripted_replica*>>& replicas)
 	{
 		std::vector<std::pair<std::string, routing::address>> addresses;
+		addresses.reserve(replicas.size());
 		for (const auto& [service, one] : replicas)
 		{
 			addresses.emplace_back(service, one->at());
