--- a/review/standin/world.hpp
+++ b/review/standin/world.hpp
@@ -750,6 +750,11 @@
 	/// Number of events of an answer that is a stream; 0 for other answers. One comes each 200 ms.
 	std::function<int(const http_request&)> stream_events = [](const http_request&) { return 0; };
 
+	/// Whether the answer is a body without length and without end. The hook is called before each part of
+	/// it.
+	std::function<bool(const http_request&)> endless = [](const http_request&) { return false; };
+	std::function<void(std::size_t)> before_endless_bytes;
+
 	/// Status of the answer.
 	std::function<int(const http_request&)> status = [](const http_request&) { return 200; };
 
@@ -789,6 +794,11 @@
 		{
 			return send_stream(fd, request, events, incoming.field("Last-Event-Id"));
 		}
+		if (endless(incoming))
+		{
+			send_endless(fd, request);
+			return false;
+		}
 		const auto code = status(incoming);
 		return send_all(fd, write_response({code,
 								{{"X-Gingerdyke-Request-Id", request},
@@ -796,6 +806,27 @@
 								"answer to " + request + "\n"}));
 	}
 
+	/// Sends until the other side closes.
+	void send_endless(int fd, const std::string& request) const
+	{
+		log_.line("replica " + id_ + " answers " + request + " without end");
+		const std::string part(262144, 'x');
+		std::size_t sent = 0;
+		bool is_open =
+			send_all(fd, "HTTP/1.1 200 OK\r\nX-Gingerdyke-Request-Id: " + request +
+							 "\r\nX-Gingerdyke-Server-Stamp: s." + id_ + "." + request + "\r\n\r\n");
+		while (is_open)
+		{
+			if (before_endless_bytes)
+			{
+				before_endless_bytes(part.size());
+			}
+			is_open = send_all(fd, part);
+			sent += is_open ? part.size() : 0;
+		}
+		log_.line("the answer to " + request + " was closed after " + std::to_string(sent / 1000000) + " MB");
+	}
+
 	bool send_stream(int fd, const std::string& request, int events, const std::string& last) const
 	{
 		if (!send_all(fd, "HTTP/1.1 200 OK\r\nX-Gingerdyke-Request-Id: " + request +
