A table with a row larger than a page is read to its end

Cause: the next page is asked for from the key of the last row, which the page repeats. A row that fills a page alone comes alone, and the same page is asked for again without end.

--- a/tests/platform/large_answers.cpp
+++ b/tests/platform/large_answers.cpp
@@ -2,6 +2,7 @@
 // Large answers of the registry, slow ones and ones without end.
 #include "../support/control_world.hpp"
 #include "../support/endless_server.hpp"
+#include "../support/proxy_world.hpp"
 #include "../support/slow_link.hpp"
 #include <gingerdyke/control/table_follower.hpp>
 #include <registry_client.hpp>
@@ -55,6 +56,54 @@
 	CHECK((*registry.got)->rows.front().value.size() > 200'000);
 }
 
+// The next page was asked for from the key of a row that filled the page alone, again and again.
+TEST_CASE("a table with a row larger than a page is read to its end", "[platform][large_rows]")
+{
+	const auto size = GENERATE(500'000, 999'990, 1'000'000, 2'000'000, 4'000'000);
+	const auto position = GENERATE(0, 1, 2);
+	CAPTURE(size, position);
+	distant_registry registry{1e9};
+	for (int i = 0; i < 3; ++i)
+	{
+		const auto key = std::string(1, static_cast<char>('a' + i));
+		registry.rows.put("op", key, std::string(static_cast<std::size_t>(i == position ? size : 10), 'x'));
+	}
+	registry.read_all();
+	REQUIRE(*registry.got);
+	const auto& rows = (*registry.got)->rows;
+	REQUIRE(rows.size() == 3);
+	CHECK(rows[static_cast<std::size_t>(position)].value.size() >= static_cast<std::size_t>(size));
+	CHECK(rows.back().key == "c");
+}
+
+TEST_CASE("a table of several rows larger than a page is read to its end", "[platform][large_rows]")
+{
+	distant_registry registry{1e9};
+	for (int i = 0; i < 4; ++i)
+	{
+		registry.rows.put("op", std::string(1, static_cast<char>('a' + i)), std::string(1'200'000, 'x'));
+	}
+	registry.read_all();
+	REQUIRE(*registry.got);
+	CHECK((*registry.got)->rows.size() == 4);
+}
+
+TEST_CASE("pages of a table that bring no further row are not read for ever", "[platform][large_rows]")
+{
+	proxy::asio::io_context context{1};
+	const json page{{"rows", json::array({{{"table", "op"}, {"key", "a"}, {"ver", 3}, {"value", "eA=="}}})},
+		{"ver", 3}, {"now_ms", 1.0}, {"truncated", true}};
+	scripted_replica server{
+		context, [&](const std::string&) { return scripted_answer{answer_with("200 OK", page.dump())}; }};
+	platform::registry_client client{context, server.at()};
+	std::optional<store_result<row_batch>> got;
+	client.read_all("op", [&](store_result<row_batch> result) { got = std::move(result); });
+	test::run_until(context, [&] { return got.has_value(); });
+	REQUIRE_FALSE(*got);
+	CHECK(got->error() == store_error::bad_response);
+	CHECK(server.requests().size() <= 3);
+}
+
 TEST_CASE(
 	"an answer of the registry that makes no progress any more is given up soon", "[platform][large_rows]")
 {
