The version of an order is not taken for the one in use

Cause: VMs that start read replicas and orders at the same time. While the order was not read yet, the version of most entries was taken for the one in use, also if the order then named it; the plan went from v2 to v2, was rolled back, and the platform removed v2.

Why this works: without a plan the version of an order is left out when the version in use is inferred, whichever table came first, and no plan is written before another version is known. A stored plan within one version is not followed and its row is taken by the next plan.

--- a/include/gingerdyke/rollout/version_shift.hpp
+++ b/include/gingerdyke/rollout/version_shift.hpp
@@ -320,6 +320,7 @@
   private:
 	struct service_state
 	{
+		/// Version in use beside the one of an order or plan; empty if it is not known.
 		std::string stable_version;
 		std::optional<shift_order> order;
 		instant order_received_at;
@@ -335,6 +336,9 @@
 		/// The plan has to be written again, as the registry holds none or an earlier one.
 		bool is_rewrite_due{};
 
+		/// Row of a stored plan that can't be followed and is to be replaced.
+		row_version replaced_row{};
+
 		/// Number of replicas by version.
 		std::map<std::string, std::size_t> replicas;
 
@@ -414,6 +418,7 @@
 	[[nodiscard]] std::optional<instant> proof_deadline_time(const service_state& state) const;
 	void suspend_if_unproven(service_state& state, instant now);
 
+	void infer_stable_version(service_state& state);
 	[[nodiscard]] static bool has_new_order(const service_state& state);
 	[[nodiscard]] bool may_declare_completed(const service_state& state, instant now) const;
 	void on_registry_recovered(instant now);
--- a/src/rollout/version_shift.cpp
+++ b/src/rollout/version_shift.cpp
@@ -18,26 +18,22 @@
 /// A write is repeated after this time if the plan has not changed.
 constexpr duration write_retry_delay = std::chrono::milliseconds{700};
 
+/// The version of most replicas, but for the one that an order moves to.
 std::string most_common_version(
-	const std::vector<routing::replica_ptr>& replicas, const std::optional<shift_order>& order)
+	const std::map<std::string, std::size_t>& replicas, const std::optional<shift_order>& order)
 {
-	std::map<std::string, unsigned> counts;
-	for (const auto& replica : replicas)
+	std::string most;
+	std::size_t count = 0;
+	for (const auto& [version, number] : replicas)
 	{
-		if (!order || replica->version != order->to_version)
+		const bool is_ordered = order && version == order->to_version;
+		if (!is_ordered && number > count)
 		{
-			++counts[replica->version];
+			most = version;
+			count = number;
 		}
 	}
-	const auto most = std::max_element(
-		counts.begin(), counts.end(), [](const auto& a, const auto& b) { return a.second < b.second; });
-	return most == counts.end() ? std::string{} : most->first;
-}
-
-bool has_version(const std::vector<routing::replica_ptr>& replicas, const std::string& version)
-{
-	return std::any_of(
-		replicas.begin(), replicas.end(), [&](const auto& replica) { return replica->version == version; });
+	return most;
 }
 } // namespace
 
@@ -81,6 +77,7 @@
 	}
 	state.order = order;
 	state.order_received_at = now;
+	infer_stable_version(state);
 	schedule(state, now);
 }
 
@@ -91,6 +88,12 @@
 	{
 		return;
 	}
+	if (plan.from_version == plan.to_version)
+	{
+		// It would keep the service on a version that may be gone. Only an order can tell the right one.
+		state.replaced_row = std::max(state.replaced_row, plan.row);
+		return;
+	}
 	if (is_known_plan_later(state, plan))
 	{
 		state.plan->row = plan.row;
@@ -212,12 +215,27 @@
 	{
 		++state.replicas[replica->version];
 	}
-	const bool is_stable_known = !state.stable_version.empty();
-	if (state.plan || (is_stable_known && has_version(replicas, state.stable_version)))
+	infer_stable_version(state);
+}
+
+/// Without a plan, the version in use is the one of most replicas. The version of an order is not taken for
+/// it, in whichever order the tables of replicas and of orders are read.
+void version_shift::infer_stable_version(service_state& state)
+{
+	if (state.plan)
+	{
+		return;
+	}
+	const bool is_ordered = state.order && state.order->to_version == state.stable_version;
+	if (is_ordered)
+	{
+		state.stable_version.clear();
+	}
+	if (state.replicas.contains(state.stable_version))
 	{
 		return;
 	}
-	const auto most_common = most_common_version(replicas, state.order);
+	const auto most_common = most_common_version(state.replicas, state.order);
 	if (!most_common.empty())
 	{
 		state.stable_version = most_common;
--- a/src/rollout/version_shift_plans.cpp
+++ b/src/rollout/version_shift_plans.cpp
@@ -90,7 +90,8 @@
 
 std::optional<shift_plan> version_shift::first_plan(const service_state& state) const
 {
-	if (!clock_offset_ || state.stable_version.empty())
+	const bool has_two_versions = state.stable_version != state.order->to_version;
+	if (!clock_offset_ || state.stable_version.empty() || !has_two_versions)
 	{
 		return std::nullopt;
 	}
@@ -101,7 +102,7 @@
 	plan.started = registry_now(state.order_received_at);
 	plan.length = state.order->length;
 	plan.order = state.order->order;
-	plan.row = state.plan ? state.plan->row : row_version{0};
+	plan.row = std::max(state.plan ? state.plan->row : row_version{0}, state.replaced_row);
 	return plan;
 }
 
--- /dev/null
+++ b/tests/rollout/order_after_restart.cpp
@@ -0,0 +1,96 @@
+// SPDX-License-Identifier: MIT
+// VMs that start read replicas, orders and plans in any order.
+#include "../support/shift_vm.hpp"
+
+#include <algorithm>
+#include <array>
+#include <functional>
+
+using namespace gingerdyke;
+using namespace gingerdyke::rollout;
+using namespace gingerdyke::test;
+using std::chrono::seconds;
+
+namespace
+{
+std::vector<routing::replica_ptr> replicas_of(unsigned old_version, unsigned new_version)
+{
+	std::vector<routing::replica_ptr> all;
+	for (unsigned i = 0; i < old_version + new_version; ++i)
+	{
+		const auto one = std::make_shared<routing::replica>();
+		one->service = service;
+		one->version = i < old_version ? "v1" : "v2";
+		all.push_back(one);
+	}
+	return all;
+}
+
+/// A VM that has started and read nothing yet.
+struct started_vm : vm
+{
+	explicit started_vm(std::uint64_t seed) : vm(seed) { shift.set_replicas(service, {}); }
+};
+
+shift_plan plan_within_one_version(shift_state state)
+{
+	shift_plan plan;
+	plan.service = service;
+	plan.from_version = "v2";
+	plan.to_version = "v2";
+	plan.length = seconds{20};
+	plan.order = row_version{10};
+	plan.row = row_version{11};
+	plan.state = state;
+	return plan;
+}
+} // namespace
+
+// An order was given while all VMs were down; the new version had more entries than the old one, was taken
+// for the version in use, and the service stayed on it when its replicas had gone.
+TEST_CASE("a version is not taken for the one in use where it has been ordered", "[shift]")
+{
+	const auto stored = GENERATE(0, 1, 2);
+	std::array<int, 3> read{0, 1, 2};
+	do
+	{
+		CAPTURE(stored, read[0], read[1], read[2]);
+		started_vm one{1};
+		const std::array<std::function<void()>, 3> tables{[&]
+			{ one.shift.set_replicas(service, replicas_of(2, 3)); },
+			[&] {
+				one.shift.on_order({service, "v2", seconds{20}, row_version{10}}, one.now);
+			},
+			[&]
+			{
+				if (stored > 0)
+				{
+					const auto state = stored == 1 ? shift_state::running : shift_state::rolled_back;
+					one.shift.on_plan(plan_within_one_version(state), one.now);
+				}
+			}};
+		for (const auto table : read)
+		{
+			tables.at(static_cast<std::size_t>(table))();
+		}
+		CHECK(one.shift.version_for(service, 5, one.now) == "v1");
+		const auto plan = written(one, 12);
+		CHECK(plan.from_version == "v1");
+		CHECK(plan.to_version == "v2");
+	} while (std::next_permutation(read.begin(), read.end()));
+}
+
+TEST_CASE("a plan is written once the version in use has an entry again", "[shift]")
+{
+	started_vm one{1};
+	one.shift.set_replicas(service, replicas_of(0, 3));
+	one.shift.on_order({service, "v2", seconds{20}, row_version{10}}, one.now);
+	for (int i = 0; i < 20; ++i)
+	{
+		one.pass(std::chrono::milliseconds{100});
+		CHECK(one.shift.due(one.now).empty());
+	}
+	one.shift.set_replicas(service, replicas_of(1, 3));
+	CHECK(written(one, 12).from_version == "v1");
+	CHECK(one.shift.version_for(service, 5, one.now) == "v1");
+}
