An exception in one connection's work ends that connection only

What callers saw: one response whose head named a length of 100 GB ended the process with std::bad_alloc, and all connections with it.

Cause: exceptions in the work of a connection left the event loop, which nothing caught.

--- a/src/control/frame_link.cpp
+++ b/src/control/frame_link.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: MIT
 // Connection between two VMs that carries frames in both directions.
 #include <gingerdyke/control/frame_link.hpp>
+#include <gingerdyke/proxy/connection_guard.hpp>
 
 namespace gingerdyke::control
 {
@@ -58,7 +59,10 @@
 {
 	socket_.async_read_some(buffer_.prepare(read_size),
 		[self = shared_from_this()](const proxy::error_code& error, std::size_t size)
-		{ self->on_read(error, size); });
+		{
+			proxy::guard_connection(
+				"VM", {}, [&] { self->on_read(error, size); }, [&] { self->fail(); });
+		});
 }
 
 void frame_link::on_read(const proxy::error_code& error, std::size_t size)
--- a/src/proxy/caller_connection.cpp
+++ b/src/proxy/caller_connection.cpp
@@ -2,6 +2,7 @@
 // A caller's HTTP connection.
 #include <gingerdyke/log/log.hpp>
 #include <gingerdyke/proxy/caller_connection.hpp>
+#include <gingerdyke/proxy/connection_guard.hpp>
 
 namespace gingerdyke::proxy
 {
@@ -209,7 +210,8 @@
 		[self = shared_from_this()](const error_code& error, std::size_t size)
 		{
 			self->is_reading_ = false;
-			self->on_read(error, size);
+			guard_connection(
+				"caller", {}, [&] { self->on_read(error, size); }, [&] { self->disconnect(); });
 		});
 }
 
@@ -567,9 +569,15 @@
 		{
 			if (self->state_ == state::idle)
 			{
-				self->advance();
-				self->update_arriving();
-				self->read_on();
+				guard_connection(
+					"caller", {},
+					[&]
+					{
+						self->advance();
+						self->update_arriving();
+						self->read_on();
+					},
+					[&] { self->disconnect(); });
 			}
 		});
 }
--- a/src/proxy/upstream_connection.cpp
+++ b/src/proxy/upstream_connection.cpp
@@ -2,6 +2,7 @@
 // An HTTP/1.1 connection to a replica.
 #include <array>
 #include <charconv>
+#include <gingerdyke/proxy/connection_guard.hpp>
 #include <gingerdyke/proxy/upstream_connection.hpp>
 #include <limits>
 
@@ -178,7 +179,9 @@
 		[self = shared_from_this()](const error_code& error, std::size_t size)
 		{
 			self->is_reading_ = false;
-			self->on_read(error, size);
+			guard_connection(
+				"upstream", self->request_.id, [&] { self->on_read(error, size); },
+				[&] { self->fail(upstream_fault::invalid_response); });
 		});
 }
 
