--- a/include/gingerdyke/proxy/caller_connection.hpp
+++ b/include/gingerdyke/proxy/caller_connection.hpp
@@ -62,7 +62,7 @@
 	void send_head(int status, std::string_view reason, const header_fields& fields) override;
 	void write_body(std::string_view bytes) override;
 	[[nodiscard]] bool is_backlogged() const override;
-	void when_drained(std::function<void()> hook) override;
+	void when_drained(const std::function<void()>& hook) override;
 	void end_stream() override;
 	void abort_stream() override;
 
--- a/include/gingerdyke/proxy/response_sink.hpp
+++ b/include/gingerdyke/proxy/response_sink.hpp
@@ -40,7 +40,7 @@
 	[[nodiscard]] virtual bool is_backlogged() const { return false; }
 
 	/// \brief Calls a hook once the caller has taken what was written. A later hook replaces it.
-	virtual void when_drained(std::function<void()> /*hook*/) {}
+	virtual void when_drained(const std::function<void()>& /*hook*/) {}
 
 	/// \brief Ends the response as complete.
 	virtual void end_stream() = 0;
--- a/src/proxy/caller_connection.cpp
+++ b/src/proxy/caller_connection.cpp
@@ -532,9 +532,9 @@
 	}
 }
 
-void caller_connection::when_drained(std::function<void()> hook)
+void caller_connection::when_drained(const std::function<void()>& hook)
 {
-	drained_hook_ = std::move(hook);
+	drained_hook_ = hook;
 	arm_timer(max_caller_stall);
 }
 
