A replaced plan's row is forgotten when the registry returns from an older copy

Cause: the row of a stored plan within one version was kept over the return, after which the registry gives its versions out anew, so the next plan's condition could never hold and the service kept its version.

Evidence: the new test failed before (row 11 instead of 0) and passes with the fix; it was built with the core library only, the other tests were not rerun.

Why this works: all rows of an earlier era are forgotten together.

--- a/src/rollout/version_shift.cpp
+++ b/src/rollout/version_shift.cpp
@@ -151,6 +151,7 @@
 {
 	for (auto& [service, state] : services_)
 	{
+		state.replaced_row = row_version{0};
 		if (state.plan)
 		{
 			state.plan->row = row_version{0};
--- a/tests/rollout/order_after_restart.cpp
+++ b/tests/rollout/order_after_restart.cpp
@@ -80,6 +80,22 @@
 	} while (std::next_permutation(read.begin(), read.end()));
 }
 
+// The registry gives its versions out anew, so a plan that names an earlier one could never be written.
+TEST_CASE("a replaced plan's row is forgotten when the registry returns from an older copy", "[shift]")
+{
+	started_vm one{1};
+	one.shift.set_replicas(service, replicas_of(2, 3));
+	one.shift.on_plan(plan_within_one_version(shift_state::running), one.now);
+	one.shift.on_registry_restored(one.now);
+	one.shift.on_order({service, "v2", seconds{20}, row_version{5}}, one.now);
+	CHECK(written(one, 6).from_version == "v1");
+	for (const auto& write : one.shift.due(one.now + seconds{2}))
+	{
+		REQUIRE(write.plan);
+		CHECK(write.plan->row == row_version{0});
+	}
+}
+
 TEST_CASE("a plan is written once the version in use has an entry again", "[shift]")
 {
 	started_vm one{1};
