--- a/src/proxy/exchange_memory.cpp
+++ b/src/proxy/exchange_memory.cpp
@@ -13,7 +13,7 @@
 	return size <= shared_.memory().response_limit_bytes();
 }
 
-/// Records that a response was dropped for its size.
+/// Records that a response was dropped for its size or content.
 void exchange::record_given_up(const upstream_connection& from, upstream_fault fault)
 {
 	if (fault == upstream_fault::too_large || fault == upstream_fault::out_of_memory ||
