The version of an older build's plan is not taken for the one in use

What callers saw: after an older build had written a plan "from v2 to v2", a VM that started while the order's row was gone took the version of most entries, the new one, for the one in use. Where a VM followed a plan and such a row lay over it, the plan could never be written again: its condition named a row version that was gone.

Cause: a plan within one version was skipped, and what it says with it: that its version had been ordered. It only kept its row for the next plan.

The tests start from a VM that has read nothing; before, its base class had told it of v1.

Why this works: the ordered version is known from the order or from such a plan, in whichever order they are read. A completed one says nothing, as the other version's replicas have been stopped. A plan in force is written again on the new row, once.

--- a/include/gingerdyke/rollout/version_shift.hpp
+++ b/include/gingerdyke/rollout/version_shift.hpp
@@ -72,6 +72,12 @@
 	row_version row;
 };
 
+/// \brief Whether a plan moves a service to the version that it is on. Older builds wrote such plans.
+[[nodiscard]] inline bool is_within_one_version(const shift_plan& plan) noexcept
+{
+	return plan.from_version == plan.to_version;
+}
+
 /// \brief Kind of a sample.
 enum class sample_kind
 {
@@ -336,8 +342,10 @@
 		/// The plan has to be written again, as the registry holds none or an earlier one.
 		bool is_rewrite_due{};
 
-		/// Row of a stored plan that can't be followed and is to be replaced.
+		/// Row of a stored plan that can't be followed and is to be replaced, and the version that it moves
+		/// to; empty if it is completed.
 		row_version replaced_row{};
+		std::string replaced_version;
 
 		/// Number of replicas by version.
 		std::map<std::string, std::size_t> replicas;
@@ -418,7 +426,9 @@
 	[[nodiscard]] std::optional<instant> proof_deadline_time(const service_state& state) const;
 	void suspend_if_unproven(service_state& state, instant now);
 
-	void infer_stable_version(service_state& state);
+	void replace_stored_plan(service_state& state, const shift_plan& stored, instant now);
+	[[nodiscard]] static const std::string& ordered_version(const service_state& state);
+	static void infer_stable_version(service_state& state);
 	[[nodiscard]] static bool has_new_order(const service_state& state);
 	[[nodiscard]] bool may_declare_completed(const service_state& state, instant now) const;
 	void on_registry_recovered(instant now);
--- a/src/rollout/version_shift.cpp
+++ b/src/rollout/version_shift.cpp
@@ -18,16 +18,15 @@
 /// A write is repeated after this time if the plan has not changed.
 constexpr duration write_retry_delay = std::chrono::milliseconds{700};
 
-/// The version of most replicas, but for the one that an order moves to.
+/// The version of most replicas, but for the excluded one; empty if there is none.
 std::string most_common_version(
-	const std::map<std::string, std::size_t>& replicas, const std::optional<shift_order>& order)
+	const std::map<std::string, std::size_t>& replicas, const std::string& excluded)
 {
 	std::string most;
 	std::size_t count = 0;
 	for (const auto& [version, number] : replicas)
 	{
-		const bool is_ordered = order && version == order->to_version;
-		if (!is_ordered && number > count)
+		if (version != excluded && number > count)
 		{
 			most = version;
 			count = number;
@@ -88,10 +87,9 @@
 	{
 		return;
 	}
-	if (plan.from_version == plan.to_version)
+	if (is_within_one_version(plan))
 	{
-		// It would keep the service on a version that may be gone. Only an order can tell the right one.
-		state.replaced_row = std::max(state.replaced_row, plan.row);
+		replace_stored_plan(state, plan, now);
 		return;
 	}
 	if (is_known_plan_later(state, plan))
@@ -131,6 +129,22 @@
 	schedule(state, now);
 }
 
+/// A plan within one version is not followed: it would keep the service on a version that may be gone. The
+/// next plan takes its row. Where another plan is in force, that one is written again.
+void version_shift::replace_stored_plan(service_state& state, const shift_plan& stored, instant now)
+{
+	state.replaced_row = std::max(state.replaced_row, stored.row);
+	state.replaced_version = stored.state == shift_state::completed ? "" : stored.to_version;
+	if (state.plan)
+	{
+		state.plan->row = stored.row;
+		state.is_rewrite_due = true;
+		schedule(state, now);
+		return;
+	}
+	infer_stable_version(state);
+}
+
 /// Whether a row from before the registry's copy was made holds an earlier state of the known plan.
 bool version_shift::is_known_plan_later(const service_state& state, const shift_plan& read)
 {
@@ -219,6 +233,12 @@
 	infer_stable_version(state);
 }
 
+/// The version that an order moves to, or a stored plan that is not followed; empty if there is none.
+const std::string& version_shift::ordered_version(const service_state& state)
+{
+	return state.order ? state.order->to_version : state.replaced_version;
+}
+
 /// Without a plan, the version in use is the one of most replicas. The version of an order is not taken for
 /// it, in whichever order the tables of replicas and of orders are read.
 void version_shift::infer_stable_version(service_state& state)
@@ -227,8 +247,8 @@
 	{
 		return;
 	}
-	const bool is_ordered = state.order && state.order->to_version == state.stable_version;
-	if (is_ordered)
+	const auto& ordered = ordered_version(state);
+	if (state.stable_version == ordered)
 	{
 		state.stable_version.clear();
 	}
@@ -236,7 +256,7 @@
 	{
 		return;
 	}
-	const auto most_common = most_common_version(state.replicas, state.order);
+	const auto most_common = most_common_version(state.replicas, ordered);
 	if (!most_common.empty())
 	{
 		state.stable_version = most_common;
--- a/tests/rollout/order_after_restart.cpp
+++ b/tests/rollout/order_after_restart.cpp
@@ -29,7 +29,11 @@
 /// A VM that has started and read nothing yet.
 struct started_vm : vm
 {
-	explicit started_vm(std::uint64_t seed) : vm(seed) { shift.set_replicas(service, {}); }
+	explicit started_vm(std::uint64_t seed) : vm(seed)
+	{
+		shift = version_shift{seeded_random{seed}, [](const shift_event&) {}};
+		hear();
+	}
 };
 
 shift_plan plan_within_one_version(shift_state state)
@@ -110,3 +114,53 @@
 	CHECK(written(one, 12).from_version == "v1");
 	CHECK(one.shift.version_for(service, 5, one.now) == "v1");
 }
+
+// The order's row was gone and only an older build's plan told of it: the new version, with more entries, was
+// taken for the one in use.
+TEST_CASE("a version is not taken for the one in use where only a stored plan names it", "[shift]")
+{
+	const auto state = GENERATE(shift_state::running, shift_state::rolled_back);
+	const bool is_plan_first = GENERATE(false, true);
+	CAPTURE(name_of(state), is_plan_first);
+	started_vm one{1};
+	if (is_plan_first)
+	{
+		one.shift.on_plan(plan_within_one_version(state), one.now);
+	}
+	one.shift.set_replicas(service, replicas_of(2, 3));
+	if (!is_plan_first)
+	{
+		one.shift.on_plan(plan_within_one_version(state), one.now);
+	}
+	CHECK(one.shift.version_for(service, 5, one.now) == "v1");
+}
+
+// A plan within one version that was declared completed has had the other version's replicas stopped.
+TEST_CASE("a service stays on the version of a completed plan within it", "[shift]")
+{
+	started_vm one{1};
+	one.shift.on_plan(plan_within_one_version(shift_state::completed), one.now);
+	one.shift.set_replicas(service, replicas_of(0, 3));
+	CHECK(one.shift.version_for(service, 5, one.now) == "v2");
+}
+
+// A VM of an older build wrote its plan over the one in force, which could then never be written again.
+TEST_CASE("a plan in force is written over an older build's plan within one version", "[shift]")
+{
+	vm one{1};
+	begin(one);
+	auto stored = plan_within_one_version(shift_state::rolled_back);
+	stored.row = row_version{20};
+	one.shift.on_plan(stored, one.now);
+	const auto rewritten = written(one, 21);
+	CHECK(rewritten.from_version == "v1");
+	CHECK(rewritten.state == shift_state::running);
+	for (const auto& write : one.shift.due(one.now + seconds{2}))
+	{
+		REQUIRE(write.plan);
+		CHECK(write.plan->row == row_version{20});
+	}
+	one.shift.on_plan(rewritten, one.now);
+	one.pass(seconds{2});
+	CHECK(one.shift.due(one.now).empty());
+}
