A service is served while the version in use has no replicas

What callers saw (in tests): while all replicas of the old version were dark and their entries lapsed, every request was refused although the new version's were well. At the end of the shift the new version was rolled back as unproven, since it had got no requests; the platform then removes its replicas, and nobody was left. A version in use whose replicas had been replaced by those of another one without an order was kept for good.

Cause: the version in use, a belief from an earlier table, was kept whatever the table of replicas said since.

Why this works: while no replica of another version is left, the new one serves unless it was found bad, and is not rolled back for lack of proof. Its exposure is bounded by the verdict on its responses, which are many then.

--- a/include/gingerdyke/rollout/version_shift.hpp
+++ b/include/gingerdyke/rollout/version_shift.hpp
@@ -429,6 +429,8 @@
 	void replace_stored_plan(service_state& state, const shift_plan& stored, instant now);
 	[[nodiscard]] static const std::string& ordered_version(const service_state& state);
 	static void infer_stable_version(service_state& state);
+	[[nodiscard]] static std::string settled_version(const service_state& state);
+	[[nodiscard]] static bool is_new_version_alone(const service_state& state);
 	[[nodiscard]] static bool has_new_order(const service_state& state);
 	[[nodiscard]] bool may_declare_completed(const service_state& state, instant now) const;
 	void on_registry_recovered(instant now);
--- a/src/rollout/version_shift.cpp
+++ b/src/rollout/version_shift.cpp
@@ -263,6 +263,31 @@
 	}
 }
 
+/// The version that serves while no shift is running. If the one in use has no replicas, another one serves
+/// rather than none, but for a version that was rolled back.
+std::string version_shift::settled_version(const service_state& state)
+{
+	if (state.replicas.contains(state.stable_version))
+	{
+		return state.stable_version;
+	}
+	if (!state.plan)
+	{
+		// Only replicas of the ordered version are left.
+		return {};
+	}
+	const bool is_rolled_back = state.plan->state == shift_state::rolled_back;
+	const auto other = most_common_version(state.replicas, is_rolled_back ? state.plan->to_version : "");
+	return other.empty() ? state.stable_version : other;
+}
+
+/// Whether the new version serves all requests of a running shift because no replica of another version is
+/// left.
+bool version_shift::is_new_version_alone(const service_state& state)
+{
+	return !state.suspended && count_old_replicas(state) == 0 && count_new_replicas(state) > 0;
+}
+
 void version_shift::update_registry_time(registry_time registry_clock, instant now)
 {
 	// The largest offset is the most accurate one: it belongs to the response with the shortest delay.
@@ -299,7 +324,11 @@
 	}
 	if (!is_running(*state))
 	{
-		return state->stable_version;
+		return settled_version(*state);
+	}
+	if (is_new_version_alone(*state))
+	{
+		return state->plan->to_version;
 	}
 	const bool uses_new = !state->suspended && to_unit_interval(point) < share_of(*state, now);
 	return uses_new ? state->plan->to_version : state->plan->from_version;
@@ -427,7 +456,7 @@
 {
 	const auto* state = find(replica.service);
 	const bool is_new = state != nullptr && is_running(*state) && replica.version == state->plan->to_version;
-	if (!is_new)
+	if (!is_new || is_new_version_alone(*state))
 	{
 		return true;
 	}
