Replicas that drain do not count for the version in use

Cause: a VM that started after a roll-back, before the plan was known, took the version of most entries, those that drain included, for the one in use. Callers would have been refused, as replicas that drain get no requests.

Evidence: the new test failed before (v2 instead of v1) and passes now.

Why this works: only replicas that accept requests are counted.

--- a/include/gingerdyke/rollout/version_shift.hpp
+++ b/include/gingerdyke/rollout/version_shift.hpp
@@ -347,7 +347,7 @@
 		row_version replaced_row{};
 		std::string replaced_version;
 
-		/// Number of replicas by version.
+		/// Number of replicas by version, without those that drain.
 		std::map<std::string, std::size_t> replicas;
 
 		/// Event intervals of the stable version by model, recorded by this VM while no shift was running:
--- a/src/rollout/version_shift.cpp
+++ b/src/rollout/version_shift.cpp
@@ -228,7 +228,10 @@
 	state.replicas.clear();
 	for (const auto& replica : replicas)
 	{
-		++state.replicas[replica->version];
+		if (!replica->is_draining)
+		{
+			++state.replicas[replica->version];
+		}
 	}
 	infer_stable_version(state);
 }
--- a/tests/rollout/order_after_restart.cpp
+++ b/tests/rollout/order_after_restart.cpp
@@ -164,3 +164,20 @@
 	one.pass(seconds{2});
 	CHECK(one.shift.due(one.now).empty());
 }
+
+// Replicas that drain after a roll-back outnumbered those in use, and their version was taken for the one in
+// use by a VM that started.
+TEST_CASE("a version whose replicas all drain is not taken for the one in use", "[shift]")
+{
+	started_vm one{1};
+	auto all = replicas_of(2, 0);
+	for (int i = 0; i < 3; ++i)
+	{
+		auto draining = std::make_shared<routing::replica>(*all.front());
+		draining->version = "v2";
+		draining->is_draining = true;
+		all.push_back(draining);
+	}
+	one.shift.set_replicas(service, all);
+	CHECK(one.shift.version_for(service, 5, one.now) == "v1");
+}
