A stopping VM takes only requests that end before its process does

What callers saw: requests that can't be repeated were run by a replica while the VM shut down, and their connections closed without an answer.

Cause: new requests were accepted for 5.5 s (streams: 2.9 s) after the SIGTERM, whatever time they might take; the process exits after 7.7 s.

Why this works: a request is accepted if its deadline and the time for its response are before the end of the process. Requests that can be repeated are also accepted in the first 2.9 s, until callers are sent elsewhere.

The soak judges requests sent at any time of a stop.

--- a/include/gingerdyke/proxy/gateway.hpp
+++ b/include/gingerdyke/proxy/gateway.hpp
@@ -96,10 +96,12 @@
 	/// No attempt starts with less time than this left until the deadline, as it could only end too late.
 	duration min_attempt_time = std::chrono::milliseconds{20};
 
-	/// For how long after the start of a shutdown new streams, and other new requests, are accepted. Accepted
-	/// requests must end before the process does; the shortest shutdown limit of the deployments is 8 s.
-	duration stream_acceptance_while_stopping = std::chrono::milliseconds{2900};
-	duration request_acceptance_while_stopping = std::chrono::milliseconds{5500};
+	/// For how long after the start of a shutdown requests are accepted that may outlast it, if they can be
+	/// repeated: until then callers are still sent here, and most requests end long before their deadline.
+	duration acceptance_while_stopping = std::chrono::milliseconds{2900};
+
+	/// Time for a response given at its request's deadline to reach the caller before the process exits.
+	duration final_response_time = std::chrono::milliseconds{100};
 
 	/// Maximum wait of a request that arrives before the VM is ready. If the registry responds, a VM that has
 	/// just started is ready sooner.
@@ -122,6 +124,13 @@
 	duration retry_after = std::chrono::milliseconds{250};
 };
 
+/// \brief A shutdown of the process: its start, and when the process exits at the latest.
+struct shutdown_period
+{
+	instant started_at;
+	instant ends_at;
+};
+
 /// \brief Fleet-wide limits set by the deployment.
 struct fleet_bounds
 {
@@ -219,10 +228,12 @@
 	[[nodiscard]] key_trust trust_in_keys(instant now) const;
 
 	/// \brief Records that the process is shutting down.
-	void record_shutdown(instant now) { stop_started_at_ = now; }
+	void record_shutdown(const shutdown_period& period) { shutdown_ = period; }
 
-	/// \brief Whether a new request is accepted: always, except late in a shutdown.
-	[[nodiscard]] bool accepts_requests(bool is_stream, instant now) const;
+	/// \brief Whether a new request is accepted. During a shutdown only those are that end before the process
+	/// does, and at first also those that can be repeated.
+	/// \param deadline When the request is answered at the latest.
+	[[nodiscard]] bool accepts_request(const routing::route& on, instant deadline, instant now) const;
 
 	/// \brief Whether a configuration and the replicas are known.
 	[[nodiscard]] bool ready() const { return catalog_ != nullptr && replicas_.is_loaded(); }
@@ -252,7 +263,7 @@
 	[[nodiscard]] const vm_id& vm() const noexcept { return vm_; }
 
 	/// \brief Whether the process is shutting down.
-	[[nodiscard]] bool is_stopping() const noexcept { return stop_started_at_.has_value(); }
+	[[nodiscard]] bool is_stopping() const noexcept { return shutdown_.has_value(); }
 
 	/// \brief Counts the requests in progress that other VMs forward.
 	void begin_forwarded() { ++forwarded_count_; }
@@ -485,7 +496,7 @@
 	std::function<void()> suspicion_hook_;
 	std::function<void(const workspace_id&)> request_started_hook_;
 	std::vector<std::function<void()>> ready_hooks_;
-	std::optional<instant> stop_started_at_;
+	std::optional<shutdown_period> shutdown_;
 
 	/// Number of VMs in a small deployment.
 	static constexpr unsigned default_vm_count = 6;
--- a/soak/history.cpp
+++ b/soak/history.cpp
@@ -19,9 +19,6 @@
 /// Once a VM has shown a configuration, requests sent later than this must not see an older one.
 constexpr std::chrono::milliseconds downgrade_limit{250};
 
-/// Requests sent later than this after a stop began may be refused by a closing connection.
-constexpr std::chrono::seconds stop_limit{3};
-
 /// A request sent later than this after a replica left must not reach it. The settings of the VMs say 2 s;
 /// a second more for processes that wait for a processor.
 constexpr std::chrono::seconds leave_limit{3};
@@ -218,8 +215,8 @@
 	{
 		for (const auto& [id, one] : requests_)
 		{
-			const bool concerns = one.sent.vm == stop.vm && one.sent.life == stop.life &&
-								  one.sent.at < stop.begun + stop_limit && !one.runs.empty();
+			const bool concerns =
+				one.sent.vm == stop.vm && one.sent.life == stop.life && !one.runs.empty();
 			const bool was_cut =
 				one.answer && !one.answer->timed_out && !one.answer->is_whole && one.answer->at >= stop.begun;
 			if (concerns && was_cut)
--- a/src/proxy/exchange_admission.cpp
+++ b/src/proxy/exchange_admission.cpp
@@ -67,7 +67,6 @@
 	{
 		return;
 	}
-	read_deadline();
 	if (origin_)
 	{
 		attempt_count_ = origin_->attempts_made;
@@ -122,7 +121,8 @@
 		refuse_unknown(not_found, "no route");
 		return false;
 	}
-	if (!shared_.accepts_requests(route_->streams, arrived_))
+	read_deadline();
+	if (!shared_.accepts_request(*route_, deadline_, arrived_))
 	{
 		refuse_here("stopping");
 		return false;
--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -187,11 +187,15 @@
 	return age && *age < *bounds_.revocation_time ? key_trust::trusted : key_trust::stale;
 }
 
-bool gateway::accepts_requests(bool is_stream, instant now) const
+bool gateway::accepts_request(const routing::route& on, instant deadline, instant now) const
 {
-	const auto acceptance_time =
-		is_stream ? tuning_.stream_acceptance_while_stopping : tuning_.request_acceptance_while_stopping;
-	return !stop_started_at_ || now - *stop_started_at_ < acceptance_time;
+	if (!shutdown_)
+	{
+		return true;
+	}
+	const bool ends_in_time = deadline + tuning_.final_response_time <= shutdown_->ends_at;
+	const bool is_early = now - shutdown_->started_at < tuning_.acceptance_while_stopping;
+	return ends_in_time || (is_early && on.is_retryable());
 }
 
 unavailability gateway::why_unavailable(const service_id& service, instant now) const
--- a/tests/forwarding/drawn_cuts.cpp
+++ b/tests/forwarding/drawn_cuts.cpp
@@ -133,7 +133,7 @@
 	partitioned_fleet fleet{3};
 	fleet.set_links(0, link_fault::refused);
 	static_cast<void>(fleet.ask(0, repeatable_prefix));
-	fleet.gateway(1).record_shutdown(proxy::steady_now());
+	fleet.gateway(1).record_shutdown({proxy::steady_now(), proxy::steady_now() + std::chrono::seconds{8}});
 	for (int i = 0; i < 4; ++i)
 	{
 		for (const auto* prefix : prefixes)
--- a/tests/proxy/exchange.cpp
+++ b/tests/proxy/exchange.cpp
@@ -517,7 +517,8 @@
 	proxy_world world;
 	scripted_replica replica{world.context, respond_with("")};
 	world.start({{"engine", &replica}});
-	world.gateway().record_shutdown(proxy::steady_now() - std::chrono::seconds{4});
+	const auto started_at = proxy::steady_now() - std::chrono::seconds{4};
+	world.gateway().record_shutdown({started_at, started_at + std::chrono::milliseconds{7700}});
 	CHECK(world.ask(request_to("POST", "/stream/a", "p")).starts_with("HTTP/1.1 503 "));
 	CHECK(replica.requests().empty());
 }
