--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -1,7 +1,8 @@
 // SPDX-License-Identifier: MIT
 // Handling of a request: dispatch and retries. Admission is in exchange_admission.cpp, the choice of a
-// replica in exchange_choice.cpp, responses of replicas in exchange_responses.cpp, responses that are held in
-// exchange_holding.cpp, final outcomes in exchange_endings.cpp.
+// replica in exchange_choice.cpp, responses of replicas in exchange_responses.cpp and the wait for them in
+// exchange_timeouts.cpp, responses that are held in exchange_holding.cpp, final outcomes in
+// exchange_endings.cpp.
 #include <algorithm>
 #include <gingerdyke/base/crypto.hpp>
 #include <gingerdyke/proxy/exchange.hpp>
