Log which version serves, and on what replicas that rests

Each change is logged with the replicas by version; a warning where a version serves only because the one in use has none.

--- a/include/gingerdyke/rollout/version_shift.hpp
+++ b/include/gingerdyke/rollout/version_shift.hpp
@@ -247,13 +247,30 @@
 	shift_summary summary;
 };
 
+/// \brief Event: another version serves the sessions that a shift does not move.
+struct version_change
+{
+	service_id service;
+
+	/// Empty if any version may serve.
+	std::string version;
+
+	/// Whether the version serves because the one in use has no replicas.
+	bool is_substitute{};
+
+	/// Number of replicas by version, without those that drain.
+	std::map<std::string, std::size_t> replicas;
+};
+
 /// \brief The shifts of all services as known to this VM.
 class version_shift
 {
   public:
 	using event_callback = std::function<void(const shift_event&)>;
+	using version_callback = std::function<void(const version_change&)>;
 
-	version_shift(random_source random, event_callback callback, shift_tuning tuning = {});
+	version_shift(random_source random, event_callback callback, shift_tuning tuning = {},
+		version_callback on_version_change = {});
 
 	void on_order(const shift_order& order, instant now);
 	void on_plan(const shift_plan& plan, instant now);
@@ -332,6 +349,9 @@
 		instant order_received_at;
 		std::optional<shift_plan> plan;
 
+		/// The version reported last as the one that serves.
+		std::optional<std::string> reported_version;
+
 		/// Start of the period in which this VM has followed the plan without losing the registry.
 		instant followed_since;
 		bool suspended{};
@@ -431,6 +451,7 @@
 	static void infer_stable_version(service_state& state);
 	[[nodiscard]] static std::string settled_version(const service_state& state);
 	[[nodiscard]] static bool is_new_version_alone(const service_state& state);
+	void report_version(const service_id& service, service_state& state);
 	[[nodiscard]] static bool has_new_order(const service_state& state);
 	[[nodiscard]] bool may_declare_completed(const service_state& state, instant now) const;
 	void on_registry_recovered(instant now);
@@ -444,6 +465,7 @@
 	random_source random_;
 	event_callback event_callback_;
 	shift_tuning tuning_;
+	version_callback version_callback_;
 	std::map<service_id, service_state> services_;
 	bool reads_registry_ = true;
 
--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -58,7 +58,8 @@
 	  full_replicas_(selector_), suspects_(log_quarantine), exit_detector_(context, exit_detector_hooks()),
 	  unknown_names_(log_unknown_name), admission_(bounds_.sheds_overload, random, log_room,
 											[this](const service_id& service) { return slots_of(service); }),
-	  versions_(std::move(random), log_version_shift, shift_tuning_for(bounds_)), paces_(log_paces)
+	  versions_(std::move(random), log_version_shift, shift_tuning_for(bounds_), log_version_change),
+	  paces_(log_paces)
 {
 }
 
--- a/src/proxy/gateway_log.cpp
+++ b/src/proxy/gateway_log.cpp
@@ -170,4 +170,11 @@
 	fields["told"] = event.follows_peer_verdict;
 	log::write(log::level::warn, "version suspended", std::move(fields));
 }
+
+void log_version_change(const rollout::version_change& change)
+{
+	log::write(change.is_substitute ? log::level::warn : log::level::info, "version in use",
+		{{"service", change.service.str()}, {"version", change.version},
+			{"is_substitute", change.is_substitute}, {"replicas", change.replicas}});
+}
 } // namespace gingerdyke::proxy
--- a/src/proxy/gateway_log.hpp
+++ b/src/proxy/gateway_log.hpp
@@ -42,6 +42,9 @@
 /// \brief The state of a version shift changed.
 void log_version_shift(const rollout::shift_event& event);
 
+/// \brief Another version of a service serves the sessions that no shift moves.
+void log_version_change(const rollout::version_change& change);
+
 /// \brief This VM begins or ceases to avoid a replica that fell silent.
 void log_silence(const routing::replica_silence& seen, bool is_avoided);
 
--- a/src/rollout/version_shift.cpp
+++ b/src/rollout/version_shift.cpp
@@ -62,8 +62,10 @@
 	return std::nullopt;
 }
 
-version_shift::version_shift(random_source random, event_callback callback, shift_tuning tuning)
-	: random_(std::move(random)), event_callback_(std::move(callback)), tuning_(tuning)
+version_shift::version_shift(
+	random_source random, event_callback callback, shift_tuning tuning, version_callback on_version_change)
+	: random_(std::move(random)), event_callback_(std::move(callback)), tuning_(tuning),
+	  version_callback_(std::move(on_version_change))
 {
 }
 
@@ -77,6 +79,7 @@
 	state.order = order;
 	state.order_received_at = now;
 	infer_stable_version(state);
+	report_version(order.service, state);
 	schedule(state, now);
 }
 
@@ -90,6 +93,7 @@
 	if (is_within_one_version(plan))
 	{
 		replace_stored_plan(state, plan, now);
+		report_version(plan.service, state);
 		return;
 	}
 	if (is_known_plan_later(state, plan))
@@ -126,6 +130,7 @@
 	state.plan = plan;
 	state.stable_version = plan.state == shift_state::completed ? plan.to_version : plan.from_version;
 	event_callback_({plan, false, false, summary_of(state)});
+	report_version(plan.service, state);
 	schedule(state, now);
 }
 
@@ -234,6 +239,7 @@
 		}
 	}
 	infer_stable_version(state);
+	report_version(service, state);
 }
 
 /// The version that an order moves to, or a stored plan that is not followed; empty if there is none.
@@ -284,6 +290,18 @@
 	return other.empty() ? state.stable_version : other;
 }
 
+void version_shift::report_version(const service_id& service, service_state& state)
+{
+	const auto settled = is_running(state) ? state.plan->from_version : settled_version(state);
+	const auto version = is_running(state) && is_new_version_alone(state) ? state.plan->to_version : settled;
+	if (!version_callback_ || state.reported_version == version)
+	{
+		return;
+	}
+	state.reported_version = version;
+	version_callback_({service, version, version != state.stable_version, state.replicas});
+}
+
 /// Whether the new version serves all requests of a running shift because no replica of another version is
 /// left.
 bool version_shift::is_new_version_alone(const service_state& state)
--- a/src/rollout/version_shift_evidence.cpp
+++ b/src/rollout/version_shift_evidence.cpp
@@ -320,6 +320,7 @@
 {
 	state.suspended = true;
 	event_callback_({*state.plan, true, by_peer, summary_of(state)});
+	report_version(state.plan->service, state);
 }
 
 shift_summary version_shift::summary_of(const service_state& state) const
--- a/src/rollout/version_shift_plans.cpp
+++ b/src/rollout/version_shift_plans.cpp
@@ -71,8 +71,8 @@
 }
 
 /// A version with too little evidence must not stay on trial forever, where it would neither serve nor be
-/// replaced. Completing it could give all traffic to a bad version, so it is rolled back, unless no replica of
-/// another version is left to serve.
+/// replaced. Completing it could give all traffic to a bad version, so it is rolled back, unless no replica
+/// of another version is left to serve.
 void version_shift::suspend_if_unproven(service_state& state, instant now)
 {
 	if (!is_running(state) || !clock_offset_ || count_old_replicas(state) == 0)
--- a/tests/rollout/version_without_replicas.cpp
+++ b/tests/rollout/version_without_replicas.cpp
@@ -124,3 +124,23 @@
 	one.shift.set_replicas(service, replicas_of({"v3", "v3"}));
 	CHECK(one.shift.version_for(service, 5, one.now) == "v3");
 }
+
+TEST_CASE("each change of the version that serves is reported once", "[shift]")
+{
+	std::vector<version_change> changes;
+	version_shift shift{seeded_random{1}, [](const shift_event&) {}, {},
+		[&](const version_change& change) { changes.push_back(change); }};
+	const instant now{seconds{1000}};
+	shift.set_replicas(service, replicas_of({"v1", "v1"}));
+	shift.set_replicas(service, replicas_of({"v1", "v2", "v2"}));
+	shift.on_order({service, "v2", seconds{20}, row_version{10}}, now);
+	shift.set_replicas(service, replicas_of({"v2", "v2"}));
+	shift.set_replicas(service, replicas_of({"v1", "v2", "v2"}));
+	REQUIRE(changes.size() == 3);
+	CHECK(changes[0].version == "v1");
+	CHECK_FALSE(changes[0].is_substitute);
+	CHECK(changes[1].version.empty());
+	CHECK(changes[1].is_substitute);
+	CHECK(changes[1].replicas.at("v2") == 2);
+	CHECK(changes[2].version == "v1");
+}
