A key that is sent on a public route is not passed on to the replica

Cause: keys were looked at only where a route needs one.

Evidence: the new test asks with a known key, an unknown one and another scheme; it was not run on the code before, where the field is dropped only for requests of a workspace.

Why this works: a field of the deployment's key scheme never leaves the VM, and a known key, while keys are trusted, names the workspace on any route. Other schemes pass on public routes as before.

--- a/include/gingerdyke/proxy/exchange.hpp
+++ b/include/gingerdyke/proxy/exchange.hpp
@@ -81,6 +81,7 @@
 	[[nodiscard]] double work_before_first_token(const routing::replica& engine) const;
 	[[nodiscard]] duration time_to_first_token(const routing::replica& engine) const;
 	[[nodiscard]] unsigned request_priority() const;
+	[[nodiscard]] bool is_api_key(const header_field& field) const;
 	[[nodiscard]] header_fields upstream_fields(const routing::replica& to) const;
 	[[nodiscard]] bool may_retry() const;
 	void send_to(const routing::replica_ptr& to);
@@ -111,6 +112,7 @@
 	// By way of another VM.
 	[[nodiscard]] unsigned attempt_limit() const;
 	[[nodiscard]] bool has_lost_path() const;
+	[[nodiscard]] std::optional<routing::forwarding_peer> choose_peer() const;
 	[[nodiscard]] bool forward();
 	void forward_to(const routing::forwarding_peer& to);
 	[[nodiscard]] upstream_callbacks hop_callbacks();
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -36,7 +36,8 @@
 {
 	const auto now = steady_now();
 	// Later attempts are of a request that was accepted while its key was trusted.
-	if (workspace_ != nullptr && attempt_count_ == 0 && shared_.trust_in_keys(now) == key_trust::stale)
+	const bool needs_key = workspace_ != nullptr && !route_->is_public;
+	if (needs_key && attempt_count_ == 0 && shared_.trust_in_keys(now) == key_trust::stale)
 	{
 		is_unavailable_here_ = true;
 		fail(unavailable, "configuration too old to trust keys");
@@ -193,6 +194,16 @@
 	return catalog_->priorities().priority_of(*route_, workspace_);
 }
 
+/// Whether a field holds a key of this deployment, which replicas must not see.
+bool exchange::is_api_key(const header_field& field) const
+{
+	if (!catalog_->needs_keys() || !equals_ignore_case(field.name, "Authorization"))
+	{
+		return false;
+	}
+	return !route_->is_public || field.value.starts_with(shared_.names().key_scheme + " ");
+}
+
 header_fields exchange::upstream_fields(const routing::replica& to) const
 {
 	const auto& names = shared_.names();
@@ -204,8 +215,7 @@
 			[&](const std::string& name) { return equals_ignore_case(name, field.name); });
 		const bool is_replaced = equals_ignore_case(field.name, names.deadline_ms) ||
 								 (equals_ignore_case(field.name, names.last_event_id) && events_.last_id());
-		if (is_reserved || is_replaced ||
-			(workspace_ != nullptr && equals_ignore_case(field.name, "Authorization")))
+		if (is_reserved || is_replaced || is_api_key(field))
 		{
 			continue;
 		}
--- a/src/proxy/exchange_admission.cpp
+++ b/src/proxy/exchange_admission.cpp
@@ -217,19 +217,25 @@
 	return true;
 }
 
+/// Public routes need no key, but a request with one is its workspace's all the same.
 bool exchange::authenticate()
 {
-	if (route_->is_public || !catalog_->needs_keys())
+	if (!catalog_->needs_keys())
 	{
 		return true;
 	}
-	if (shared_.trust_in_keys(arrived_) == key_trust::stale)
+	const bool are_keys_stale = shared_.trust_in_keys(arrived_) == key_trust::stale;
+	const auto key = parse_key(request_.find("Authorization"), shared_.names().key_scheme);
+	workspace_ = key && !are_keys_stale ? catalog_->find_workspace(*key) : nullptr;
+	if (route_->is_public)
+	{
+		return true;
+	}
+	if (are_keys_stale)
 	{
 		refuse_here("configuration too old to trust keys");
 		return false;
 	}
-	const auto key = parse_key(request_.find("Authorization"), shared_.names().key_scheme);
-	workspace_ = key ? catalog_->find_workspace(*key) : nullptr;
 	if (workspace_ == nullptr)
 	{
 		refuse_unknown(unauthorized, "unknown key");
--- a/tests/proxy/exchange.cpp
+++ b/tests/proxy/exchange.cpp
@@ -486,6 +486,29 @@
 	CHECK(replica.requests().empty());
 }
 
+// A key that its caller also sent on a public route was passed on to the replica, without its workspace.
+TEST_CASE("a key on a public route is not passed on, and the request is its workspace's", "[exchange]")
+{
+	proxy_world world;
+	scripted_replica replica{world.context, respond_with(answer_with("200 OK", "x"))};
+	world.data.needs_keys = true;
+	world.data.workspaces.push_back({workspace_id{"holder"}, 3});
+	world.data.keys["k1"] = 0;
+	world.data.routes[1].is_public = true;
+	world.start({{"plain", &replica}});
+	for (const auto* key : {"k1", "unknown"})
+	{
+		const auto authorization = std::string{"Authorization: Token "} + key + "\r\n";
+		CHECK(world.ask(request_to("GET", "/safe/a", "", authorization)).starts_with("HTTP/1.1 200 "));
+		CHECK_FALSE(contains(replica.requests().back(), "Authorization"));
+	}
+	CHECK(contains(replica.requests().front(), "Workspace: holder\r\n"));
+	CHECK_FALSE(contains(replica.requests().back(), "Workspace"));
+	CHECK(world.ask(request_to("GET", "/safe/a", "", "Authorization: Basic eA==\r\n"))
+			  .starts_with("HTTP/1.1 200 "));
+	CHECK(contains(replica.requests().back(), "Authorization: Basic eA=="));
+}
+
 TEST_CASE("requests get a 503 without a configuration, and a 404 without a route", "[exchange]")
 {
 	proxy_world world;
