A request is forwarded only through VMs in regions that it may be sent to

Evidence: the new test of the choice; the code before has no such filter, so it was not run there.

Why this works: the VM that forwards is chosen by the same check as a replica.

--- a/include/gingerdyke/proxy/gateway.hpp
+++ b/include/gingerdyke/proxy/gateway.hpp
@@ -281,13 +281,13 @@
 	/// \brief Records that a VM could not be reached, or was lost while it forwarded a request.
 	void record_unreachable_peer(const vm_id& peer, const std::string& request, const char* reason);
 
-	/// \brief Whether a replica lies in a region in which a request may be served.
+	/// \brief Whether a failure domain lies in a region that a request may be sent to.
 	/// \param workspace The workspace that the request is of; null if it is of none.
 	[[nodiscard]] bool is_region_allowed(
-		const routing::replica& to, const routing::route& route, const routing::workspace* workspace) const
+		const failure_domain_id& to, const routing::route& route, const routing::workspace* workspace) const
 	{
-		return bounds_.regions.allows(to.domain, route.regions) &&
-			   (workspace == nullptr || bounds_.regions.allows(to.domain, workspace->regions));
+		return bounds_.regions.allows(to, route.regions) &&
+			   (workspace == nullptr || bounds_.regions.allows(to, workspace->regions));
 	}
 
 	/// \brief Whether a replica can be sent a new request: its failure domain is not evacuated, it has not
--- a/include/gingerdyke/routing/peer_selector.hpp
+++ b/include/gingerdyke/routing/peer_selector.hpp
@@ -2,6 +2,7 @@
 // Choice of the VM that forwards a request to a replica which this VM can't reach.
 #pragma once
 
+#include <functional>
 #include <gingerdyke/base/ids.hpp>
 #include <gingerdyke/base/random.hpp>
 #include <gingerdyke/base/units.hpp>
@@ -86,10 +87,14 @@
 	/// \brief Records that the reports are still the same.
 	void confirm_unreachable(instant now) { reported_at_ = now; }
 
+	/// Whether a request may be sent to a failure domain.
+	using domain_filter = std::function<bool(const failure_domain_id&)>;
+
 	/// \brief Chooses a VM for a request to a service; none if none is expected to serve it.
 	/// \param excluded VMs that were asked already.
-	[[nodiscard]] std::optional<forwarding_peer> choose(
-		const service_id& service, const std::vector<vm_id>& excluded, instant now) const;
+	/// \param allowed The failure domains that the request may be sent to; empty: all.
+	[[nodiscard]] std::optional<forwarding_peer> choose(const service_id& service,
+		const std::vector<vm_id>& excluded, instant now, const domain_filter& allowed = {}) const;
 
 	/// \brief Records a request sent to a VM, and its end.
 	void record_sent(const vm_id& vm);
@@ -162,8 +167,8 @@
 		failed,
 	};
 
-	[[nodiscard]] const peer_state* choose_among(
-		peer_group group, const service_id& service, const std::vector<vm_id>& excluded, instant now) const;
+	[[nodiscard]] const peer_state* choose_among(peer_group group, const service_id& service,
+		const std::vector<vm_id>& excluded, instant now, const domain_filter& allowed) const;
 	[[nodiscard]] static peer_group group_of(const peer_state& peer, const service_id& service);
 	[[nodiscard]] peer_state* find(const vm_id& vm);
 	[[nodiscard]] static const service_state* find_service(const peer_state& peer, const service_id& service);
--- a/src/proxy/exchange_choice.cpp
+++ b/src/proxy/exchange_choice.cpp
@@ -39,7 +39,7 @@
 		const bool was_tried =
 			std::find(tried_replicas_.begin(), tried_replicas_.end(), candidate.id) != tried_replicas_.end();
 		return !was_tried && (version.empty() || candidate.version == version) &&
-			   shared_.is_region_allowed(candidate, *route_, workspace_) &&
+			   shared_.is_region_allowed(candidate.domain, *route_, workspace_) &&
 			   versions.is_in_use(candidate, now) && has_path(candidate) && has_free_connection(candidate) &&
 			   shared_.may_send(candidate, now) && allowed(candidate);
 	};
@@ -64,8 +64,7 @@
 {
 	const auto& tuning = shared_.tuning();
 	const auto unanswered_connections = failed_connections_ - refused_connections_;
-	const auto has_alternative = [this]
-	{ return origin_ || shared_.peers().choose(service_id_, asked_vms_, steady_now()); };
+	const auto has_alternative = [this] { return origin_ || choose_peer(); };
 	return failed_connections_ < tuning.max_failed_connections &&
 		   (unanswered_connections < tuning.max_unanswered_connections_before_forwarding ||
 			   !has_alternative());
--- a/src/proxy/exchange_forwarding.cpp
+++ b/src/proxy/exchange_forwarding.cpp
@@ -45,6 +45,15 @@
 	return failed_connections_ > 0 || std::any_of(all.begin(), all.end(), is_path_missing);
 }
 
+/// The VM to send the request through: like a replica, it has to be in a region that the request may be sent
+/// to.
+std::optional<routing::forwarding_peer> exchange::choose_peer() const
+{
+	return shared_.peers().choose(service_id_, asked_vms_, steady_now(),
+		[this](const failure_domain_id& domain)
+		{ return shared_.is_region_allowed(domain, *route_, workspace_); });
+}
+
 /// Sends the request by way of another VM, which sends it to replicas only.
 /// \returns Whether there is such a VM.
 bool exchange::forward()
@@ -54,7 +63,7 @@
 	{
 		return false;
 	}
-	const auto to = shared_.peers().choose(service_id_, asked_vms_, steady_now());
+	const auto to = choose_peer();
 	if (to)
 	{
 		forward_to(*to);
--- a/src/routing/peer_selector.cpp
+++ b/src/routing/peer_selector.cpp
@@ -65,24 +65,24 @@
 	return reported.domain ? peer.domain == *reported.domain && !is_listed : is_listed;
 }
 
-std::optional<forwarding_peer> peer_selector::choose(
-	const service_id& service, const std::vector<vm_id>& excluded, instant now) const
+std::optional<forwarding_peer> peer_selector::choose(const service_id& service,
+	const std::vector<vm_id>& excluded, instant now, const domain_filter& allowed) const
 {
 	const auto backoff_end = service_backoffs_.find(service);
 	if (backoff_end != service_backoffs_.end() && backoff_end->second > now)
 	{
 		return std::nullopt;
 	}
-	const auto* best = choose_among(peer_group::not_failed, service, excluded, now);
+	const auto* best = choose_among(peer_group::not_failed, service, excluded, now, allowed);
 	if (best == nullptr)
 	{
-		best = choose_among(peer_group::failed, service, excluded, now);
+		best = choose_among(peer_group::failed, service, excluded, now, allowed);
 	}
 	return best == nullptr ? std::nullopt : std::optional{best->peer};
 }
 
-const peer_selector::peer_state* peer_selector::choose_among(
-	peer_group group, const service_id& service, const std::vector<vm_id>& excluded, instant now) const
+const peer_selector::peer_state* peer_selector::choose_among(peer_group group, const service_id& service,
+	const std::vector<vm_id>& excluded, instant now, const domain_filter& allowed) const
 {
 	const peer_state* best = nullptr;
 	double best_cost = 0;
@@ -94,7 +94,8 @@
 			const auto& candidate = peers_[i];
 			const bool was_asked =
 				std::find(excluded.begin(), excluded.end(), candidate.peer.vm) != excluded.end();
-			if (was_asked || group_of(candidate, service) != group ||
+			const bool is_allowed = !allowed || allowed(candidate.peer.domain);
+			if (was_asked || !is_allowed || group_of(candidate, service) != group ||
 				available_at(candidate, service, now) > now)
 			{
 				continue;
--- a/tests/forwarding/peer_selector.cpp
+++ b/tests/forwarding/peer_selector.cpp
@@ -77,6 +77,24 @@
 	CHECK(selector.choose(service_id{"other"}, {}, start));
 }
 
+// A VM was chosen without regard to the regions that a request may be sent to.
+TEST_CASE("a request is not sent through a VM of a failure domain that it may not be sent to", "[forwarding]")
+{
+	peer_selector selector{failure_domain_id{"a"}, seeded_random{1}};
+	auto peers = make_peers(1, "b", 0);
+	peers.push_back(make_peers(1, "c", 0).front());
+	selector.set_peers(peers);
+	const auto allows = [](const char* name)
+	{ return [name](const failure_domain_id& domain) { return domain == failure_domain_id{name}; }; };
+	for (const auto* domain : {"b", "c"})
+	{
+		const auto chosen = selector.choose(service, {}, start, allows(domain));
+		REQUIRE(chosen);
+		CHECK(chosen->domain == failure_domain_id{domain});
+	}
+	CHECK_FALSE(selector.choose(service, {}, start, allows("d")));
+}
+
 TEST_CASE("a request is not sent through a VM twice", "[forwarding]")
 {
 	peer_selector selector{failure_domain_id{"a"}, seeded_random{1}};
