What VMs know of crashing requests crosses failure domains without the registry

Cause: evidence crossed failure domains in rows of the registry only, and a process that had just started was told the changes of the last 4 s.

Their model of the reports follows the change.

Why this works: while the registry has not taken evidence for a second, the preferred VMs of each failure domain tell each other, by a poll that older builds answer too; and processes that meet for the first time tell each other all that counts, with the age of the last exit, so that a quarantine does not grow longer by being told again.

Also here: the line on a stored plan that is not followed.

--- a/include/gingerdyke/control/coordinator.hpp
+++ b/include/gingerdyke/control/coordinator.hpp
@@ -11,6 +11,7 @@
 #include <gingerdyke/control/report_board.hpp>
 #include <gingerdyke/control/shared_store.hpp>
 #include <gingerdyke/control/silence_reports.hpp>
+#include <gingerdyke/control/suspect_exchange.hpp>
 #include <gingerdyke/control/suspect_rows.hpp>
 #include <gingerdyke/control/table_follower.hpp>
 #include <gingerdyke/proxy/gateway.hpp>
@@ -111,7 +112,7 @@
 	void schedule_write();
 
 	/// \brief To be called after a replica exited while it was running requests.
-	void on_suspicion() { suspect_rows_.schedule_store(); }
+	void on_suspicion();
 
   private:
 	void on_operator_table(const std::vector<row>& rows);
@@ -145,9 +146,13 @@
 	[[nodiscard]] shared_store_tuning sharing_tuning() const;
 	[[nodiscard]] shared_store_hooks store_hooks();
 	[[nodiscard]] relay_server_hooks server_hooks();
-	[[nodiscard]] std::optional<peer_report> make_report(const std::string& table) const;
+	[[nodiscard]] suspect_exchange_hooks exchange_hooks();
+	[[nodiscard]] std::optional<peer_report> make_report(
+		const std::string& table, bool is_first_contact) const;
 	void on_peer_report(const peer_report& report);
 	[[nodiscard]] peer_summary summary_for(const std::string& reporter);
+	[[nodiscard]] std::vector<quarantine::suspicion> suspects_for(const std::string& reporter);
+	[[nodiscard]] bool meet(const std::string& reporter);
 	void on_peer_summary(const peer_summary& summary);
 	void check_machine_suspension();
 	void apply_limits(const std::vector<routing::limit_update>& limits);
@@ -179,6 +184,10 @@
 	/// Digest of what this VM knows of services that others can't reach.
 	path_digest known_paths_{};
 	suspect_rows suspect_rows_;
+	suspect_exchange suspect_exchange_;
+
+	/// When the processes that report to this VM, or exchange suspects with it, did so last.
+	std::map<std::string, instant> met_reporters_;
 	suspend_detector suspend_detector_;
 	std::map<vm_id, peer> vms_;
 	proxy::boot_timer register_timer_;
--- a/include/gingerdyke/control/relay_client.hpp
+++ b/include/gingerdyke/control/relay_client.hpp
@@ -32,6 +32,10 @@
 
 	[[nodiscard]] const peer& to() const noexcept { return to_; }
 
+	/// \brief Whether there is a connection, possibly one that is still being established. A new one may lead
+	/// to a new process.
+	[[nodiscard]] bool is_connected() const noexcept { return connection_ != nullptr; }
+
   private:
 	struct pending_call
 	{
--- a/include/gingerdyke/control/relay_server.hpp
+++ b/include/gingerdyke/control/relay_server.hpp
@@ -19,11 +19,11 @@
 	/// Returns whether this VM reads a table from the registry itself.
 	std::function<bool(const std::string& table)> reads_registry;
 
-	/// Called with each report received.
-	std::function<void(const peer_report&)> report_received;
+	/// Called with each report received, and the table that was asked for with it.
+	std::function<void(const std::string& table, const peer_report&)> report_received;
 
 	/// Returns the summary for a VM that reported.
-	std::function<peer_summary(const std::string& reporter)> make_summary;
+	std::function<peer_summary(const std::string& table, const std::string& reporter)> make_summary;
 };
 
 /// \brief Answers polls. A poll for which there are no changes is held until there are some, its wait
--- a/include/gingerdyke/control/shared_store.hpp
+++ b/include/gingerdyke/control/shared_store.hpp
@@ -62,8 +62,9 @@
 /// \brief Callbacks of `shared_store`.
 struct shared_store_hooks
 {
-	/// Returns the report to send with a poll for changes of a table; none for most tables.
-	std::function<std::optional<peer_report>(const std::string& table)> report;
+	/// Returns the report to send with a poll for changes of a table; none for most tables. On the first
+	/// contact the other VM's process knows nothing of this VM yet.
+	std::function<std::optional<peer_report>(const std::string& table, bool is_first_contact)> report;
 
 	/// Returns this VM's copy of a table; null if it has none.
 	std::function<const table_cache*(const std::string& table)> find_copy;
--- a/include/gingerdyke/control/source_selector.hpp
+++ b/include/gingerdyke/control/source_selector.hpp
@@ -73,6 +73,9 @@
 	/// \brief Sets the known VMs; this VM itself need not be among them.
 	void set_peers(std::vector<peer> peers);
 
+	/// \brief The other VMs in order of preference, those of the own failure domain first.
+	[[nodiscard]] const std::vector<peer>& peers() const noexcept { return peers_; }
+
 	/// \brief Returns the VM to read changes of a table from; none for the registry itself.
 	[[nodiscard]] std::optional<peer> choose(const std::string& table, instant now) const;
 
--- a/include/gingerdyke/control/suspect_rows.hpp
+++ b/include/gingerdyke/control/suspect_rows.hpp
@@ -49,6 +49,9 @@
 	/// Age at which rows are removed, since the list ignores them from then on.
 	duration lifetime = quarantine::suspect_tuning{}.lifetime;
 
+	/// Evidence that the registry has not taken for this long has to be told in another way.
+	duration overdue_after = std::chrono::seconds{1};
+
 	/// Maximum number of rows written or removed in one transaction. The registry rejects transactions of
 	/// more than 100 entries as a whole, and each row takes two: its condition and its change.
 	std::size_t max_rows_per_change = 50;
@@ -76,6 +79,13 @@
 
 	/// \brief Schedules a write; to be called when the list has changes to store.
 	void schedule_store();
+
+	/// \brief Whether the registry has not taken a write of evidence for some time.
+	[[nodiscard]] bool is_overdue(instant now) const
+	{
+		return waiting_since_ && now - *waiting_since_ > tuning_.overdue_after;
+	}
+
 	void stop();
 
   private:
@@ -114,6 +124,8 @@
 	/// exits stored by another VM a moment ago would be overwritten, and after a restart of all VMs fewer of
 	/// them would be known.
 	std::map<std::string, known_row> rows_;
+	/// Since when evidence has been waiting to be written; none: the registry has responded since.
+	std::optional<instant> waiting_since_;
 	bool reads_registry_ = false;
 	bool is_write_scheduled_ = false;
 	bool is_writing_ = false;
--- a/include/gingerdyke/quarantine/suspect_list.hpp
+++ b/include/gingerdyke/quarantine/suspect_list.hpp
@@ -156,6 +156,10 @@
 	/// \param min_exits Minimum number of exits of the returned requests.
 	[[nodiscard]] std::vector<suspicion> recent_changes(std::size_t min_exits, instant now) const;
 
+	/// \brief Returns the strongest evidence, recent or not, for a VM that knows nothing of it yet.
+	/// \param min_exits Minimum number of exits of the returned requests.
+	[[nodiscard]] std::vector<suspicion> strongest(std::size_t min_exits, instant now) const;
+
 	/// \brief Returns evidence that should be stored in the registry and is not yet, as far as this VM
 	/// knows.
 	/// \param for_others Whether this VM reads the registry for others and stores their evidence too.
@@ -199,6 +203,8 @@
 	using entries = std::map<content_key, entry>;
 
 	[[nodiscard]] const entry* find(const content_key& key, instant now) const;
+	[[nodiscard]] std::vector<suspicion> strongest_changed_within(
+		duration span, std::size_t min_exits, instant now) const;
 	[[nodiscard]] bool has_unexplained_exits(
 		const content_key& key, const content_keys& request, instant now);
 	[[nodiscard]] bool is_blamed(const content_key& part, instant now);
--- a/include/gingerdyke/quarantine/suspicion.hpp
+++ b/include/gingerdyke/quarantine/suspicion.hpp
@@ -5,6 +5,7 @@
 #include <gingerdyke/quarantine/content_key.hpp>
 #include <gingerdyke/quarantine/replica_runs.hpp>
 #include <map>
+#include <optional>
 #include <set>
 
 namespace gingerdyke::quarantine
@@ -32,6 +33,9 @@
 	std::map<process_instance, instant> exit_times{};
 	std::map<process_instance, instant> completion_times{};
 
+	/// When a replica last exited, where another VM is told of it; none: not told.
+	std::optional<instant> last_exit{};
+
 	/// \brief Returns when a process exited; the beginning of time if that is not kept.
 	[[nodiscard]] instant exit_time(process_instance process) const { return find_time(exit_times, process); }
 
--- a/src/control/coordinator.cpp
+++ b/src/control/coordinator.cpp
@@ -47,8 +47,8 @@
 	  shared_store_(gateway.context(), registry, source_selector_, store_hooks(), sharing_tuning()),
 	  relay_server_(gateway.context(), server_hooks()),
 	  suspect_rows_(gateway.context(), shared_store_, gateway.suspects(), layout_.own_table),
-	  register_timer_(gateway.context()), write_timer_(gateway.context()), expire_timer_(gateway.context()),
-	  evidence_timer_(gateway.context()),
+	  suspect_exchange_(gateway.context(), self_, exchange_hooks()), register_timer_(gateway.context()),
+	  write_timer_(gateway.context()), expire_timer_(gateway.context()), evidence_timer_(gateway.context()),
 	  operator_follower_(gateway.context(), shared_store_, layout_.operator_table, random,
 		  {[this](const auto& rows) { on_operator_table(rows); },
 			  [this](const auto& rows) { on_operator_rows(rows); },
@@ -126,6 +126,7 @@
 	evidence_follower_.stop();
 	relay_server_.stop();
 	suspect_rows_.stop();
+	suspect_exchange_.stop();
 	write_timer_.cancel();
 	expire_timer_.cancel();
 	evidence_timer_.cancel();
@@ -391,6 +392,7 @@
 		hooks_.vms_changed(peers);
 	}
 	source_selector_.set_peers(std::move(peers));
+	suspect_exchange_.set_peers(source_selector_.peers());
 	gateway_.set_vm_count(vms_.size());
 	gateway_.vms().set(self_.vm, members, proxy::steady_now());
 }
@@ -416,6 +418,12 @@
 {
 	if (const auto plan = read_plan(table_row))
 	{
+		if (rollout::is_within_one_version(*plan))
+		{
+			log::write(log::level::warn, "version shift plan not followed",
+				{{"service", plan->service.str()}, {"from", plan->from_version}, {"to", plan->to_version},
+					{"state", rollout::name_of(plan->state)}, {"row_version", plan->row.value()}});
+		}
 		gateway_.versions().on_plan(*plan, proxy::steady_now());
 	}
 	else
--- a/src/control/coordinator_peers.cpp
+++ b/src/control/coordinator_peers.cpp
@@ -16,7 +16,8 @@
 shared_store_hooks coordinator::store_hooks()
 {
 	shared_store_hooks hooks;
-	hooks.report = [this](const std::string& table) { return make_report(table); };
+	hooks.report = [this](const std::string& table, bool is_first_contact)
+	{ return make_report(table, is_first_contact); };
 	hooks.find_copy = [this](const std::string& table) { return find_copy(table); };
 	hooks.summary_received = [this](const peer_summary& summary) { on_peer_summary(summary); };
 	hooks.reader_role_changed = [this](bool reads_registry)
@@ -58,13 +59,48 @@
 	relay_server_hooks hooks;
 	hooks.find_table = [this](const std::string& table) { return find_copy(table); };
 	hooks.reads_registry = [this](const std::string& table) { return shared_store_.reads_registry(table); };
-	hooks.report_received = [this](const peer_report& report) { on_peer_report(report); };
-	hooks.make_summary = [this](const std::string& reporter) { return summary_for(reporter); };
+	hooks.report_received = [this](const std::string& table, const peer_report& report)
+	{ table == suspect_exchange_table ? apply_suspects(report.suspects) : on_peer_report(report); };
+	hooks.make_summary = [this](const std::string& table, const std::string& reporter)
+	{
+		if (table != suspect_exchange_table)
+		{
+			return summary_for(reporter);
+		}
+		peer_summary summary;
+		summary.suspects = suspects_for(reporter);
+		return summary;
+	};
+	return hooks;
+}
+
+suspect_exchange_hooks coordinator::exchange_hooks()
+{
+	suspect_exchange_hooks hooks;
+	hooks.make_report = [this](bool is_first_contact)
+	{
+		const auto now = proxy::steady_now();
+		const auto& suspects = gateway_.suspects();
+		peer_report report;
+		report.reporter = reporter_;
+		report.suspects = is_first_contact ? suspects.strongest(1, now) : suspects.recent_changes(1, now);
+		return report;
+	};
+	hooks.summary_received = [this](const peer_summary& summary) { apply_suspects(summary.suspects); };
+	hooks.has_untold = [this] { return !gateway_.suspects().recent_changes(1, proxy::steady_now()).empty(); };
+	hooks.is_registry_failing = [this] { return suspect_rows_.is_overdue(proxy::steady_now()); };
+	hooks.rank = [this] { return source_selector_.rank(); };
 	return hooks;
 }
 
+void coordinator::on_suspicion()
+{
+	suspect_rows_.schedule_store();
+	suspect_exchange_.schedule();
+}
+
 /// Reports are sent with the polls of the operators' table, which are the most frequent.
-std::optional<peer_report> coordinator::make_report(const std::string& table) const
+std::optional<peer_report> coordinator::make_report(const std::string& table, bool is_first_contact) const
 {
 	if (table != layout_.operator_table)
 	{
@@ -72,8 +108,10 @@
 	}
 	const auto& versions = gateway_.versions();
 	const auto now = proxy::steady_now();
+	const auto& suspects = gateway_.suspects();
 	peer_report report{reporter_, gateway_.selector().outstanding_work(), versions.own_evidence(),
-		versions.suspensions(), gateway_.suspects().recent_changes(1, now),
+		versions.suspensions(),
+		is_first_contact ? suspects.strongest(1, now) : suspects.recent_changes(1, now),
 		gateway_.load_limits().local_updates(now)};
 	report.paths = own_paths();
 	report.loads = gateway_.admission().loads(now);
@@ -125,10 +163,8 @@
 	const auto now = proxy::steady_now();
 	reports_.set_work(reporter_, gateway_.selector().outstanding_work(), now);
 	reports_.set_limits(reporter_, gateway_.load_limits().local_updates(now), now);
-	// Requests with a single exit are only of use to the VM that aggregates them.
-	constexpr std::size_t min_exits = 2;
 	peer_summary summary{reports_.work_excluding(reporter, now), gateway_.versions().suspensions(),
-		gateway_.suspects().recent_changes(min_exits, now), reports_.limits_excluding(reporter, now)};
+		suspects_for(reporter), reports_.limits_excluding(reporter, now)};
 	path_reports_.set(reporter_, own_paths(), now);
 	summary.paths = path_reports_.summary_for(reporter, reported_paths(now));
 	silences_.set(reporter_, own_silences(now), now);
@@ -144,6 +180,30 @@
 	return summary;
 }
 
+/// A process that this VM meets for the first time has missed what was told before.
+std::vector<quarantine::suspicion> coordinator::suspects_for(const std::string& reporter)
+{
+	// Requests with a single exit are only of use to the VM that aggregates them.
+	constexpr std::size_t min_exits = 2;
+	const auto now = proxy::steady_now();
+	const auto& suspects = gateway_.suspects();
+	return meet(reporter) ? suspects.strongest(1, now) : suspects.recent_changes(min_exits, now);
+}
+
+/// \returns Whether the process was not met lately.
+bool coordinator::meet(const std::string& reporter)
+{
+	constexpr duration remembered_for = std::chrono::seconds{60};
+	const auto now = proxy::steady_now();
+	const auto [known, is_new] = met_reporters_.try_emplace(reporter, now);
+	known->second = now;
+	if (is_new)
+	{
+		std::erase_if(met_reporters_, [&](const auto& entry) { return now - entry.second > remembered_for; });
+	}
+	return is_new;
+}
+
 /// Hundreds of VMs report and are answered each second.
 void coordinator::update_paces(instant now)
 {
@@ -242,11 +302,11 @@
 	const auto now = proxy::steady_now();
 	for (const auto& suspicion : suspects)
 	{
-		gateway_.suspects().merge(suspicion, now, now);
+		gateway_.suspects().merge(suspicion, suspicion.last_exit.value_or(now), now);
 	}
 	if (!suspects.empty())
 	{
-		suspect_rows_.schedule_store();
+		on_suspicion();
 	}
 }
 
--- a/src/control/relay_server.cpp
+++ b/src/control/relay_server.cpp
@@ -64,7 +64,7 @@
 	}
 	if (poll->report)
 	{
-		hooks_.report_received(*poll->report);
+		hooks_.report_received(poll->table, *poll->report);
 	}
 	const auto now = proxy::steady_now();
 	const auto* cache = hooks_.find_table(poll->table);
@@ -138,7 +138,7 @@
 	}
 	if (to.poll.report)
 	{
-		response.summary = hooks_.make_summary(to.poll.report->reporter);
+		response.summary = hooks_.make_summary(to.poll.table, to.poll.report->reporter);
 	}
 	connection->send(write_frame(response));
 }
--- a/src/control/report_message.cpp
+++ b/src/control/report_message.cpp
@@ -368,6 +368,10 @@
 			}
 		}
 		added.survived = to_wire(suspicion.survived);
+		if (suspicion.last_exit)
+		{
+			added.__set_last_end_age_us((now - *suspicion.last_exit).count());
+		}
 		if (!suspicion.completion_times.empty())
 		{
 			added.__set_survived_age_us({});
@@ -399,6 +403,10 @@
 			}
 		}
 		added.survived = processes_from_wire(suspicion.survived);
+		if (suspicion.__isset.last_end_age_us)
+		{
+			added.last_exit = now - duration{std::max<std::int64_t>(0, suspicion.last_end_age_us)};
+		}
 		const auto timed = std::min(suspicion.survived.size(), suspicion.survived_age_us.size());
 		for (std::size_t i = 0; i < timed; ++i)
 		{
--- a/src/control/shared_store.cpp
+++ b/src/control/shared_store.cpp
@@ -229,13 +229,13 @@
 	poll.table = call.table;
 	poll.after = call.after;
 	poll.max_age = has_copy ? std::optional{tuning_.max_peer_copy_age} : std::nullopt;
-	poll.report = call.after ? hooks_.report(call.table) : std::nullopt;
+	const auto client = client_of(from, call.table);
+	poll.report = call.after ? hooks_.report(call.table, !client->is_connected()) : std::nullopt;
 	poll.wait = wait_at_peer(call);
 	poll.era = tables_[call.table].eras.known();
 	poll.known_rows = known_rows(call.table);
 	const auto limit = call.after ? poll.wait + tuning_.response_timeout : tuning_.full_read_timeout;
 	const auto sent_at = proxy::steady_now();
-	const auto client = client_of(from, call.table);
 	client->call(poll, limit,
 		[this, from, sent_at, wait = poll.wait, call = std::move(call)](
 			store_result<row_batch> result) mutable
--- a/src/control/suspect_rows.cpp
+++ b/src/control/suspect_rows.cpp
@@ -178,6 +178,7 @@
 		return;
 	}
 	is_write_scheduled_ = true;
+	waiting_since_ = waiting_since_.value_or(proxy::steady_now());
 	timer_.expires_after(pause);
 	timer_.async_wait(
 		[this](const proxy::error_code& error)
@@ -201,6 +202,7 @@
 	auto to_store = suspects_.unstored(reads_registry_, now);
 	if (to_store.empty())
 	{
+		waiting_since_.reset();
 		return;
 	}
 	to_store.resize(std::min(to_store.size(), tuning_.max_rows_per_change));
@@ -251,6 +253,7 @@
 		write_after(tuning_.retry_delay);
 		return;
 	}
+	waiting_since_.reset();
 	if (!result->committed)
 	{
 		on_conflict(change, result->rows, now);
--- a/src/quarantine/suspect_list.cpp
+++ b/src/quarantine/suspect_list.cpp
@@ -571,6 +571,17 @@
 }
 
 std::vector<suspicion> suspect_list::recent_changes(std::size_t min_exits, instant now) const
+{
+	return strongest_changed_within(tuning_.report_time, min_exits, now);
+}
+
+std::vector<suspicion> suspect_list::strongest(std::size_t min_exits, instant now) const
+{
+	return strongest_changed_within(tuning_.lifetime, min_exits, now);
+}
+
+std::vector<suspicion> suspect_list::strongest_changed_within(
+	duration span, std::size_t min_exits, instant now) const
 {
 	// What may have to be quarantined comes first, and parts before requests, which are fewer.
 	struct ranked_entry
@@ -582,7 +593,7 @@
 	for (const auto& [key, suspect] : suspects_)
 	{
 		const auto exits = suspect.evidence.ended.size();
-		if (exits >= std::max<std::size_t>(1, min_exits) && now - suspect.changed_at <= tuning_.report_time)
+		if (exits >= std::max<std::size_t>(1, min_exits) && now - suspect.changed_at <= span)
 		{
 			const bool is_sound_part = is_part(key) && counts_of(suspect).strength <= 0;
 			found.push_back(
@@ -597,6 +608,7 @@
 	for (const auto& entry : found)
 	{
 		report.push_back(entry.suspect->evidence);
+		report.back().last_exit = entry.suspect->last_exit;
 	}
 	return report;
 }
--- a/tests/control/peer_report.cpp
+++ b/tests/control/peer_report.cpp
@@ -75,8 +75,8 @@
 	auto cache = copy_of_one_row();
 	std::optional<peer_report> reported;
 	auto hooks = serving(cache);
-	hooks.report_received = [&](const peer_report& report) { reported = report; };
-	hooks.make_summary = [](const std::string& reporter)
+	hooks.report_received = [&](const std::string&, const peer_report& report) { reported = report; };
+	hooks.make_summary = [](const std::string&, const std::string& reporter)
 	{
 		peer_summary made{{{replica_id{"for " + reporter}, 7}}, {{service_id{"s"}, row_version{12}}},
 			{make_suspicion("held")}, {make_limit("r1", std::nullopt, milliseconds{7})}};
--- a/tests/proxy/crashing_request.cpp
+++ b/tests/proxy/crashing_request.cpp
@@ -70,6 +70,64 @@
 	CHECK(vms.fleet.crashed() == max_exits);
 }
 
+// While the registry stored nothing, exits that were seen in different failure domains did not add up.
+TEST_CASE("exits seen in several failure domains add up while the registry stores nothing", "[quarantine]")
+{
+	crashing_deployment vms{0};
+	for (const auto* domain : {"a", "b", "c"})
+	{
+		vms.add_vm(domain);
+	}
+	vms.run_until(
+		[&]
+		{
+			return std::all_of(vms.worlds.begin(), vms.worlds.end(),
+				[](const auto& world) { return world->gateway().vm_count() == 3; });
+		});
+	vms.registry.set_fault(platform::standin::registry_fault::refuses_changes);
+	for (std::size_t vm = 0; vm < 3; ++vm)
+	{
+		static_cast<void>(vms.ask(vm, request_to("POST", "/unsafe/a", crashing_body)));
+	}
+	CHECK(vms.fleet.crashed() == max_exits);
+	vms.run_until(
+		[&]
+		{
+			return std::all_of(vms.worlds.begin(), vms.worlds.end(),
+				[](const auto& world) { return has_one_quarantined_request(*world); });
+		});
+	for (std::size_t vm = 0; vm < 3; ++vm)
+	{
+		CHECK(vms.ask(vm, request_to("POST", "/unsafe/a", crashing_body)).starts_with("HTTP/1.1 502 "));
+	}
+	CHECK(vms.fleet.crashed() == max_exits);
+}
+
+// The rows of suspects were lost with the registry's copy, and a VM that started sent the request again.
+TEST_CASE("a VM that starts is told of quarantined requests that the registry has lost", "[quarantine]")
+{
+	crashing_deployment vms{0};
+	for (const auto* domain : {"a", "b"})
+	{
+		vms.add_vm(domain);
+	}
+	vms.run_until(
+		[&]
+		{
+			return std::all_of(vms.worlds.begin(), vms.worlds.end(),
+				[](const auto& world) { return world->gateway().vm_count() == 2; });
+		});
+	vms.registry.set_fault(platform::standin::registry_fault::refuses_changes);
+	for (std::size_t i = 0; i < max_exits; ++i)
+	{
+		static_cast<void>(vms.ask(0, request_to("POST", "/unsafe/a", crashing_body)));
+	}
+	vms.add_vm("c");
+	vms.run_until([&] { return has_one_quarantined_request(*vms.worlds.back()); });
+	CHECK(vms.ask(2, request_to("POST", "/unsafe/a", crashing_body)).starts_with("HTTP/1.1 502 "));
+	CHECK(vms.fleet.crashed() == max_exits);
+}
+
 TEST_CASE("exits of draining replicas do not count against the requests that ran on them", "[quarantine]")
 {
 	proxy_world world;
--- a/tests/support/control_world.hpp
+++ b/tests/support/control_world.hpp
@@ -48,8 +48,8 @@
 	hooks.find_table = [&cache](const std::string& table)
 	{ return table == cache.table() ? &cache : nullptr; };
 	hooks.reads_registry = [](const std::string&) { return true; };
-	hooks.report_received = [](const peer_report&) {};
-	hooks.make_summary = [](const std::string&) { return peer_summary{}; };
+	hooks.report_received = [](const std::string&, const peer_report&) {};
+	hooks.make_summary = [](const std::string&, const std::string&) { return peer_summary{}; };
 	return hooks;
 }
 
@@ -145,7 +145,7 @@
 inline shared_store_hooks quiet_hooks()
 {
 	shared_store_hooks hooks;
-	hooks.report = [](const std::string&) { return std::nullopt; };
+	hooks.report = [](const std::string&, bool) { return std::nullopt; };
 	hooks.find_copy = [](const std::string&) { return nullptr; };
 	hooks.summary_received = [](const peer_summary&) {};
 	hooks.reader_role_changed = [](bool) {};
--- a/tests/support/controlled_vm.hpp
+++ b/tests/support/controlled_vm.hpp
@@ -32,10 +32,10 @@
 	}
 
 	controlled_vm(proxy_world& world, const platform::standin::registry& registry, const std::string& name,
-		const routing::address& at)
+		const routing::address& at, const std::string& domain = "a")
 		: client(world.context, registry.at()),
 		  coordinator(world.gateway(), client, platform::make_registry_layout(),
-			  {vm_id{name}, failure_domain_id{"a"}, at, 0}, name + "-1", seeded_random{4})
+			  {vm_id{name}, failure_domain_id{domain}, at, 0}, name + "-1", seeded_random{4})
 	{
 		world.gateway().on_suspicion([this] { coordinator.on_suspicion(); });
 		REQUIRE_FALSE(coordinator.start());
--- a/tests/support/crashing_deployment.hpp
+++ b/tests/support/crashing_deployment.hpp
@@ -69,11 +69,11 @@
 		}
 	}
 
-	void add_vm()
+	void add_vm(const std::string& domain = "a")
 	{
 		auto& world = *worlds.emplace_back(std::make_unique<proxy_world>());
-		controls.push_back(
-			std::make_unique<controlled_vm>(world, registry, "vm" + std::to_string(worlds.size())));
+		controls.push_back(std::make_unique<controlled_vm>(
+			world, registry, "vm" + std::to_string(worlds.size()), free_address(world.context), domain));
 		run_until([&] { return world.gateway().ready(); });
 	}
 
--- a/tests/support/suspect_fleet.hpp
+++ b/tests/support/suspect_fleet.hpp
@@ -132,6 +132,8 @@
 	static constexpr duration contact_time = std::chrono::seconds{3};
 	static constexpr duration report_interval = std::chrono::seconds{1};
 	static constexpr duration row_delay = std::chrono::milliseconds{300};
+	static constexpr duration overdue_after = std::chrono::seconds{1};
+	static constexpr duration greeting_delay = std::chrono::milliseconds{20};
 	static constexpr duration answer_delay = std::chrono::milliseconds{150};
 	static constexpr duration part_exit_time = quarantine::replica_runs_tuning{}.part_exit_time;
 	static constexpr duration sound_answer_time = quarantine::replica_runs_tuning{}.sound_answer_time;
@@ -177,6 +179,13 @@
 		quarantine::suspect_list suspects{[](const quarantine::suspicion&, double) {}};
 		std::vector<recent_exit> exits;
 		bool is_reader{};
+
+		/// Number of restarts, and the process of each other VM that this one has exchanged reports with.
+		std::uint64_t process{};
+		std::map<std::size_t, std::uint64_t> known_processes{};
+
+		/// Since when evidence has been waiting to be stored.
+		std::optional<instant> waiting_since{};
 	};
 
 	struct event
@@ -235,16 +244,31 @@
 			});
 	}
 
-	/// The next VM restarts.
+	/// The next VM restarts. It asks VMs of its own failure domain and of another one what they know.
 	void restart_vm()
 	{
-		auto& restarted = *vms_[restart_count_++ % vms_.size()];
+		const auto index = restart_count_++ % vms_.size();
+		auto& restarted = *vms_[index];
 		restarted.suspects = quarantine::suspect_list{[](const quarantine::suspicion&, double) {}};
 		restarted.exits.clear();
+		restarted.known_processes.clear();
+		restarted.waiting_since.reset();
+		++restarted.process;
 		for (const auto& [key, stored] : rows_)
 		{
 			restarted.suspects.merge_stored(stored, now_, now_);
 		}
+		schedule(greeting_delay,
+			[this, index]
+			{
+				for (const auto other : {index % shape_.domains, (index + 1) % vms_.size()})
+				{
+					if (other != index)
+					{
+						exchange(index, other);
+					}
+				}
+			});
 		schedule(shape_.restart_interval, [this] { restart_vm(); });
 	}
 
@@ -436,6 +460,7 @@
 
 	void schedule_rows(vm& at)
 	{
+		at.waiting_since = at.waiting_since.value_or(now_);
 		schedule(row_delay, [this, &at] { store_rows(at); });
 	}
 
@@ -445,6 +470,7 @@
 		{
 			return;
 		}
+		at.waiting_since.reset();
 		for (const auto& row : at.suspects.unstored(at.is_reader, now_))
 		{
 			if (!shape_.are_rows_lost)
@@ -459,27 +485,57 @@
 	}
 
 	/// A VM reports to the one that reads the registry for its failure domain and is told what that one
-	/// knows.
+	/// knows. While the registry stores nothing, those tell each other.
 	void report(std::size_t index)
 	{
-		constexpr std::size_t min_exits_told = 2;
-		auto& self = *vms_[index];
-		auto& reader = *vms_[index % shape_.domains];
-		if (&self != &reader)
+		const auto reader = index % shape_.domains;
+		if (index != reader)
 		{
-			for (const auto& seen : self.suspects.recent_changes(1, now_))
-			{
-				reader.suspects.merge(seen, now_, now_);
-			}
-			for (const auto& told : reader.suspects.recent_changes(min_exits_told, now_))
+			exchange(index, reader);
+			schedule_rows(*vms_[reader]);
+		}
+		else if (vms_[index]->waiting_since && now_ - *vms_[index]->waiting_since > overdue_after)
+		{
+			for (std::size_t other = 0; other < shape_.domains; ++other)
 			{
-				self.suspects.merge(told, now_, now_);
+				if (other != index)
+				{
+					exchange(index, other);
+				}
 			}
-			schedule_rows(reader);
 		}
 		schedule(report_interval, [this, index] { report(index); });
 	}
 
+	/// On the first contact of two processes each is told all that the other one knows.
+	void exchange(std::size_t reporter, std::size_t receiver)
+	{
+		constexpr std::size_t min_exits_told = 2;
+		const bool is_first = meet(reporter, receiver);
+		auto& from = vms_[reporter]->suspects;
+		auto& to = vms_[receiver]->suspects;
+		for (const auto& seen : is_first ? from.strongest(1, now_) : from.recent_changes(1, now_))
+		{
+			to.merge(seen, now_, now_);
+		}
+		for (const auto& told : is_first ? to.strongest(1, now_) : to.recent_changes(min_exits_told, now_))
+		{
+			from.merge(told, now_, now_);
+		}
+	}
+
+	/// \returns Whether the processes of two VMs have not met before.
+	bool meet(std::size_t a, std::size_t b)
+	{
+		const auto known = vms_[a]->known_processes.find(b);
+		const bool is_known = known != vms_[a]->known_processes.end() && known->second == vms_[b]->process &&
+							  vms_[b]->known_processes.contains(a) &&
+							  vms_[b]->known_processes.at(a) == vms_[a]->process;
+		vms_[a]->known_processes[b] = vms_[b]->process;
+		vms_[b]->known_processes[a] = vms_[a]->process;
+		return !is_known;
+	}
+
 	void schedule_rack_loss()
 	{
 		schedule(draw_gap(shape_.rack_losses_per_s),
--- a/thrift/relay.thrift
+++ b/thrift/relay.thrift
@@ -104,6 +104,8 @@
 	2: required list<RelayEnd> ended
 	3: required list<i64> survived
 	4: optional list<i64> survived_age_us
+	// How long ago the last of the replicas ended.
+	5: optional i64 last_end_age_us
 }
 
 // What a VM heard of the requests a second that a replica asks for; without them the replica asks for no limit
