--- a/soak/history.cpp
+++ b/soak/history.cpp
@@ -215,8 +215,7 @@
 	{
 		for (const auto& [id, one] : requests_)
 		{
-			const bool concerns =
-				one.sent.vm == stop.vm && one.sent.life == stop.life && !one.runs.empty();
+			const bool concerns = one.sent.vm == stop.vm && one.sent.life == stop.life && !one.runs.empty();
 			const bool was_cut =
 				one.answer && !one.answer->timed_out && !one.answer->is_whole && one.answer->at >= stop.begun;
 			if (concerns && was_cut)
--- a/tests/platform/arrival_order.cpp
+++ b/tests/platform/arrival_order.cpp
@@ -32,9 +32,8 @@
 		constexpr int count = 6;
 		for (int i = 0; i < count; ++i)
 		{
-			replicas.push_back(
-				std::make_unique<scripted_replica>(deployment.world.context, [](const std::string&)
-					{ return scripted_answer{answer_with("200 OK", "x")}; }));
+			replicas.push_back(std::make_unique<scripted_replica>(deployment.world.context,
+				[](const std::string&) { return scripted_answer{answer_with("200 OK", "x")}; }));
 			auto entry = deployment.rows.value("servers", "b0");
 			entry["address"] = replicas.back()->at().str();
 			entry["version"] = "v2";
@@ -170,11 +169,11 @@
 } // namespace
 
 // What was read first decided before the other tables were known: a new version was taken for the one in use.
-TEST_CASE("the first requests are served by all tables in whichever order these are read",
-	"[platform][arrival]")
+TEST_CASE(
+	"the first requests are served by all tables in whichever order these are read", "[platform][arrival]")
 {
-	const auto plan = GENERATE(stored_plan::none, stored_plan::running, stored_plan::rolled_back,
-		stored_plan::within_one_version);
+	const auto plan = GENERATE(
+		stored_plan::none, stored_plan::running, stored_plan::rolled_back, stored_plan::within_one_version);
 	std::array<std::size_t, tables.size()> order{0, 1, 2};
 	do
 	{
--- a/tests/proxy/shutdown.cpp
+++ b/tests/proxy/shutdown.cpp
@@ -56,8 +56,8 @@
 // connections closed without an answer.
 TEST_CASE("a request that may outlast the shutdown is refused as not run", "[shutdown]")
 {
-	const auto [method, path] = GENERATE(table<std::string, std::string>(
-		{{"POST", "/unsafe/a"}, {"GET", "/safe/a"}, {"POST", "/stream/a"}}));
+	const auto [method, path] = GENERATE(
+		table<std::string, std::string>({{"POST", "/unsafe/a"}, {"GET", "/safe/a"}, {"POST", "/stream/a"}}));
 	CAPTURE(path);
 	stopping_vm vm{milliseconds{4600}};
 	check_refused(vm, method, path, milliseconds{4000});
@@ -80,8 +80,8 @@
 }
 
 // Callers are sent to the VM until its failed readiness has been noticed.
-TEST_CASE("requests that can be repeated are served early in a shutdown whatever their deadline",
-	"[shutdown]")
+TEST_CASE(
+	"requests that can be repeated are served early in a shutdown whatever their deadline", "[shutdown]")
 {
 	stopping_vm vm{milliseconds{2000}};
 	CHECK(vm.ask("GET", "/safe/a").starts_with("HTTP/1.1 200 "));
