--- a/src/rollout/version_shift.cpp
+++ b/src/rollout/version_shift.cpp
@@ -273,7 +273,7 @@
 }
 
 /// The version that serves while no shift is running. If the one in use has no replicas, another one serves
-/// rather than none, but for a version that was rolled back.
+/// rather than none, but for the other version of an ended shift, whose replicas are stopped.
 std::string version_shift::settled_version(const service_state& state)
 {
 	if (state.replicas.contains(state.stable_version))
@@ -286,7 +286,8 @@
 		return {};
 	}
 	const bool is_rolled_back = state.plan->state == shift_state::rolled_back;
-	const auto other = most_common_version(state.replicas, is_rolled_back ? state.plan->to_version : "");
+	const auto& stopped = is_rolled_back ? state.plan->to_version : state.plan->from_version;
+	const auto other = most_common_version(state.replicas, stopped);
 	return other.empty() ? state.stable_version : other;
 }
 
