Test: callers and replicas of the arrival test end before their event loop

The address sanitizer found a use after free in the test itself: its callers were declared before the deployment whose event loop they use.

--- a/tests/platform/arrival_order.cpp
+++ b/tests/platform/arrival_order.cpp
@@ -178,10 +178,13 @@
 	do
 	{
 		CAPTURE(static_cast<int>(plan), order[0], order[1], order[2]);
+		// Declared first, as the others use its event loop until they end.
+		std::optional<registered_replicas> deployment;
 		std::optional<new_replicas> new_version;
 		std::optional<ordered_answers> answers;
 		std::optional<first_callers> callers;
-		registered_replicas deployment{{"b", "c"}, [&](registered_replicas& before)
+		deployment.emplace(std::vector<std::string>{"b", "c"},
+			[&](registered_replicas& before)
 			{
 				before.rows.put("op", "rollout/engines",
 					{{"service", "engines"}, {"target_version", "v2"}, {"duration_s", 60}});
@@ -192,13 +195,13 @@
 				put_suspect(before.rows);
 				answers.emplace(before, order);
 				callers.emplace(before.world);
-			}};
+			});
 		const auto got = callers->answers();
 		CHECK(got.front().starts_with("HTTP/1.1 502 "));
 		CHECK(std::all_of(got.begin() + 1, got.end(),
 			[](const std::string& answer) { return answer.starts_with("HTTP/1.1 200 "); }));
 		CHECK(new_version->received() == 0);
-		CHECK(deployment.answered_by("c", 10) == 0);
-		CHECK(deployment.world.gateway().vm_count() >= 2);
+		CHECK(deployment->answered_by("c", 10) == 0);
+		CHECK(deployment->world.gateway().vm_count() >= 2);
 	} while (std::next_permutation(order.begin(), order.end()));
 }
