A new version with bad responses is rolled back for want of proof although it serves alone

What callers would have seen: while the old version has no replicas, a new one with a few failures in ten kept all requests: too few for a verdict, and the deadline by which a version with bad responses has to be shown good no longer counted.

Evidence: the new test failed before (nothing was to be written 3.5 s after 12 failures of 30) and passes; all of tests/rollout pass.

Why this works: only want of requests is excused; with bad responses there are requests, and the deadline stands.

--- a/src/rollout/version_shift_plans.cpp
+++ b/src/rollout/version_shift_plans.cpp
@@ -71,17 +71,18 @@
 }
 
 /// A version with too little evidence must not stay on trial forever, where it would neither serve nor be
-/// replaced. Completing it could give all traffic to a bad version, so it is rolled back, unless no replica
-/// of another version is left to serve.
+/// replaced. Completing it could give all traffic to a bad version, so it is rolled back; without bad
+/// responses only while replicas of another version are left to serve.
 void version_shift::suspend_if_unproven(service_state& state, instant now)
 {
-	if (!is_running(state) || !clock_offset_ || count_old_replicas(state) == 0)
+	if (!is_running(state) || !clock_offset_)
 	{
 		return;
 	}
 	const auto at = proof_deadline_time(state);
 	const bool has_bad_responses = state.proof_deadline_start.has_value();
-	if (!at || now < *at || (!has_bad_responses && !has_registry_contact(now)))
+	const bool may_wait = !has_registry_contact(now) || count_old_replicas(state) == 0;
+	if (!at || now < *at || (!has_bad_responses && may_wait))
 	{
 		return;
 	}
--- a/tests/rollout/version_without_replicas.cpp
+++ b/tests/rollout/version_without_replicas.cpp
@@ -100,6 +100,21 @@
 	CHECK(measured_share(one) == 0);
 }
 
+// The old version's failures were too frequent for a verdict, and want of proof no longer counted while the
+// new version was alone: it kept all requests with two fifths of them failing.
+TEST_CASE("a version with bad responses is rolled back for want of proof although it is alone", "[shift]")
+{
+	vm one{1};
+	one.shift.set_replicas(service, replicas_of({"v1", "v2", "v2"}));
+	begin(one);
+	one.see("v1", 100, 40);
+	one.shift.set_replicas(service, replicas_of({"v2", "v2"}));
+	one.see("v2", 30, 12);
+	CHECK(measured_share(one) == 1);
+	one.pass(milliseconds{3500});
+	CHECK(written(one, 12).state == shift_state::rolled_back);
+}
+
 // The version in use had no entries before a plan was written: it was kept, and every request was refused.
 TEST_CASE("the ordered version serves before its plan is written if no other one has replicas", "[shift]")
 {
