A good version of a service with few requests is not rolled back for want of responses

Cause: the trial's share of sessions follows from the exposure limit alone (0.03 of 37 requests a second over 16 s): 6 responses in the trial, with which no test can tell.

Change: requests without a session may go to the new version beside the trial's share. Each VM takes its part of the allowed number, evenly over the trial, by its rank in the list of VMs: no message, no row, and the parts of 1 to 985 VMs add up to what is planned. Sessions go by the share as before, so VMs of older builds, which send fewer, move no session.

Setting 'exposure_slack', from the platform's bounds.

--- a/emulator/shift_emulator.cpp
+++ b/emulator/shift_emulator.cpp
@@ -130,9 +130,10 @@
 
 	void start_vm(unsigned index)
 	{
-		auto& created =
-			vms_.emplace_back(std::make_unique<version_shift>(seeded_random{mix_hash(setup_.seed, index)},
-				[this](const rollout::shift_event& event) { record_suspension(event); }));
+		auto& created = vms_.emplace_back(std::make_unique<version_shift>(
+			seeded_random{mix_hash(setup_.seed, index)},
+			[this](const rollout::shift_event& event) { record_suspension(event); }, tuning()));
+		fleets_.push_back(fleet_of(index));
 		created->set_reads_registry(is_reader(index));
 		created->set_replicas(service, replicas_of({&old_engines_}));
 	}
@@ -151,6 +152,27 @@
 		return all;
 	}
 
+	[[nodiscard]] rollout::shift_tuning tuning() const
+	{
+		rollout::shift_tuning tuning;
+		tuning.exposure_slack = setup_.exposure_slack;
+		return tuning;
+	}
+
+	/// The list of VMs as one of them knows it.
+	[[nodiscard]] routing::fleet_list fleet_of(unsigned index) const
+	{
+		std::vector<routing::fleet_member> members;
+		for (unsigned other = 0; other < setup_.vms; ++other)
+		{
+			members.push_back({vm_id{name_of_vm(other)},
+				failure_domain_id{std::to_string(other % setup_.failure_domains)}});
+		}
+		routing::fleet_list fleet;
+		fleet.set(vm_id{name_of_vm(index)}, members, now_);
+		return fleet;
+	}
+
 	void record_suspension(const rollout::shift_event& event)
 	{
 		if (event.suspended && !event.follows_peer_verdict && !result_.suspended)
@@ -204,6 +226,10 @@
 		{
 			return;
 		}
+		for (auto& fleet : fleets_)
+		{
+			fleet.confirm(now_);
+		}
 		for (auto& vm : vms_)
 		{
 			vm->update_registry_time(now_.time_since_epoch() + registry_clock_offset, now_);
@@ -252,7 +278,8 @@
 	{
 		const auto vm_index = random_below(random_, vms_.size());
 		auto& vm = *vms_[vm_index];
-		const auto version = vm.version_for(service, random_(), now_);
+		const auto point = vm.take_trial_request(service, fleets_[vm_index], now_) ? 0 : random_();
+		const auto version = vm.version_for(service, point, now_);
 		const bool is_new = version == new_version;
 		++requests_;
 		new_requests_ += is_new ? 1 : 0;
@@ -298,6 +325,11 @@
 	void simulate_response(version_shift& vm, engine& target, bool is_new)
 	{
 		target.rate += 1;
+		if (setup_.kind == service_kind::plain)
+		{
+			simulate_plain_response(vm, target, is_new);
+			return;
+		}
 		rollout::response_sample sample;
 		constexpr unsigned routes = 3;
 		const auto route = random_below(random_, routes);
@@ -309,12 +341,7 @@
 		sample.relative_latency = latency_at(target, is_new);
 		sample.failed = random_fraction() < failure_ratio(target, is_new, route == 0);
 		const bool is_slow_version = is_new && setup_.fault == version_fault::slow;
-		if (is_new && (sample.failed || is_slow_version))
-		{
-			bad_limit_reached_at_ =
-				result_.bad_responses < bad_responses_before_verdict ? now_ : bad_limit_reached_at_;
-			++result_.bad_responses;
-		}
+		count_bad_response(is_new && (sample.failed || is_slow_version));
 		const auto version = is_new ? new_version : old_version;
 		vm.record_response(service, version, sample, now_);
 		constexpr double stream_ratio = 0.6;
@@ -326,6 +353,55 @@
 		}
 	}
 
+	void simulate_plain_response(version_shift& vm, const engine& target, bool is_new)
+	{
+		constexpr double failing_route_share = 0.3;
+		constexpr double failing_route_ratio = 0.14;
+		constexpr double slow_version_ratio = 0.5;
+		constexpr double slow_version_factor = 8;
+		const bool is_failing_route = random_fraction() < failing_route_share;
+		const bool is_bad = is_new && random_fraction() < version_failure_ratio(target, is_failing_route);
+		const bool is_slow =
+			is_new && setup_.fault == version_fault::slow && random_fraction() < slow_version_ratio;
+		rollout::response_sample sample;
+		sample.route = is_failing_route ? "reads" : "writes";
+		sample.replica = stable_hash(target.replica->id.str());
+		sample.relative_latency = plain_latency_at(target) * (is_slow ? slow_version_factor : 1);
+		const auto usual_ratio =
+			std::max(replica_failure_ratio(target), is_failing_route ? failing_route_ratio : 0.0);
+		sample.failed = is_bad || random_fraction() < usual_ratio;
+		count_bad_response(is_bad || is_slow);
+		vm.record_response(service, is_new ? new_version : old_version, sample, now_);
+	}
+
+	/// Latency of a plain response relative to an idle engine's: log-normal work and the way to the replica.
+	double plain_latency_at(const engine& target)
+	{
+		constexpr double median_work = 1.3;
+		constexpr double work_deviation = 0.5;
+		constexpr double path_latency = 0.1;
+		const bool is_slowed = target.is_slowed && (is_old_disturbed() || is_within(slowdown_starts_at_));
+		const auto work = median_work * std::exp(work_deviation * random_normal());
+		return path_latency + work * (is_slowed ? setup_.disturbance.slowed_by : 1);
+	}
+
+	/// Standard normal deviate (Box-Muller transform).
+	double random_normal()
+	{
+		constexpr double turn = 6.283185307179586;
+		return std::sqrt(-2 * std::log(1 - random_fraction())) * std::cos(turn * random_fraction());
+	}
+
+	void count_bad_response(bool is_bad)
+	{
+		if (is_bad)
+		{
+			bad_limit_reached_at_ =
+				result_.bad_responses < bad_responses_before_verdict ? now_ : bad_limit_reached_at_;
+			++result_.bad_responses;
+		}
+	}
+
 	/// Time to first byte relative to an idle engine's: cached prompts are processed faster, and at a busy
 	/// engine some requests wait in the queue.
 	double latency_at(const engine& target, bool is_new)
@@ -376,15 +452,23 @@
 															 : replica_slowdown;
 	}
 
-	double failure_ratio(const engine& target, bool is_new, bool is_first_route) const
+	[[nodiscard]] double failure_ratio(const engine& target, bool is_new, bool is_first_route) const
+	{
+		const auto replica_ratio = replica_failure_ratio(target);
+		return is_new ? std::max(replica_ratio, version_failure_ratio(target, is_first_route))
+					  : replica_ratio;
+	}
+
+	[[nodiscard]] double replica_failure_ratio(const engine& target) const
 	{
-		constexpr double bad_version_ratio = 0.5;
 		const bool is_failing = target.is_failing && (now_ >= order_time_ || !setup_.disturbance.is_old_only);
-		const auto replica_ratio = is_failing ? setup_.disturbance.failing_rate : 0;
-		if (!is_new)
-		{
-			return replica_ratio;
-		}
+		return is_failing ? setup_.disturbance.failing_rate : 0;
+	}
+
+	/// Share of the new version's responses that fail by its own fault.
+	[[nodiscard]] double version_failure_ratio(const engine& target, bool is_first_route) const
+	{
+		constexpr double bad_version_ratio = 0.5;
 		switch (setup_.fault)
 		{
 		case version_fault::fails:
@@ -395,21 +479,20 @@
 			constexpr double starts_at_load = 0.9;
 			constexpr double full_at_load = 2.5;
 			const auto load_fraction = (load_of(target) - starts_at_load) / (full_at_load - starts_at_load);
-			return std::max(replica_ratio, bad_version_ratio * std::clamp(load_fraction, 0.0, 1.0));
+			return bad_version_ratio * std::clamp(load_fraction, 0.0, 1.0);
 		}
 		case version_fault::fails_on_one_route:
-			return is_first_route ? bad_version_ratio : replica_ratio;
+			return is_first_route ? bad_version_ratio : 0;
 		case version_fault::fails_late:
 		{
 			constexpr double late_fraction = 0.7;
-			return now_ - order_time_ > scaled(setup_.length, late_fraction) ? bad_version_ratio
-																			 : replica_ratio;
+			return now_ - order_time_ > scaled(setup_.length, late_fraction) ? bad_version_ratio : 0;
 		}
 		case version_fault::none:
 		case version_fault::slow:
-			return replica_ratio;
+			return 0;
 		}
-		return replica_ratio;
+		return 0;
 	}
 
 	void exchange_reports()
@@ -476,6 +559,9 @@
 	std::vector<engine> old_engines_;
 	std::vector<engine> new_engines_;
 	std::vector<std::unique_ptr<version_shift>> vms_;
+
+	/// The list of VMs at each VM.
+	std::vector<routing::fleet_list> fleets_;
 	std::optional<rollout::shift_plan> plan_;
 	std::vector<std::pair<instant, rollout::reported_evidence>> written_rows_;
 	std::uint64_t requests_ = 0;
--- a/emulator/shift_emulator.hpp
+++ b/emulator/shift_emulator.hpp
@@ -15,7 +15,8 @@
 	none,
 	/// Half of its responses are failures.
 	fails,
-	/// All its responses take at least three times as long.
+	/// All its responses take at least three times as long; of a service without models, half of them take
+	/// eight times as long.
 	slow,
 	/// Up to half of the responses are failures at replicas that carry more than their usual load.
 	fails_under_load,
@@ -28,6 +29,15 @@
 /// \brief Name of a fault.
 [[nodiscard]] const char* name_of(version_fault fault) noexcept;
 
+/// \brief What the replicas of the service compute.
+enum class service_kind
+{
+	/// Models that answer with streams.
+	model,
+	/// Short responses without a model, on two routes. One of them fails often, at either version.
+	plain,
+};
+
 /// \brief Disturbances during a shift that are not caused by the new version; they affect both versions
 /// unless stated otherwise.
 struct shift_disturbance
@@ -57,6 +67,7 @@
 /// \brief The deployment and the shift to simulate.
 struct shift_setup
 {
+	service_kind kind{service_kind::model};
 	unsigned vms{7};
 	unsigned failure_domains{3};
 
@@ -66,6 +77,9 @@
 	/// Responses per second, over all VMs.
 	double responses_per_s{120};
 	duration length = std::chrono::seconds{24};
+
+	/// Number of requests that a bad version may get beside its share, over all VMs.
+	double exposure_slack{};
 	version_fault fault{version_fault::none};
 	shift_disturbance disturbance;
 	std::uint64_t seed{1};
--- a/include/gingerdyke/proxy/exchange.hpp
+++ b/include/gingerdyke/proxy/exchange.hpp
@@ -61,6 +61,7 @@
 	[[nodiscard]] double work_unit() const;
 	void refuse_unknown(int status, std::string reason);
 	void read_deadline();
+	void assign_session();
 
 	// Attempts.
 	void dispatch();
--- a/include/gingerdyke/proxy/gateway.hpp
+++ b/include/gingerdyke/proxy/gateway.hpp
@@ -154,6 +154,9 @@
 	/// applies.
 	std::optional<double> exposure_limit;
 
+	/// Number of requests that it may receive on top, from all VMs together.
+	double exposure_slack{};
+
 	/// Limits on what a VM keeps for others.
 	limits::memory_tuning memory{};
 };
--- a/include/gingerdyke/rollout/version_shift.hpp
+++ b/include/gingerdyke/rollout/version_shift.hpp
@@ -8,8 +8,10 @@
 #include <gingerdyke/base/random.hpp>
 #include <gingerdyke/base/units.hpp>
 #include <gingerdyke/rollout/shift_schedule.hpp>
+#include <gingerdyke/rollout/trial_allowance.hpp>
 #include <gingerdyke/rollout/version_evidence.hpp>
 #include <gingerdyke/rollout/version_verdict.hpp>
+#include <gingerdyke/routing/fleet_list.hpp>
 #include <gingerdyke/routing/replica_set.hpp>
 #include <map>
 #include <optional>
@@ -137,6 +139,9 @@
 {
 	/// Fraction of all requests during a shift that a bad version may get.
 	double exposure_limit = 0.15;
+
+	/// Number of requests that a bad version may get on top, over all VMs.
+	double exposure_slack = 0;
 	schedule_tuning schedule;
 	verdict_tuning verdict;
 
@@ -321,6 +326,13 @@
 	/// \brief Version to use if no replica of the version returned by `version_for` can be used, or empty.
 	[[nodiscard]] std::string fallback_for(const service_id& service, std::uint64_t point, instant now) const;
 
+	/// \brief Takes a request without a session for the trial of a new version, beside the trial's share: a
+	/// service with little traffic would otherwise get too few responses for a verdict.
+	/// \param vms The VMs, each of which takes its part of `exposure_slack`.
+	/// \returns Whether the request may go to the new version, whatever its point.
+	[[nodiscard]] bool take_trial_request(
+		const service_id& service, const routing::fleet_list& vms, instant now);
+
 	/// \brief Whether a replica may get requests now; replicas of the new version are put into use gradually.
 	[[nodiscard]] bool is_in_use(const routing::replica& replica, instant now) const;
 
@@ -356,6 +368,9 @@
 		instant followed_since;
 		bool suspended{};
 
+		/// Requests that this VM may send to the new version beside the trial's share; none before the first.
+		std::optional<trial_allowance> allowance;
+
 		/// The registry returned from an older copy, and no row has shown since that it holds the plan.
 		bool is_restored{};
 
@@ -410,6 +425,8 @@
 	/// The time at which the given fraction of the plan's length has elapsed.
 	[[nodiscard]] instant time_at(const shift_plan& plan, double elapsed) const;
 	[[nodiscard]] shift_schedule schedule_of(const shift_plan& plan) const;
+	/// Elapsed fraction of the plan's trial: below 0 before it, over 1 after it.
+	[[nodiscard]] double trial_fraction(const shift_plan& plan, instant now) const;
 	[[nodiscard]] double share_of(const service_state& state, instant now) const;
 	[[nodiscard]] bool carries_peak_load(const service_state& state, instant now) const;
 	[[nodiscard]] bool has_registry_contact(instant now) const
--- a/src/proxy/exchange_admission.cpp
+++ b/src/proxy/exchange_admission.cpp
@@ -15,6 +15,9 @@
 constexpr int not_found = 404;
 constexpr int unavailable = 503;
 
+/// Hash of requests that a new version gets whatever its share of sessions is.
+constexpr std::uint64_t trial_session_hash = 0;
+
 static_assert(limits::rank_count == 2 * routing::priority_count, "admission tells all priorities apart");
 
 /// The API key in an `Authorization` header; none if the header has another scheme.
@@ -131,9 +134,7 @@
 	{
 		return false;
 	}
-	const auto* session = request_.find(names.session);
-	session_hash_ = mix_hash(stable_hash(session != nullptr ? *session : id_), stable_hash(route_->id.str()));
-	service_id_ = routing::pick_service(*route_, session_hash_);
+	assign_session();
 	service_ = catalog_->find_service(service_id_);
 	prompt_ = read_prompt(request_.find(names.token_counts), request_.find(names.prompt_segments),
 		request_.find(names.length_hint));
@@ -147,6 +148,21 @@
 	return true;
 }
 
+/// Requests of one session go to one version. A request without one may serve the trial of a new version; one
+/// that another VM forwards was counted there.
+void exchange::assign_session()
+{
+	const auto* session = request_.find(shared_.names().session);
+	session_hash_ = mix_hash(stable_hash(session != nullptr ? *session : id_), stable_hash(route_->id.str()));
+	service_id_ = routing::pick_service(*route_, session_hash_);
+	auto& versions = shared_.versions();
+	const bool may_choose = session == nullptr && !origin_;
+	if (may_choose && versions.take_trial_request(service_id_, shared_.vms(), arrived_))
+	{
+		session_hash_ = trial_session_hash;
+	}
+}
+
 /// Refuses the request at once if its service is short of room. A request that another VM forwards was
 /// admitted there.
 bool exchange::has_room()
--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -32,6 +32,7 @@
 {
 	rollout::shift_tuning tuning;
 	tuning.exposure_limit = bounds.exposure_limit.value_or(tuning.exposure_limit);
+	tuning.exposure_slack = bounds.exposure_slack;
 	return tuning;
 }
 } // namespace
--- a/src/rollout/version_shift.cpp
+++ b/src/rollout/version_shift.cpp
@@ -121,6 +121,7 @@
 		state.last_written_bad = 0;
 		state.proof_deadline_start.reset();
 		state.followed_since = now;
+		state.allowance.reset();
 		evaluate(state);
 	}
 	if (plan.state == shift_state::completed)
@@ -371,6 +372,35 @@
 	return {};
 }
 
+bool version_shift::take_trial_request(const service_id& service, const routing::fleet_list& vms, instant now)
+{
+	const auto found = services_.find(service);
+	if (found == services_.end() || !clock_offset_ || !vms.is_fresh(now) || !vms.is_known_to_others(now))
+	{
+		return false;
+	}
+	auto& state = found->second;
+	if (!is_running(state) || state.suspended || count_new_replicas(state) == 0)
+	{
+		return false;
+	}
+	const auto& plan = *state.plan;
+	const auto elapsed = trial_fraction(plan, now);
+	if (elapsed < 0 || elapsed >= 1)
+	{
+		return false;
+	}
+	const auto count = static_cast<double>(vms.size());
+	if (!state.allowance)
+	{
+		const auto rank = vms.rank(static_cast<std::uint64_t>(plan.order.value()));
+		const auto start = std::max(0.0, trial_fraction(plan, state.followed_since));
+		state.allowance.emplace(static_cast<double>(rank) / count, start);
+	}
+	const auto allowed = tuning_.exposure_slack * tuning_.schedule.planned_exposure_ratio;
+	return state.allowance->take(elapsed, allowed / count);
+}
+
 std::vector<shift_write> version_shift::due(instant now)
 {
 	std::vector<shift_write> writes;
@@ -444,6 +474,13 @@
 	return static_cast<double>(elapsed.count()) / static_cast<double>(plan.length.count());
 }
 
+double version_shift::trial_fraction(const shift_plan& plan, instant now) const
+{
+	const auto schedule = schedule_of(plan);
+	const auto start = schedule.trial_starts_at();
+	return (elapsed_fraction(plan, now) - start) / (schedule.trial_ends_at() - start);
+}
+
 double version_shift::promoted_fraction(const shift_plan& plan) const
 {
 	const auto elapsed = *plan.promoted - plan.started;
--- a/tests/platform/platform.cpp
+++ b/tests/platform/platform.cpp
@@ -82,6 +82,12 @@
 	with_evacuation["evacuation_limit_ms"] = 900;
 	CHECK(platform::read_settings(json_source::from_value("f", with_evacuation))->propagation_limit() ==
 		  std::chrono::milliseconds{900});
+	CHECK(read->bounds.exposure_slack == 0);
+	auto with_slack = good;
+	with_slack["exposure_slack"] = 30;
+	CHECK(platform::read_settings(json_source::from_value("f", with_slack))->bounds.exposure_slack == 30);
+	with_slack["exposure_slack"] = -1;
+	CHECK_FALSE(platform::read_settings(json_source::from_value("f", with_slack)));
 	auto bad = good;
 	bad["serve"] = 5;
 	bad.erase("vm");
--- a/tests/support/shift_vm.hpp
+++ b/tests/support/shift_vm.hpp
@@ -14,15 +14,25 @@
 /// \brief One VM whose registry clock runs with its own, 7 s ahead.
 struct vm
 {
-	explicit vm(std::uint64_t seed) : shift(seeded_random{seed}, [](const rollout::shift_event&) {})
+	explicit vm(std::uint64_t seed, const rollout::shift_tuning& tuning = {})
+		: shift(
+			  seeded_random{seed}, [](const rollout::shift_event&) {}, tuning)
 	{
-		const auto old = std::make_shared<routing::replica>();
-		old->service = service;
-		old->version = "v1";
-		shift.set_replicas(service, {old});
+		shift.set_replicas(service, {replica_of("v1")});
 		hear();
 	}
 
+	[[nodiscard]] static routing::replica_ptr replica_of(const std::string& version)
+	{
+		const auto made = std::make_shared<routing::replica>();
+		made->service = service;
+		made->version = version;
+		return made;
+	}
+
+	/// The replicas of the new version are started beside the old one's.
+	void show_new_version() { shift.set_replicas(service, {replica_of("v1"), replica_of("v2")}); }
+
 	void hear() { shift.update_registry_time(now.time_since_epoch() + std::chrono::seconds{7}, now); }
 
 	/// A VM in touch hears from the registry at least this often.
