A version that is slow on a part of its requests is not completed

Cause: 'as fast as the old one' compares all latencies, moved as a whole, with those of a version that is three to eight times slower as a whole. A version that slows half of its requests is neither, and was taken for either by chance. Failures have a test of their share; latencies had none.

Change: where responses are not streams, a version is shown to be good only if a version that slows three in ten of its requests would seldom show so few slow ones.

Streams are judged as before.

--- a/include/gingerdyke/rollout/version_verdict.hpp
+++ b/include/gingerdyke/rollout/version_verdict.hpp
@@ -62,6 +62,13 @@
 	/// without a failure.
 	double noninferiority_margin = 0.25;
 
+	/// Maximum share of responses that a version shown to be good makes slow, where they are not streams: a
+	/// version may be slow on a part of its requests only, which a comparison of all its latencies does not
+	/// tell from a good one. Slow are responses beyond `slowed_factor` times the limit of a fast one; of
+	/// short requests whose work varies by half, one in twenty is.
+	double max_slowed_ratio = 0.3;
+	double slowed_factor = 1.5;
+
 	/// Maximum failure ratio of a version that is shown to be good, however the old version performs: above
 	/// it, a fault that both versions' replicas share can't be distinguished from a bad version.
 	double max_failure_ratio = 0.45;
@@ -134,8 +141,8 @@
 	/// time to first byte and for event intervals of streams.
 	double fast_evidence{};
 
-	/// Probability that a slow version's event intervals are as often as short as an idle engine's; 0 if
-	/// there are no streams.
+	/// Probability that a slow version's event intervals are as often as short as an idle engine's; without
+	/// streams, that a version which slows the tolerated part of its responses has so few slow ones.
 	double slow_risk{};
 
 	/// Number of bad responses of the new version: failures or slow responses, whichever are more.
--- a/src/rollout/version_verdict.cpp
+++ b/src/rollout/version_verdict.cpp
@@ -230,6 +230,32 @@
 	return std::max(log_evidence_as_fast(latencies, true), log_evidence_as_fast(latencies, false));
 }
 
+/// Probability that a version which slows the tolerated part of its responses has so few slow ones: at all
+/// its replicas or at the healthy ones, whichever is lower.
+double probability_if_partly_slow(
+	const std::vector<latency_comparison>& latencies, const verdict_tuning& tuning)
+{
+	double risk = 1;
+	for (const auto version : {&latency_comparison::all_new, &latency_comparison::new_version})
+	{
+		response_counts judged;
+		double tolerated = 0;
+		for (const auto& comparison : latencies)
+		{
+			const auto& seen = comparison.*version;
+			const auto responses = static_cast<double>(seen.size());
+			const auto limit = comparison.fast_limit_latency * tuning.slowed_factor;
+			const auto slow = responses * (1 - seen.fraction_within(limit));
+			judged += {seen.size(), static_cast<std::uint64_t>(std::lround(slow))};
+			const auto old_ratio = comparison.old_version.fraction_within(limit);
+			tolerated += responses * (1 - (1 - tuning.max_slowed_ratio) * old_ratio);
+		}
+		const auto tolerated_ratio = tolerated / std::max(1.0, static_cast<double>(judged.responses));
+		risk = std::min(risk, probability_of_so_few(judged, std::min(tolerated_ratio, max_tolerated)));
+	}
+	return risk;
+}
+
 /// Number of responses so slow that a version as fast as the old one would rarely give them. Event intervals
 /// are compared with those of idle engines, since those of an overloaded old version hide that the new
 /// version is slow.
@@ -308,6 +334,10 @@
 		proof.fast_evidence = std::min(proof.fast_evidence, log_evidence_of_speed(event_intervals));
 		proof.slow_risk = probability_if_slow(event_intervals, tuning.latencies);
 	}
+	else
+	{
+		proof.slow_risk = probability_if_partly_slow(latencies, tuning);
+	}
 	proof.bad_responses = std::max({all_routes.new_version.sum().failed,
 		count_slow(latencies, false, tuning.latencies), count_slow(event_intervals, true, tuning.latencies)});
 	const bool is_fast = proof.fast_evidence >= -std::log(tuning.max_error_probability) &&
--- a/tests/emulator/plain_service.cpp
+++ b/tests/emulator/plain_service.cpp
@@ -51,6 +51,17 @@
 	}
 }
 
+TEST_CASE("a version that slows half of a plain service's requests is not completed", "[emulator][shift]")
+{
+	constexpr unsigned seeds = 60;
+	for (const auto responses_per_s : {15, 37, 74, 150})
+	{
+		CAPTURE(responses_per_s);
+		const auto setup = plain_service(responses_per_s, version_fault::slow);
+		CHECK(count_ends(setup, shift_state::completed, seeds) <= seeds / 20);
+	}
+}
+
 TEST_CASE("a version that fails on few requests is rolled back within what it may get", "[emulator][shift]")
 {
 	for (const unsigned vms : {7, 85, 340})
