A session by two routes of a service is on one version

Cause: the point of a session, by which its version is chosen, was hashed from the session and the route. Found by the review's reading, shown by the test.

Why this works: the point comes from the session and the service. Which of a route's services gets a session is chosen as before.

VMs of builds before this one hash by route still: while both run, a session that moves between them during a shift may change its version, as it did.

--- a/src/proxy/exchange_admission.cpp
+++ b/src/proxy/exchange_admission.cpp
@@ -148,13 +148,14 @@
 	return true;
 }
 
-/// Requests of one session go to one version. A request without one may serve the trial of a new version; one
-/// that another VM forwards was counted there.
+/// Requests of one session go to one version of a service, whatever their routes. A request without a session
+/// may serve the trial of a new version; one that another VM forwards was counted there.
 void exchange::assign_session()
 {
 	const auto* session = request_.find(shared_.names().session);
-	session_hash_ = mix_hash(stable_hash(session != nullptr ? *session : id_), stable_hash(route_->id.str()));
-	service_id_ = routing::pick_service(*route_, session_hash_);
+	const auto own_hash = stable_hash(session != nullptr ? *session : id_);
+	service_id_ = routing::pick_service(*route_, mix_hash(own_hash, stable_hash(route_->id.str())));
+	session_hash_ = mix_hash(own_hash, stable_hash(service_id_.str()));
 	auto& versions = shared_.versions();
 	const bool may_choose = session == nullptr && !origin_;
 	if (may_choose && versions.take_trial_request(service_id_, shared_.vms(), arrived_))
--- a/tests/support/proxy_world.hpp
+++ b/tests/support/proxy_world.hpp
@@ -136,6 +136,7 @@
 		made.change_limit = change_limit;
 		made.sheds_overload = sheds_overload;
 		made.memory = memory;
+		made.exposure_slack = 30;
 		return made;
 	}
 
