--- a/emulator/shift_emulator.cpp
+++ b/emulator/shift_emulator.cpp
@@ -2,8 +2,8 @@
 // Simulates a shift between versions over many VMs in virtual time, using the production decision code.
 #include "shift_emulator.hpp"
 
+#include "response_model.hpp"
 #include <algorithm>
-#include <cmath>
 #include <gingerdyke/base/crypto.hpp>
 #include <gingerdyke/base/random.hpp>
 #include <gingerdyke/rollout/version_shift.hpp>
@@ -40,17 +40,6 @@
 /// Offset of the simulated registry's clock to the VMs' clocks.
 constexpr duration registry_clock_offset = seconds{7};
 
-struct engine
-{
-	routing::replica_ptr replica;
-	double speed{1};
-	bool is_slowed{};
-	bool is_failing{};
-
-	/// Requests per second, as an exponential moving average.
-	double rate{};
-};
-
 /// One simulation run; see `simulate_shift`.
 class shift_simulation
 {
@@ -59,7 +48,8 @@
 		: setup_(setup), random_(seeded_random{setup.seed}), order_time_(now_ + warm_up),
 		  burst_starts_at_(random_offset()), slowdown_starts_at_(random_offset()),
 		  registry_loss_starts_at_(random_offset()),
-		  version_slowdown_(random_between(min_slowdown, max_slowdown))
+		  responses_(setup_, [this] { return random_(); }, order_time_,
+			  {slowdown_starts_at_, random_between(min_slowdown, max_slowdown)})
 	{
 		make_engines(old_version, old_engines_);
 		make_engines(new_version, new_engines_);
@@ -87,7 +77,6 @@
   private:
 	static constexpr double min_slowdown = 3;
 	static constexpr double max_slowdown = 8;
-	static constexpr duration disturbance_length = seconds{7};
 
 	double random_fraction() { return random_unit(random_); }
 	double random_between(double from, double to) { return from + (to - from) * random_fraction(); }
@@ -192,18 +181,6 @@
 		}
 	}
 
-	/// Whether the old version's replicas are disturbed now. Such a disturbance begins with the order and
-	/// lasts for the rest of the shift.
-	[[nodiscard]] bool is_old_disturbed() const
-	{
-		return setup_.disturbance.is_old_only && now_ >= order_time_;
-	}
-
-	[[nodiscard]] bool is_overloaded() const
-	{
-		return setup_.disturbance.overload > 0 && now_ >= order_time_;
-	}
-
 	[[nodiscard]] static std::string name_of_vm(std::size_t index) { return "vm" + std::to_string(index); }
 
 	[[nodiscard]] bool is_reader(std::size_t index) const { return index < setup_.failure_domains; }
@@ -316,82 +293,17 @@
 		return best;
 	}
 
-	/// Load of an engine relative to the usual load per engine.
-	[[nodiscard]] double load_of(const engine& target) const
-	{
-		return target.rate / (setup_.responses_per_s / setup_.replicas);
-	}
-
 	void simulate_response(version_shift& vm, engine& target, bool is_new)
 	{
 		target.rate += 1;
-		if (setup_.kind == service_kind::plain)
-		{
-			simulate_plain_response(vm, target, is_new);
-			return;
-		}
-		rollout::response_sample sample;
-		constexpr unsigned routes = 3;
-		const auto route = random_below(random_, routes);
-		sample.route = "r" + std::to_string(route);
-		constexpr double large_model_ratio = 0.3;
-		const bool is_large = random_fraction() < large_model_ratio;
-		sample.model = is_large ? "large" : "small";
-		sample.replica = stable_hash(target.replica->id.str());
-		sample.relative_latency = latency_at(target, is_new);
-		sample.failed = random_fraction() < failure_ratio(target, is_new, route == 0);
-		const bool is_slow_version = is_new && setup_.fault == version_fault::slow;
-		count_bad_response(is_new && (sample.failed || is_slow_version));
-		const auto version = is_new ? new_version : old_version;
-		vm.record_response(service, version, sample, now_);
-		constexpr double stream_ratio = 0.6;
-		if (!sample.failed && random_fraction() < stream_ratio)
+		const auto response = responses_.respond(target, is_new, now_);
+		count_bad_response(response.is_bad);
+		for (const auto& sample : response.samples)
 		{
-			sample.kind = rollout::sample_kind::event_interval;
-			sample.relative_latency = event_interval_at(target, is_new);
-			vm.record_response(service, version, sample, now_);
+			vm.record_response(service, is_new ? new_version : old_version, sample, now_);
 		}
 	}
 
-	void simulate_plain_response(version_shift& vm, const engine& target, bool is_new)
-	{
-		constexpr double failing_route_share = 0.3;
-		constexpr double failing_route_ratio = 0.14;
-		constexpr double slow_version_ratio = 0.5;
-		constexpr double slow_version_factor = 8;
-		const bool is_failing_route = random_fraction() < failing_route_share;
-		const bool is_bad = is_new && random_fraction() < version_failure_ratio(target, is_failing_route);
-		const bool is_slow =
-			is_new && setup_.fault == version_fault::slow && random_fraction() < slow_version_ratio;
-		rollout::response_sample sample;
-		sample.route = is_failing_route ? "reads" : "writes";
-		sample.replica = stable_hash(target.replica->id.str());
-		sample.relative_latency = plain_latency_at(target) * (is_slow ? slow_version_factor : 1);
-		const auto usual_ratio =
-			std::max(replica_failure_ratio(target), is_failing_route ? failing_route_ratio : 0.0);
-		sample.failed = is_bad || random_fraction() < usual_ratio;
-		count_bad_response(is_bad || is_slow);
-		vm.record_response(service, is_new ? new_version : old_version, sample, now_);
-	}
-
-	/// Latency of a plain response relative to an idle engine's: log-normal work and the way to the replica.
-	double plain_latency_at(const engine& target)
-	{
-		constexpr double median_work = 1.3;
-		constexpr double work_deviation = 0.5;
-		constexpr double path_latency = 0.1;
-		const bool is_slowed = target.is_slowed && (is_old_disturbed() || is_within(slowdown_starts_at_));
-		const auto work = median_work * std::exp(work_deviation * random_normal());
-		return path_latency + work * (is_slowed ? setup_.disturbance.slowed_by : 1);
-	}
-
-	/// Standard normal deviate (Box-Muller transform).
-	double random_normal()
-	{
-		constexpr double turn = 6.283185307179586;
-		return std::sqrt(-2 * std::log(1 - random_fraction())) * std::cos(turn * random_fraction());
-	}
-
 	void count_bad_response(bool is_bad)
 	{
 		if (is_bad)
@@ -402,99 +314,6 @@
 		}
 	}
 
-	/// Time to first byte relative to an idle engine's: cached prompts are processed faster, and at a busy
-	/// engine some requests wait in the queue.
-	double latency_at(const engine& target, bool is_new)
-	{
-		constexpr double min_cached_cost = 0.4;
-		constexpr double max_uncached_cost = 0.9;
-		const bool is_cached = is_new ? random_fraction() < 0.3 : random_fraction() < 0.7;
-		const auto processing = target.speed * (is_cached ? random_between(min_cached_cost, 0.6)
-														  : random_between(0.6, max_uncached_cost));
-		return slowdown_of(target, is_new) * processing * (1 + queue_length(target, is_new));
-	}
-
-	/// Event interval relative to an idle engine's: it grows with the batch size, and at times with a prompt
-	/// that is processed in between.
-	double event_interval_at(const engine& target, bool is_new)
-	{
-		constexpr double max_batch_growth = 1.5;
-		constexpr double overload_batch_growth = 3;
-		constexpr double prompt_probability = 0.3;
-		const auto overload_growth = !is_new && is_overloaded() ? overload_batch_growth : 0;
-		const auto batch =
-			1 + overload_growth + std::min(max_batch_growth, load_of(target) * random_fraction());
-		const auto prompt = random_fraction() < prompt_probability ? random_between(1, 3) : 1;
-		return slowdown_of(target, is_new) * target.speed * batch * prompt;
-	}
-
-	/// Number of prompts queued before a request, in units of the processing time of its own prompt.
-	double queue_length(const engine& target, bool is_new)
-	{
-		double queue = 0;
-		const auto queue_probability = std::min(0.9, 0.4 * load_of(target));
-		if (random_fraction() < queue_probability)
-		{
-			queue -= 3 * load_of(target) * std::log(1 - random_fraction());
-		}
-		if (!is_new && is_overloaded())
-		{
-			queue -= setup_.disturbance.overload * std::log(1 - random_fraction());
-		}
-		return queue;
-	}
-
-	[[nodiscard]] double slowdown_of(const engine& target, bool is_new) const
-	{
-		const bool is_slowed = target.is_slowed && (is_old_disturbed() || is_within(slowdown_starts_at_));
-		const auto replica_slowdown = is_slowed ? setup_.disturbance.slowed_by : 1;
-		return is_new && setup_.fault == version_fault::slow ? replica_slowdown * version_slowdown_
-															 : replica_slowdown;
-	}
-
-	[[nodiscard]] double failure_ratio(const engine& target, bool is_new, bool is_first_route) const
-	{
-		const auto replica_ratio = replica_failure_ratio(target);
-		return is_new ? std::max(replica_ratio, version_failure_ratio(target, is_first_route))
-					  : replica_ratio;
-	}
-
-	[[nodiscard]] double replica_failure_ratio(const engine& target) const
-	{
-		const bool is_failing = target.is_failing && (now_ >= order_time_ || !setup_.disturbance.is_old_only);
-		return is_failing ? setup_.disturbance.failing_rate : 0;
-	}
-
-	/// Share of the new version's responses that fail by its own fault.
-	[[nodiscard]] double version_failure_ratio(const engine& target, bool is_first_route) const
-	{
-		constexpr double bad_version_ratio = 0.5;
-		switch (setup_.fault)
-		{
-		case version_fault::fails:
-			return bad_version_ratio;
-		case version_fault::fails_under_load:
-		{
-			// The failure ratio grows linearly with the load.
-			constexpr double starts_at_load = 0.9;
-			constexpr double full_at_load = 2.5;
-			const auto load_fraction = (load_of(target) - starts_at_load) / (full_at_load - starts_at_load);
-			return bad_version_ratio * std::clamp(load_fraction, 0.0, 1.0);
-		}
-		case version_fault::fails_on_one_route:
-			return is_first_route ? bad_version_ratio : 0;
-		case version_fault::fails_late:
-		{
-			constexpr double late_fraction = 0.7;
-			return now_ - order_time_ > scaled(setup_.length, late_fraction) ? bad_version_ratio : 0;
-		}
-		case version_fault::none:
-		case version_fault::slow:
-			return 0;
-		}
-		return 0;
-	}
-
 	void exchange_reports()
 	{
 		for (std::size_t index = setup_.failure_domains; index < vms_.size(); ++index)
@@ -554,7 +373,7 @@
 	duration burst_starts_at_;
 	duration slowdown_starts_at_;
 	duration registry_loss_starts_at_;
-	double version_slowdown_;
+	response_model responses_;
 	double fractional_requests_ = 0;
 	std::vector<engine> old_engines_;
 	std::vector<engine> new_engines_;
