A request that serves a version's trial is logged

No line told why a request without a session had gone to the new version while its share was small. Found by reading the change as one who explains a failed request from its id.

--- a/src/proxy/exchange_admission.cpp
+++ b/src/proxy/exchange_admission.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <gingerdyke/base/crypto.hpp>
+#include <gingerdyke/log/log.hpp>
 #include <gingerdyke/proxy/exchange.hpp>
 #include <utility>
 
@@ -161,6 +162,8 @@
 	if (may_choose && versions.take_trial_request(service_id_, shared_.vms(), arrived_))
 	{
 		session_hash_ = trial_session_hash;
+		log::write(log::level::info, "request serves a version's trial",
+			{{"request", id_}, {"service", service_id_.str()}});
 	}
 }
 
