A refusal status of a replica that ran the request no longer reaches the caller

Cause: on_head asks for the header of "not run" only to retry. What can't be retried was passed on with its status, on the direct way, by way of another VM (an older build sends it as `answered`), and with attempts or retry budget used up. 408 and 429 even counted as served, for admission and for the version.

Change: 408, 429 and 503 without the header are failures everywhere; the caller gets a 502 of the VM's own, without the replica's stamp and Retry-After. The VM that took the request looks too. The line tells `replaced_status`. Why it works: those statuses now leave a VM only where the replica said "not run", or no replica was sent the request.

--- a/include/gingerdyke/proxy/exchange.hpp
+++ b/include/gingerdyke/proxy/exchange.hpp
@@ -251,6 +251,9 @@
 	/// The request counts in the retry budget of another VM.
 	bool is_budget_moved_ = false;
 
+	/// Refusal status of an answer that was replaced, since the request ran or may have run; 0: none.
+	int replaced_status_ = 0;
+
 	/// It is this VM that can't serve the request; another one may.
 	bool is_unavailable_here_ = false;
 
--- a/include/gingerdyke/proxy/message.hpp
+++ b/include/gingerdyke/proxy/message.hpp
@@ -83,6 +83,26 @@
 	return status >= first && status < after;
 }
 
+/// \brief Whether a status states that the request has not run and never will: 408, 421, 429 and 503. Only the
+/// replica that was sent the request, or a VM that sent it to none, can state that.
+[[nodiscard]] constexpr bool is_refusal_status(int status) noexcept
+{
+	constexpr int request_timeout = 408;
+	constexpr int misdirected = 421;
+	constexpr int too_many_requests = 429;
+	constexpr int unavailable = 503;
+	return status == request_timeout || status == misdirected || status == too_many_requests ||
+		   status == unavailable;
+}
+
+/// \brief Whether an executed request with this status has failed: with a server error, or with a refusal
+/// status although it ran.
+[[nodiscard]] constexpr bool is_failure(int status) noexcept
+{
+	constexpr int first_server_error = 500;
+	return status >= first_server_error || is_refusal_status(status);
+}
+
 /// \brief Validates the raw bytes of a header block before it is parsed. Rejects whatever two parsers may
 /// interpret differently, to prevent request smuggling.
 /// \param block The header block including the empty line that ends it.
--- a/include/gingerdyke/proxy/request_log.hpp
+++ b/include/gingerdyke/proxy/request_log.hpp
@@ -72,6 +72,9 @@
 
 	/// Short reason of the outcome, always the same text for the same reason.
 	std::string reason;
+
+	/// Refusal status of an answer that was not passed on, since the request ran or may have run; 0: none.
+	int replaced_status{};
 	unsigned attempts{};
 
 	/// Connections to replicas that did not come up, and those of them that were refused.
--- a/src/proxy/exchange_endings.cpp
+++ b/src/proxy/exchange_endings.cpp
@@ -163,6 +163,7 @@
 	record.outcome = outcome;
 	record.status = status;
 	record.reason = std::move(reason);
+	record.replaced_status = replaced_status_;
 	record.attempts = attempt_count_;
 	record.failed_connections = failed_connections_;
 	record.refused_connections = refused_connections_;
--- a/src/proxy/exchange_forwarding.cpp
+++ b/src/proxy/exchange_forwarding.cpp
@@ -9,7 +9,6 @@
 {
 namespace
 {
-constexpr int first_server_error = 500;
 constexpr int bad_gateway = 502;
 constexpr int first_success = 200;
 
@@ -257,11 +256,19 @@
 		use_held_response();
 		return;
 	}
+	// Older builds pass on a replica's refusal status although the request ran.
+	if (is_refusal_status(status) && hop_->result.outcome != forwarding_outcome::refused)
+	{
+		replaced_status_ = status;
+		end_hop(true);
+		fail(bad_gateway, "refusal status by way of another VM, where the request may have run");
+		return;
+	}
 	auto outcome = request_outcome::failed;
 	std::string reason = "by way of another VM";
 	if (is_answered)
 	{
-		const bool failed = status >= first_server_error;
+		const bool failed = is_failure(status);
 		outcome = failed ? request_outcome::failed_by_replica : request_outcome::served;
 		reason = failed ? "replica failed" : "";
 	}
--- a/src/proxy/exchange_responses.cpp
+++ b/src/proxy/exchange_responses.cpp
@@ -14,7 +14,6 @@
 constexpr int not_modified = 304;
 constexpr int misdirected = 421;
 constexpr int too_many_requests = 429;
-constexpr int first_server_error = 500;
 constexpr int bad_gateway = 502;
 constexpr int unavailable = 503;
 } // namespace
@@ -75,7 +74,7 @@
 	}
 	record_started();
 	shared_.exit_detector().runs().record_answer_started(*attempt_->target, attempt_->run, steady_now());
-	const bool failed = received.status >= first_server_error;
+	const bool failed = is_failure(received.status);
 	auto sample = sample_for(attempt_->first_byte);
 	sample.failed = failed;
 	shared_.record_response(*attempt_->target, sample);
@@ -115,6 +114,14 @@
 	}
 	record_admitted_response(*attempt_);
 	release_prefill_work();
+	if (is_refusal_status(received.status))
+	{
+		attempt_->run_outcome = quarantine::run_outcome::finished;
+		replaced_status_ = received.status;
+		end_attempt(false);
+		fail(bad_gateway, "replica ran the request and sent a refusal status");
+		return;
+	}
 	attempt_->is_stream = route_->streams && is_success(received.status);
 	if (!attempt_->is_stream && response_started_)
 	{
@@ -139,8 +146,7 @@
 		return;
 	}
 	const auto now = steady_now();
-	const bool is_in_time =
-		from.head.status < first_server_error && now - arrived_ <= route_->latency_objective;
+	const bool is_in_time = !is_failure(from.head.status) && now - arrived_ <= route_->latency_objective;
 	shared_.admission().record_response(service_id_, work_unit(), from.first_byte, is_in_time, now);
 }
 
@@ -445,7 +451,7 @@
 
 void exchange::forward_buffered_response()
 {
-	const bool failed = attempt_->head.status >= first_server_error;
+	const bool failed = is_failure(attempt_->head.status);
 	record_answered();
 	attempt_->run_outcome = failed ? quarantine::run_outcome::finished : quarantine::run_outcome::completed;
 	const auto head = attempt_->head;
@@ -457,7 +463,7 @@
 void exchange::send_buffered_response(const response_head& head, std::string body)
 {
 	const auto status = head.status;
-	const bool failed = status >= first_server_error;
+	const bool failed = is_failure(status);
 	response outgoing{status, head.reason, response_fields(head.fields), std::move(body)};
 	first_byte_time_ = steady_now() - arrived_;
 	const auto sink = sink_;
--- a/src/proxy/request_log.cpp
+++ b/src/proxy/request_log.cpp
@@ -61,7 +61,7 @@
 			{"replica", record.replica}, {"version", record.version}, {"forwarded_to", record.forwarded_to},
 			{"forwarded_by", record.forwarded_by}, {"model", record.model},
 			{"outcome", name_of(record.outcome)}, {"status", record.status}, {"reason", record.reason},
-			{"attempts", record.attempts}, {"connections_failed", record.failed_connections},
+			{"replaced_status", record.replaced_status}, {"attempts", record.attempts}, {"connections_failed", record.failed_connections},
 			{"connections_refused", record.refused_connections}, {"took_ms", to_milliseconds(record.elapsed)},
 			{"first_byte_ms", to_milliseconds(record.first_byte)}, {"confidence", choice.confidence},
 			{"escalate_below", choice.threshold}, {"larger_expected_ms", to_milliseconds(choice.expected)},
--- a/tests/proxy/admission.cpp
+++ b/tests/proxy/admission.cpp
@@ -1,12 +1,8 @@
 // SPDX-License-Identifier: MIT
 // Admission in the data path: what callers and replicas see while a service is short of room.
+#include "../support/captured_log.hpp"
 #include "../support/crashing_deployment.hpp"
 #include "../support/proxy_world.hpp"
-#include <cstdio>
-#include <gingerdyke/log/log.hpp>
-#include <iostream>
-#include <log4cplus/logger.h>
-#include <unistd.h>
 
 using namespace gingerdyke;
 using namespace gingerdyke::test;
@@ -14,44 +10,6 @@
 
 namespace
 {
-/// What is logged while it exists, instead of what goes to standard output.
-class captured_log
-{
-  public:
-	captured_log() : file_(std::tmpfile()), standard_output_(dup(STDOUT_FILENO))
-	{
-		std::cout.flush();
-		dup2(fileno(file_), STDOUT_FILENO);
-		log::start("info");
-	}
-	~captured_log()
-	{
-		auto logger = log4cplus::Logger::getInstance("gingerdyke");
-		logger.removeAllAppenders();
-		logger.setLogLevel(log4cplus::OFF_LOG_LEVEL);
-		std::cout.flush();
-		dup2(standard_output_, STDOUT_FILENO);
-		close(standard_output_);
-		static_cast<void>(std::fclose(file_));
-	}
-	captured_log(const captured_log&) = delete;
-	captured_log& operator=(const captured_log&) = delete;
-	captured_log(captured_log&&) = delete;
-	captured_log& operator=(captured_log&&) = delete;
-
-	[[nodiscard]] std::string text() const
-	{
-		constexpr std::size_t most = 1U << 20U;
-		std::string all(most, '\0');
-		const auto size = pread(fileno(file_), all.data(), all.size(), 0);
-		return all.substr(0, static_cast<std::size_t>(std::max<ssize_t>(0, size)));
-	}
-
-  private:
-	std::FILE* file_;
-	int standard_output_;
-};
-
 /// A VM with one replica that rejects all but one of several requests while it is full.
 struct full_replica_world
 {
