Every attempt that reached a replica counts once for its version

Cause: evidence was taken at a response's head, and where a repeatable attempt is given up for its silence. What ended in on_fault told nothing: a cut response counted as a good one, a reset one not at all; the same for streams that break off, responses that break while held, bytes that are no response, and silence until a deadline.

Change: a response that was counted as good and breaks off becomes a failure in the same group, cell and phase; an attempt that ends without a response is one failure. It counts only if the replica is in service and a probe, that of the detection of exits, finds its process running: exits, planned stops and lost paths tell nothing of a version. The old version is measured by the same code. Reports with as many observations and more failures replace earlier ones. version_health reports versions that fail, also after a shift.

--- a/bench/experiment_shifts.cpp
+++ b/bench/experiment_shifts.cpp
@@ -1,13 +1,11 @@
 // SPDX-License-Identifier: MIT
 // Power and false alarms of the verdict on a new version: drawn shifts of each kind, in virtual time.
+#include "drawn_shifts.hpp"
 #include "experiments.hpp"
-#include "shift_emulator.hpp"
 #include <array>
-#include <atomic>
 #include <cmath>
 #include <iostream>
 #include <string>
-#include <thread>
 #include <vector>
 
 namespace gingerdyke::bench
@@ -80,28 +78,8 @@
 
 tally play_all(const shift_setup& setup, unsigned plays)
 {
-	std::vector<shift_result> results(plays);
-	std::atomic<unsigned> next{0};
-	const auto work = [&]
-	{
-		for (auto i = next++; i < plays; i = next++)
-		{
-			auto one = setup;
-			one.seed = i + 1;
-			results[i] = simulate_shift(one);
-		}
-	};
-	std::vector<std::thread> threads;
-	for (unsigned i = 0; i < std::max(1U, std::thread::hardware_concurrency() / 2); ++i)
-	{
-		threads.emplace_back(work);
-	}
-	for (auto& one : threads)
-	{
-		one.join();
-	}
 	tally sums;
-	for (const auto& one : results)
+	for (const auto& one : play_shifts(setup, plays))
 	{
 		sums.rolled_back += one.state == rollout::shift_state::rolled_back ? 1 : 0;
 		sums.completed += one.state == rollout::shift_state::completed ? 1 : 0;
--- a/bench/experiments.hpp
+++ b/bench/experiments.hpp
@@ -52,4 +52,8 @@
 /// \brief Power and false alarms of the verdict on a new version.
 /// \param plays Shifts drawn of each kind.
 void shifts(unsigned plays);
+
+/// \brief Shifts with responses that break off, before and since these count.
+/// \param plays Shifts drawn of each kind.
+void broken_responses(unsigned plays);
 } // namespace gingerdyke::bench
--- a/emulator/response_model.cpp
+++ b/emulator/response_model.cpp
@@ -18,8 +18,45 @@
 emulated_response response_model::respond(const engine& target, bool is_new, instant now)
 {
 	now_ = now;
-	return setup_.kind == service_kind::plain ? respond_as_plain(target, is_new)
-											  : respond_as_model(target, is_new);
+	auto response = setup_.kind == service_kind::plain ? respond_as_plain(target, is_new)
+													   : respond_as_model(target, is_new);
+	break_off(response, target, is_new);
+	return response;
+}
+
+/// Breaks a response off, by the fault of its version or by a disturbance.
+void response_model::break_off(emulated_response& response, const engine& target, bool is_new) const
+{
+	constexpr double bad_version_ratio = 0.5;
+	const bool is_bad_version =
+		is_new && (setup_.fault == version_fault::breaks_off || setup_.fault == version_fault::resets);
+	const bool is_broken_by_version = is_bad_version && random_fraction() < bad_version_ratio;
+	auto& first = response.samples.front();
+	if (first.failed || (!is_broken_by_version && !is_broken_by_disturbance(target)))
+	{
+		return;
+	}
+	response.is_bad = response.is_bad || is_broken_by_version;
+	response.samples.resize(1);
+	response.breaks_off = true;
+	if (setup_.fault == version_fault::resets)
+	{
+		first.kind = rollout::sample_kind::ending;
+		first.failed = true;
+	}
+}
+
+bool response_model::is_broken_by_disturbance(const engine& target) const
+{
+	if (target.is_breaking && random_fraction() < setup_.disturbance.failing_rate)
+	{
+		return true;
+	}
+	const auto since_order = now_ - order_time_;
+	const bool is_in_time =
+		since_order >= slowness_.replicas_from && since_order < slowness_.replicas_from + disturbance_length;
+	return setup_.disturbance.broken_share > 0 && is_in_time &&
+		   random_fraction() < setup_.disturbance.broken_share;
 }
 
 emulated_response response_model::respond_as_model(const engine& target, bool is_new)
@@ -201,6 +238,8 @@
 	}
 	case version_fault::none:
 	case version_fault::slow:
+	case version_fault::breaks_off:
+	case version_fault::resets:
 		return 0;
 	}
 	return 0;
--- a/emulator/response_model.hpp
+++ b/emulator/response_model.hpp
@@ -20,6 +20,7 @@
 	double speed{1};
 	bool is_slowed{};
 	bool is_failing{};
+	bool is_breaking{};
 
 	/// Requests per second, as an exponential moving average.
 	double rate{};
@@ -30,6 +31,9 @@
 {
 	std::vector<rollout::response_sample> samples;
 
+	/// The response ends early.
+	bool breaks_off{};
+
 	/// It is failed or slow because of the new version.
 	bool is_bad{};
 };
@@ -37,7 +41,8 @@
 /// \brief What is drawn once for a simulated shift.
 struct drawn_slowness
 {
-	/// Start of the time in which the slowed replicas are slow, after the order.
+	/// Start of the time in which the slowed replicas are slow, after the order; responses break off from
+	/// then on, too.
 	duration replicas_from{};
 
 	/// How many times as long the responses of a slow version take.
@@ -62,6 +67,8 @@
 	[[nodiscard]] bool is_replica_slow(const engine& target) const;
 	[[nodiscard]] bool is_old_disturbed() const;
 	[[nodiscard]] bool is_overloaded() const;
+	[[nodiscard]] bool is_broken_by_disturbance(const engine& target) const;
+	void break_off(emulated_response& response, const engine& target, bool is_new) const;
 	[[nodiscard]] double load_of(const engine& target) const;
 	[[nodiscard]] double plain_latency_at(const engine& target) const;
 	[[nodiscard]] double latency_at(const engine& target, bool is_new) const;
--- a/emulator/shift_emulator.cpp
+++ b/emulator/shift_emulator.cpp
@@ -55,7 +55,12 @@
 		make_engines(new_version, new_engines_);
 		for (unsigned index = 0; index < setup.vms; ++index)
 		{
-			start_vm(index);
+			vms_.push_back(make_vm(index));
+			fleets_.push_back(fleet_of(index));
+		}
+		for (unsigned index = 0; index < setup.disturbance.restarted_vms; ++index)
+		{
+			restarts_.push_back({order_time_ + random_offset(), random_below(random_, setup.vms)});
 		}
 	}
 
@@ -113,18 +118,46 @@
 			const bool is_unaffected =
 				setup_.disturbance.is_old_only && version == std::string_view{new_version};
 			added.is_slowed = random_fraction() < setup_.disturbance.slowed_share && !is_unaffected;
+			added.is_breaking = setup_.disturbance.has_breaking_replica && index == 0;
 			added.is_failing = random_fraction() < setup_.disturbance.failing_share && !is_unaffected;
 		}
 	}
 
-	void start_vm(unsigned index)
+	std::unique_ptr<version_shift> make_vm(std::size_t index)
 	{
-		auto& created = vms_.emplace_back(std::make_unique<version_shift>(
+		auto created = std::make_unique<version_shift>(
 			seeded_random{mix_hash(setup_.seed, index)},
-			[this](const rollout::shift_event& event) { record_suspension(event); }, tuning()));
-		fleets_.push_back(fleet_of(index));
+			[this](const rollout::shift_event& event) { record_suspension(event); }, tuning());
 		created->set_reads_registry(is_reader(index));
 		created->set_replicas(service, replicas_of({&old_engines_}));
+		return created;
+	}
+
+	/// Replaces VMs by new processes, which read the registry's rows again.
+	void restart_vms()
+	{
+		for (const auto& [at, index] : restarts_)
+		{
+			if (now_ < at || now_ >= at + time_step)
+			{
+				continue;
+			}
+			vms_[index] = make_vm(index);
+			order_shift(*vms_[index]);
+			for (const auto& [visible_at, row] : written_rows_)
+			{
+				if (is_reader(index) && visible_at <= now_ && row.reporter != name_of_vm(index))
+				{
+					vms_[index]->on_evidence(row.reporter, row.evidence, now_);
+				}
+			}
+		}
+	}
+
+	void order_shift(version_shift& vm)
+	{
+		vm.on_order({service, new_version, setup_.length, rollout::row_version{10}}, now_);
+		vm.set_replicas(service, replicas_of({&old_engines_, &new_engines_}));
 	}
 
 	[[nodiscard]] static std::vector<routing::replica_ptr> replicas_of(
@@ -176,8 +209,7 @@
 		requests_ = 0;
 		for (auto& vm : vms_)
 		{
-			vm->on_order({service, new_version, setup_.length, rollout::row_version{10}}, now_);
-			vm->set_replicas(service, replicas_of({&old_engines_, &new_engines_}));
+			order_shift(*vm);
 		}
 	}
 
@@ -188,6 +220,7 @@
 
 	void run_step()
 	{
+		restart_vms();
 		deliver_registry_updates();
 		send_requests();
 		if ((now_ - order_time_) % report_interval < time_step)
@@ -260,6 +293,10 @@
 		const bool is_new = version == new_version;
 		++requests_;
 		new_requests_ += is_new ? 1 : 0;
+		if (is_new && result_.bad_responses >= bad_responses_before_verdict)
+		{
+			result_.exposed_for = now_ - bad_limit_reached_at_;
+		}
 		const bool is_past_time_limit = is_new && result_.bad_responses >= bad_responses_before_verdict &&
 										now_ - bad_limit_reached_at_ > verdict_time_limit &&
 										setup_.fault != version_fault::none;
@@ -267,7 +304,7 @@
 		auto* target = select_engine(vm, is_new ? new_engines_ : old_engines_);
 		if (target != nullptr)
 		{
-			simulate_response(vm, *target, is_new);
+			simulate_response(vm_index, *target, is_new);
 		}
 	}
 
@@ -293,14 +330,25 @@
 		return best;
 	}
 
-	void simulate_response(version_shift& vm, engine& target, bool is_new)
+	void simulate_response(std::size_t vm_index, engine& target, bool is_new)
 	{
 		target.rate += 1;
 		const auto response = responses_.respond(target, is_new, now_);
 		count_bad_response(response.is_bad);
+		auto& vm = *vms_[vm_index];
+		const bool sees_breaks = vm_index >= setup_.older_vms;
 		for (const auto& sample : response.samples)
 		{
-			vm.record_response(service, is_new ? new_version : old_version, sample, now_);
+			if (!sees_breaks && sample.kind == rollout::sample_kind::ending)
+			{
+				continue;
+			}
+			const auto counted =
+				vm.record_response(service, is_new ? new_version : old_version, sample, now_);
+			if (sees_breaks && response.breaks_off && counted)
+			{
+				vm.record_broken_response(*counted, now_);
+			}
 		}
 	}
 
@@ -379,6 +427,13 @@
 	std::vector<engine> new_engines_;
 	std::vector<std::unique_ptr<version_shift>> vms_;
 
+	struct restart
+	{
+		instant at;
+		std::size_t vm{};
+	};
+	std::vector<restart> restarts_;
+
 	/// The list of VMs at each VM.
 	std::vector<routing::fleet_list> fleets_;
 	std::optional<rollout::shift_plan> plan_;
@@ -406,6 +461,10 @@
 		return "fails on one route";
 	case version_fault::fails_late:
 		return "fails late";
+	case version_fault::breaks_off:
+		return "breaks off";
+	case version_fault::resets:
+		return "resets";
 	}
 	return "unknown";
 }
--- a/emulator/shift_emulator.hpp
+++ b/emulator/shift_emulator.hpp
@@ -24,6 +24,10 @@
 	fails_on_one_route,
 	/// Half of its responses are failures from a late point of the shift on (70 % of its length).
 	fails_late,
+	/// Half of its responses break off after their head.
+	breaks_off,
+	/// Half of its requests end without a response.
+	resets,
 };
 
 /// \brief Name of a fault.
@@ -60,6 +64,15 @@
 	/// Mean number of requests queued before each one at the old version's replicas: overload.
 	double overload{};
 
+	/// Share of the responses that break off for some seconds, at every replica.
+	double broken_share{};
+
+	/// One replica of each version breaks off `failing_rate` of its responses.
+	bool has_breaking_replica{};
+
+	/// Number of VMs that restart, each once, at random times during the shift.
+	unsigned restarted_vms{};
+
 	/// VMs lose contact with the registry for some seconds.
 	bool loses_registry{};
 };
@@ -71,6 +84,10 @@
 	unsigned vms{7};
 	unsigned failure_domains{3};
 
+	/// VMs of an older build, for which a response that breaks off is a success, and a request without a
+	/// response does not count.
+	unsigned older_vms{};
+
 	/// Replicas of each version.
 	unsigned replicas{18};
 
@@ -103,6 +120,9 @@
 	/// `shift_emulator.cpp`).
 	std::uint64_t bad_responses{};
 	std::uint64_t late_requests{};
+
+	/// Time from that bad response to the last request to the new version; 0 if there was none.
+	duration exposed_for{};
 };
 
 /// \brief Simulates one shift from the order to the end of its length.
--- a/include/gingerdyke/proxy/attempt.hpp
+++ b/include/gingerdyke/proxy/attempt.hpp
@@ -6,6 +6,7 @@
 #include <gingerdyke/proxy/stream_pace.hpp>
 #include <gingerdyke/proxy/upstream_connection.hpp>
 #include <gingerdyke/quarantine/replica_runs.hpp>
+#include <gingerdyke/rollout/version_shift.hpp>
 #include <gingerdyke/routing/size_policy.hpp>
 #include <memory>
 
@@ -35,6 +36,18 @@
 
 	/// Time from sending the request to receiving the response head.
 	duration first_byte{};
+
+	/// When a part of the response last arrived.
+	instant last_byte_at;
+
+	/// A response began, which was recorded for its replica's version.
+	bool has_begun{};
+
+	/// Where that was counted as a success; none if it was not.
+	std::optional<rollout::counted_response> counted;
+
+	/// It was recorded that the replica broke the attempt off.
+	bool is_broken_off{};
 	routing::size_step model_step;
 
 	quarantine::run_number run;
--- a/include/gingerdyke/proxy/exchange.hpp
+++ b/include/gingerdyke/proxy/exchange.hpp
@@ -147,12 +147,10 @@
 	void fail_refused();
 	void on_body(std::string_view bytes);
 	void on_events(std::string_view bytes);
-	void record_event_interval(std::optional<duration> interval);
 	void on_end();
 	void on_fault(upstream_fault fault);
 	void on_not_connected(upstream_fault fault);
 	void undo_attempt();
-	[[nodiscard]] rollout::response_sample sample_for(duration elapsed) const;
 	[[nodiscard]] bool is_invalid_response(const response_head& head) const;
 	void record_first_token();
 	[[nodiscard]] bool should_escalate(const response_head& head);
@@ -166,6 +164,17 @@
 	[[nodiscard]] header_fields response_fields(const header_fields& fields) const;
 	void record_path_failure(const routing::replica& to, upstream_fault fault);
 
+	// Evidence on versions.
+	[[nodiscard]] rollout::response_sample sample_for(const attempt& from, duration elapsed) const;
+	void record_response_begin(bool failed);
+	void record_event_interval(std::optional<duration> interval);
+	void record_silence();
+	void record_broken_off(attempt& ended, upstream_fault fault);
+	void record_silent_end();
+	[[nodiscard]] bool is_silent_for_long() const;
+	[[nodiscard]] broken_attempt broken_attempt_of(const attempt& ended) const;
+	[[nodiscard]] bool is_idle_close(const attempt& ended, upstream_fault fault) const;
+
 	// Timeouts.
 	void arm_attempt_timer(duration span);
 	void arm_first_byte_timer();
--- a/include/gingerdyke/proxy/gateway.hpp
+++ b/include/gingerdyke/proxy/gateway.hpp
@@ -19,6 +19,7 @@
 #include <gingerdyke/proxy/upstream_pool.hpp>
 #include <gingerdyke/quarantine/canary_schedule.hpp>
 #include <gingerdyke/quarantine/suspect_list.hpp>
+#include <gingerdyke/rollout/version_health.hpp>
 #include <gingerdyke/rollout/version_shift.hpp>
 #include <gingerdyke/routing/announced_limits.hpp>
 #include <gingerdyke/routing/backoff_periods.hpp>
@@ -61,6 +62,11 @@
 	/// Lower bound of the timeouts above, for routes with a very short objective.
 	duration min_attempt_timeout = std::chrono::milliseconds{150};
 
+	/// Longest time from sending a request on an idle connection to learning that the replica had closed it:
+	/// a multiple of the time that the connection took to be established, and the delay of an event loop.
+	double idle_close_round_trips = 2;
+	duration idle_close_delay = std::chrono::milliseconds{2};
+
 	/// Timeout of establishing a connection: a thousand times the usual time on the deployments' networks.
 	duration connect_timeout = std::chrono::milliseconds{400};
 
@@ -173,6 +179,19 @@
 	std::uint64_t received_bytes{};
 };
 
+/// \brief An attempt that ended without a whole response, as evidence on its replica's version.
+struct broken_attempt
+{
+	/// Its ending, as a failure.
+	rollout::response_sample sample;
+
+	/// A response had begun, and was recorded then as a success.
+	bool has_begun{};
+
+	/// Where the response was counted as a success; none if it was not compared.
+	std::optional<rollout::counted_response> counted;
+};
+
 /// \brief Whether this VM can authenticate requests by API key.
 enum class key_trust
 {
@@ -328,7 +347,17 @@
 	}
 
 	/// \brief Records a response as evidence for the version shift of the replica's service.
-	void record_response(const routing::replica& from, const rollout::response_sample& sample);
+	/// \returns Where it was counted as a success; none if it was not.
+	std::optional<rollout::counted_response> record_response(
+		const routing::replica& from, const rollout::response_sample& sample);
+
+	/// \brief Records as evidence that an attempt ended without a whole response. It counts only if the
+	/// replica is in service and its process turns out to run: an exit breaks all responses of a replica off
+	/// at once, and a lost path or a planned stop says nothing about its version.
+	void record_broken_attempt(const routing::replica_ptr& from, const broken_attempt& ended);
+
+	/// \brief The same for a response that shows itself that the process runs.
+	void count_broken_attempt(const routing::replica& from, const broken_attempt& ended);
 
 	/// \brief Records a replica's statement that it is draining.
 	/// \param request Id of the request whose response said so, for the log.
@@ -428,6 +457,8 @@
 	void write_room_metrics(std::ostream& out) const;
 	void write_memory_metrics(std::ostream& out) const;
 	void write_pace_metrics(std::ostream& out) const;
+	void write_version_metrics(std::ostream& out) const;
+	void report_evidence(const service_id& service);
 	void on_path_change(const routing::path_change& change);
 	void retract_silences(const routing::path_group& group);
 	void on_replica_change(const routing::replica& instance, routing::replica_change change);
@@ -473,6 +504,10 @@
 	quarantine::canary_schedule canaries_;
 	replica_exit_detector exit_detector_;
 	std::uint64_t replica_exits_ = 0;
+
+	/// Attempts that ended without a whole response, by whether they count against a version.
+	std::uint64_t counted_broken_attempts_ = 0;
+	std::uint64_t excused_broken_attempts_ = 0;
 	std::uint64_t malformed_statements_ = 0;
 	unknown_statements unknown_names_;
 
@@ -492,6 +527,7 @@
 	routing::size_policy sizes_;
 	std::map<service_id, routing::first_token_estimator> first_token_times_;
 	routing::engine_pace paces_;
+	rollout::version_health health_;
 	std::map<service_id, limits::attempt_budget> budgets_;
 	std::optional<instant> catalog_confirmed_at_;
 	std::optional<instant> replicas_confirmed_at_;
--- a/include/gingerdyke/proxy/message.hpp
+++ b/include/gingerdyke/proxy/message.hpp
@@ -83,8 +83,8 @@
 	return status >= first && status < after;
 }
 
-/// \brief Whether a status states that the request has not run and never will: 408, 421, 429 and 503. Only the
-/// replica that was sent the request, or a VM that sent it to none, can state that.
+/// \brief Whether a status states that the request has not run and never will: 408, 421, 429 and 503. Only
+/// the replica that was sent the request, or a VM that sent it to none, can state that.
 [[nodiscard]] constexpr bool is_refusal_status(int status) noexcept
 {
 	constexpr int request_timeout = 408;
--- a/include/gingerdyke/proxy/replica_exit_detector.hpp
+++ b/include/gingerdyke/proxy/replica_exit_detector.hpp
@@ -2,8 +2,10 @@
 // Detects that a replica's process has exited, and which requests ran on it.
 #pragma once
 
+#include <functional>
 #include <gingerdyke/proxy/asio.hpp>
 #include <gingerdyke/quarantine/replica_runs.hpp>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -18,6 +20,16 @@
 	std::vector<quarantine::content_key> contents;
 };
 
+/// \brief What is known of a replica's process after a request to it ended without a whole response.
+enum class process_state
+{
+	/// It accepts connections.
+	running,
+	exited,
+	/// Its host does not answer.
+	unknown,
+};
+
 /// \brief Tuning of `replica_exit_detector`.
 struct replica_exit_tuning
 {
@@ -60,6 +72,10 @@
 	/// \brief Records that a replica refused a connection.
 	void record_refused_connection(const routing::replica_ptr& target, instant now);
 
+	/// \brief Calls a hook once it is known whether a replica's process runs: at once if its exit is known,
+	/// otherwise after the probe in progress or a new one.
+	void when_state_known(const routing::replica_ptr& target, std::function<void(process_state)> hook);
+
 	/// \brief Calls a hook once, after the next presumed exit is resolved.
 	void when_resolved(std::function<void()> hook) { resolved_hooks_.push_back(std::move(hook)); }
 
@@ -71,7 +87,8 @@
 	struct probe;
 
 	[[nodiscard]] std::optional<replica_exit> presume(const routing::replica_ptr& target, instant now);
-	void begin_probe(const replica_exit& exited);
+	void begin_probe(const routing::replica_ptr& target, quarantine::process_instance process);
+	void end_probe(quarantine::process_instance process, process_state found);
 	void resolve(const replica_exit& exited, bool has_exited);
 	[[nodiscard]] std::vector<quarantine::process_instance> correlated_processes(instant now);
 
@@ -90,8 +107,11 @@
 	std::vector<recent_exit> recent_exits_;
 	std::vector<std::function<void()>> resolved_hooks_;
 
-	/// Processes for which a probe is in progress.
-	std::set<quarantine::process_instance> probed_processes_;
+	/// Processes that are presumed to have exited.
+	std::set<quarantine::process_instance> presumed_processes_;
+
+	/// Processes for which a probe is in progress, with what to call at its end.
+	std::map<quarantine::process_instance, std::vector<std::function<void(process_state)>>> probes_;
 
 	/// Lets the handler of a probe detect that this object was destroyed.
 	std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/include/gingerdyke/proxy/upstream_connection.hpp
+++ b/include/gingerdyke/proxy/upstream_connection.hpp
@@ -119,6 +119,9 @@
 	/// \brief Whether the connection has carried a complete response before.
 	[[nodiscard]] bool was_used() const noexcept { return response_count_ > 0; }
 
+	/// \brief How long the connection took to be established.
+	[[nodiscard]] duration connect_time() const noexcept { return connect_time_; }
+
 	/// \brief How long the replica keeps an idle connection open (`Keep-Alive`); none if not stated.
 	[[nodiscard]] std::optional<duration> keep_alive_time() const noexcept { return keep_alive_; }
 
@@ -156,6 +159,7 @@
 	std::shared_ptr<const upstream_callbacks> callbacks_;
 	std::function<void()> idle_close_hook_;
 	std::optional<duration> keep_alive_;
+	duration connect_time_{};
 
 	/// Bytes since the request was sent: of bodies of its response, of bodies of late responses to other
 	/// requests, and all others.
--- a/include/gingerdyke/rollout/version_evidence.hpp
+++ b/include/gingerdyke/rollout/version_evidence.hpp
@@ -81,10 +81,16 @@
 	/// \brief Number of responses of the new version.
 	[[nodiscard]] std::uint64_t new_version_responses() const;
 
-	/// \brief Number of observations of both versions. The larger of two reports by the same VM is the newer
-	/// one.
+	/// \brief Number of observations of both versions.
 	[[nodiscard]] std::uint64_t size() const;
 
+	/// \brief Number of failures of both versions.
+	[[nodiscard]] std::uint64_t failures() const;
+
+	/// \brief Whether of two reports by the same VM this is the newer one: it has more observations or, as a
+	/// response that breaks off is no further one, as many and more failures.
+	[[nodiscard]] bool is_newer_than(const version_evidence& other) const;
+
 	bool operator==(const version_evidence&) const = default;
 };
 } // namespace gingerdyke::rollout
--- a/include/gingerdyke/rollout/version_shift.hpp
+++ b/include/gingerdyke/rollout/version_shift.hpp
@@ -90,6 +90,9 @@
 	no_response,
 	/// The second event of a stream arrived, or the stream was abandoned while waiting for it.
 	event_interval,
+	/// The request ended without a latency to count: the replica broke off before a response began, or the
+	/// response began after its latency had been counted as `no_response`.
+	ending,
 };
 
 /// \brief Observation of one response.
@@ -109,6 +112,37 @@
 	sample_kind kind{sample_kind::first_byte};
 };
 
+/// \brief Whether a sample tells how a request ended.
+[[nodiscard]] inline bool has_outcome(const response_sample& sample) noexcept
+{
+	return sample.kind == sample_kind::first_byte || sample.kind == sample_kind::ending;
+}
+
+/// \brief Group of responses that a response is counted in.
+enum class response_group
+{
+	/// See `route_evidence`.
+	pre_trial,
+	old_version,
+	new_version,
+};
+
+/// \brief Where a response was counted as a success. If it breaks off later, the same response is counted as
+/// a failure: counted a second time, it would halve the failure ratio.
+struct counted_response
+{
+	service_id service;
+
+	/// Row version of the order that started the shift.
+	row_version order;
+	std::string route;
+	response_group group{response_group::pre_trial};
+
+	/// Not used before the trial.
+	cell_index cell{};
+	bool is_in_peak_load_phase{};
+};
+
 /// \brief Observations of a shift by one VM.
 struct shift_evidence
 {
@@ -315,9 +349,13 @@
 	void update_registry_time(registry_time registry_clock, instant now);
 
 	/// \brief Records a response.
-	void record_response(
+	/// \returns Where it was counted as a success; none if it was not.
+	std::optional<counted_response> record_response(
 		const service_id& service, const std::string& version, const response_sample& sample, instant now);
 
+	/// \brief Records that a response which was counted as a success broke off.
+	void record_broken_response(const counted_response& counted, instant now);
+
 	/// \brief Version that a session's requests go to.
 	/// \param point Hash of the session. A session that is on the new version stays there.
 	/// \returns The version, or empty if any will do.
@@ -443,7 +481,8 @@
 	[[nodiscard]] bool is_in_control_group(const service_state& state, std::uint64_t replica) const;
 	static void record_baseline(service_state& state, const response_sample& sample);
 	static void record_pre_trial(version_evidence& to, const response_sample& sample);
-	void record_sample(service_state& state, bool is_new, const response_sample& sample, instant now) const;
+	[[nodiscard]] std::optional<counted_response> record_sample(
+		service_state& state, bool is_new, const response_sample& sample, instant now) const;
 	static void relay(service_state& state, const std::string& reporter);
 	bool merge_evidence(service_state& state, const std::string& reporter, const shift_evidence& evidence);
 	void evaluate(service_state& state) const;
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -1,8 +1,8 @@
 // SPDX-License-Identifier: MIT
 // Handling of a request: dispatch and retries. Admission is in exchange_admission.cpp, the choice of a
 // replica in exchange_choice.cpp, responses of replicas in exchange_responses.cpp and the wait for them in
-// exchange_timeouts.cpp, responses that are held in exchange_holding.cpp, final outcomes in
-// exchange_endings.cpp.
+// exchange_timeouts.cpp, what they tell about versions in exchange_evidence.cpp, responses that are held in
+// exchange_holding.cpp, final outcomes in exchange_endings.cpp.
 #include <algorithm>
 #include <gingerdyke/base/crypto.hpp>
 #include <gingerdyke/proxy/exchange.hpp>
@@ -263,6 +263,7 @@
 	attempt_->target = to;
 	attempt_->sent_at = now;
 	attempt_->connected_at = now;
+	attempt_->last_byte_at = now;
 	attempt_->execution_before = execution_;
 	attempt_->model_step = model_step_;
 	attempt_->run = shared_.exit_detector().runs().begin(*to, content_keys_, now);
--- a/src/proxy/exchange_endings.cpp
+++ b/src/proxy/exchange_endings.cpp
@@ -33,6 +33,7 @@
 
 void exchange::on_deadline()
 {
+	record_silent_end();
 	if (response_started_)
 	{
 		sink_->abort_stream();
--- a/src/proxy/exchange_holding.cpp
+++ b/src/proxy/exchange_holding.cpp
@@ -31,6 +31,7 @@
 void exchange::on_held_body(std::string_view bytes)
 {
 	const auto now = steady_now();
+	held_->source().last_byte_at = now;
 	shared_.paths().record_response(*held_->source().target, now);
 	record_long_answer(held_->source());
 	const auto state = held_->add(bytes, now);
@@ -85,7 +86,7 @@
 void exchange::on_held_fault(upstream_fault fault)
 {
 	const auto now = steady_now();
-	const auto source = held_->source();
+	auto source = held_->source();
 	if (fault == upstream_fault::timed_out)
 	{
 		record_path_failure(*source.target, fault);
@@ -95,6 +96,7 @@
 	{
 		shared_.exit_detector().record_broken_response(source.target, now);
 	}
+	record_broken_off(source, fault);
 	if (fault != upstream_fault::out_of_memory)
 	{
 		shared_.selector().record_result(
--- a/src/proxy/exchange_memory.cpp
+++ b/src/proxy/exchange_memory.cpp
@@ -50,6 +50,10 @@
 		return;
 	}
 	arm_event_timer();
+	if (attempt_)
+	{
+		attempt_->last_byte_at = steady_now();
+	}
 	const auto source = attempt_ ? attempt_->connection : hop_->connection;
 	source->resume();
 }
--- a/src/proxy/exchange_responses.cpp
+++ b/src/proxy/exchange_responses.cpp
@@ -56,7 +56,8 @@
 void exchange::on_head(response_head head)
 {
 	const auto& names = shared_.names();
-	attempt_->first_byte = steady_now() - attempt_->sent_at;
+	attempt_->last_byte_at = steady_now();
+	attempt_->first_byte = attempt_->last_byte_at - attempt_->sent_at;
 	attempt_->head = std::move(head);
 	shared_.paths().record_response(*attempt_->target, steady_now());
 	shared_.silences().record_answered(*attempt_->target, steady_now());
@@ -75,9 +76,7 @@
 	record_started();
 	shared_.exit_detector().runs().record_answer_started(*attempt_->target, attempt_->run, steady_now());
 	const bool failed = is_failure(received.status);
-	auto sample = sample_for(attempt_->first_byte);
-	sample.failed = failed;
-	shared_.record_response(*attempt_->target, sample);
+	record_response_begin(failed);
 	if (!failed)
 	{
 		record_first_token();
@@ -196,17 +195,6 @@
 	}
 }
 
-rollout::response_sample exchange::sample_for(duration elapsed) const
-{
-	const auto& to = *attempt_->target;
-	rollout::response_sample sample;
-	sample.route = route_->id.str();
-	sample.model = route_->models.empty() ? std::string{} : route_->models[attempt_->model_step.index].str();
-	sample.relative_latency = rollout::relative_first_byte_latency(elapsed, prompt_.input_tokens);
-	sample.replica = routing::process_hash(to);
-	return sample;
-}
-
 /// The replica did not run the request, so another may, within the allowed number of attempts.
 void exchange::on_not_run()
 {
@@ -349,6 +337,7 @@
 	{
 		return;
 	}
+	attempt_->last_byte_at = steady_now();
 	if (attempt_->is_stream)
 	{
 		shared_.paths().record_response(*attempt_->target, steady_now());
@@ -416,17 +405,6 @@
 	return outgoing;
 }
 
-void exchange::record_event_interval(std::optional<duration> interval)
-{
-	if (interval)
-	{
-		auto sample = sample_for(duration{0});
-		sample.kind = rollout::sample_kind::event_interval;
-		sample.relative_latency = rollout::relative_event_interval(*interval);
-		shared_.record_response(*attempt_->target, sample);
-	}
-}
-
 void exchange::on_end()
 {
 	if (!attempt_)
@@ -492,6 +470,7 @@
 	{
 		shared_.exit_detector().record_broken_response(attempt_->target, steady_now());
 	}
+	record_broken_off(*attempt_, fault);
 	// The replica closed a reused idle connection: that is no failure of the replica.
 	const bool is_stale_connection = fault == upstream_fault::no_response && attempt_->connection->was_used();
 	if (!is_stale_connection)
--- a/src/proxy/exchange_timeouts.cpp
+++ b/src/proxy/exchange_timeouts.cpp
@@ -80,13 +80,7 @@
 	{
 		return;
 	}
-	// Silence on a lost path is no evidence on the replica's version.
-	if (is_silent && shared_.paths().carries_requests(*attempt_->target))
-	{
-		auto sample = sample_for(steady_now() - attempt_->sent_at);
-		sample.kind = rollout::sample_kind::no_response;
-		shared_.record_response(*attempt_->target, sample);
-	}
+	is_silent ? record_silence() : record_silent_end();
 	record_event_interval(attempt_->pace.record_abandoned(steady_now()));
 	record_result(routing::replica_result::no_response);
 	tried_replicas_.push_back(attempt_->target->id);
--- a/src/proxy/gateway.cpp
+++ b/src/proxy/gateway.cpp
@@ -60,7 +60,7 @@
 	  unknown_names_(log_unknown_name), admission_(bounds_.sheds_overload, random, log_room,
 											[this](const service_id& service) { return slots_of(service); }),
 	  versions_(std::move(random), log_version_shift, shift_tuning_for(bounds_), log_version_change),
-	  paces_(log_paces)
+	  paces_(log_paces), health_(log_version_health)
 {
 }
 
@@ -338,15 +338,58 @@
 	return budgets_.try_emplace(service, tuning).first->second;
 }
 
-void gateway::record_response(const routing::replica& from, const rollout::response_sample& sample)
+std::optional<rollout::counted_response> gateway::record_response(
+	const routing::replica& from, const rollout::response_sample& sample)
 {
-	versions_.record_response(from.service, from.version, sample, steady_now());
-	if (evidence_hook_ && versions_.has_evidence(from.service))
+	const auto now = steady_now();
+	if (rollout::has_outcome(sample))
+	{
+		health_.record_response(from.service, from.version, sample.failed, now);
+	}
+	auto counted = versions_.record_response(from.service, from.version, sample, now);
+	report_evidence(from.service);
+	return counted;
+}
+
+void gateway::report_evidence(const service_id& service)
+{
+	if (evidence_hook_ && versions_.has_evidence(service))
 	{
 		evidence_hook_();
 	}
 }
 
+void gateway::record_broken_attempt(const routing::replica_ptr& from, const broken_attempt& ended)
+{
+	exit_detector_.when_state_known(from,
+		[this, from, ended](process_state state)
+		{
+			if (state == process_state::running && replicas_.accepts_requests(*from))
+			{
+				count_broken_attempt(*from, ended);
+				return;
+			}
+			++excused_broken_attempts_;
+		});
+}
+
+void gateway::count_broken_attempt(const routing::replica& from, const broken_attempt& ended)
+{
+	const auto now = steady_now();
+	++counted_broken_attempts_;
+	if (!ended.has_begun)
+	{
+		static_cast<void>(record_response(from, ended.sample));
+		return;
+	}
+	health_.record_broken_response(from.service, from.version, now);
+	if (ended.counted)
+	{
+		versions_.record_broken_response(*ended.counted, now);
+		report_evidence(from.service);
+	}
+}
+
 void gateway::record_draining(const routing::replica& from, const std::string& request)
 {
 	if (replicas_.mark_draining(from, steady_now()))
--- a/src/proxy/gateway_log.cpp
+++ b/src/proxy/gateway_log.cpp
@@ -33,6 +33,14 @@
 		{{"replica", id.str()}, {"failure_rate", rate}, {"for_ms", to_milliseconds(span)}});
 }
 
+void log_version_health(const rollout::health_change& change)
+{
+	log::write(change.is_failing ? log::level::warn : log::level::info,
+		change.is_failing ? "version fails requests" : "version no longer fails requests",
+		{{"service", change.service.str()}, {"version", change.version},
+			{"responses", change.recent.responses}, {"failed", change.recent.failed}});
+}
+
 void log_silence(const routing::replica_silence& seen, bool is_avoided)
 {
 	log::write(log::level::info, is_avoided ? "silent replica avoided" : "silent replica in use again",
--- a/src/proxy/gateway_log.hpp
+++ b/src/proxy/gateway_log.hpp
@@ -45,6 +45,9 @@
 /// \brief Another version of a service serves the sessions that no shift moves.
 void log_version_change(const rollout::version_change& change);
 
+/// \brief A version began to fail its requests, or no longer does.
+void log_version_health(const rollout::health_change& change);
+
 /// \brief This VM begins or ceases to avoid a replica that fell silent.
 void log_silence(const routing::replica_silence& seen, bool is_avoided);
 
--- a/src/proxy/gateway_metrics.cpp
+++ b/src/proxy/gateway_metrics.cpp
@@ -82,6 +82,35 @@
 	}
 }
 
+void gateway::write_version_metrics(std::ostream& out) const
+{
+	metrics::write_header(out, "gingerdyke_broken_attempts_total", "counter",
+		"Attempts that ended without a whole response, by whether they count against their replica's "
+		"version.");
+	out << "gingerdyke_broken_attempts_total{" << metrics::write_label("counted", "yes") << "} "
+		<< counted_broken_attempts_ << "\n";
+	out << "gingerdyke_broken_attempts_total{" << metrics::write_label("counted", "no") << "} "
+		<< excused_broken_attempts_ << "\n";
+	const auto all = health_.totals();
+	const auto labels = [](const rollout::version_totals& of)
+	{
+		return "{" + metrics::write_label("service", of.service.str()) + "," +
+			   metrics::write_label("version", of.version) + "} ";
+	};
+	metrics::write_header(
+		out, "gingerdyke_version_responses_total", "counter", "Responses of a version's replicas.");
+	for (const auto& of : all)
+	{
+		out << "gingerdyke_version_responses_total" << labels(of) << of.responses.responses << "\n";
+	}
+	metrics::write_header(out, "gingerdyke_version_failures_total", "counter",
+		"Responses of a version's replicas that failed or broke off.");
+	for (const auto& of : all)
+	{
+		out << "gingerdyke_version_failures_total" << labels(of) << of.responses.failed << "\n";
+	}
+}
+
 void gateway::write_metrics(std::ostream& out, instant now)
 {
 	constexpr double microseconds_per_second = 1e6;
@@ -151,6 +180,7 @@
 	write_memory_metrics(out);
 	write_room_metrics(out);
 	write_pace_metrics(out);
+	write_version_metrics(out);
 	metrics::write_header(out, "gingerdyke_further_attempts_left", "gauge",
 		"Attempts beyond the first that a service's budget allows now.");
 	for (auto& [service, budget] : budgets_)
--- a/src/proxy/replica_exit_detector.cpp
+++ b/src/proxy/replica_exit_detector.cpp
@@ -24,7 +24,9 @@
 {
 	if (const auto exited = presume(target, now))
 	{
-		begin_probe(*exited);
+		presumed_processes_.insert(exited->process);
+		when_state_known(target, [this, exited = *exited](process_state found)
+			{ resolve(exited, found == process_state::exited); });
 	}
 }
 
@@ -36,11 +38,28 @@
 	}
 }
 
-/// \returns The presumed exit; none if the exit is known or a probe is in progress.
+void replica_exit_detector::when_state_known(
+	const routing::replica_ptr& target, std::function<void(process_state)> hook)
+{
+	if (runs_.has_exited(*target))
+	{
+		hook(process_state::exited);
+		return;
+	}
+	const auto process = runs_.instance_of(*target);
+	auto& hooks = probes_[process];
+	hooks.push_back(std::move(hook));
+	if (hooks.size() == 1)
+	{
+		begin_probe(target, process);
+	}
+}
+
+/// \returns The presumed exit; none if the exit is known or presumed already.
 std::optional<replica_exit> replica_exit_detector::presume(const routing::replica_ptr& target, instant now)
 {
 	const auto process = runs_.instance_of(*target);
-	if (runs_.has_exited(*target) || probed_processes_.contains(process))
+	if (runs_.has_exited(*target) || presumed_processes_.contains(process))
 	{
 		return std::nullopt;
 	}
@@ -50,18 +69,19 @@
 	return exited;
 }
 
-void replica_exit_detector::begin_probe(const replica_exit& exited)
+void replica_exit_detector::begin_probe(
+	const routing::replica_ptr& target, quarantine::process_instance process)
 {
 	error_code error;
-	const auto ip = asio::ip::make_address_v4(exited.replica->at.ip, error);
+	const auto ip = asio::ip::make_address_v4(target->at.ip, error);
 	if (error)
 	{
-		resolve(exited, false);
+		end_probe(process, process_state::unknown);
 		return;
 	}
-	probed_processes_.insert(exited.process);
 	const auto pending_probe = std::make_shared<probe>(context_);
-	const auto finish = [this, pending_probe, exited, alive = std::weak_ptr<bool>{alive_}](bool has_exited)
+	const auto finish = [this, pending_probe, process, alive = std::weak_ptr<bool>{alive_}](
+							process_state found)
 	{
 		if (alive.expired() || std::exchange(pending_probe->is_done, true))
 		{
@@ -70,18 +90,31 @@
 		error_code ignored;
 		pending_probe->timer.cancel();
 		pending_probe->socket.close(ignored);
-		probed_processes_.erase(exited.process);
-		resolve(exited, has_exited);
+		end_probe(process, found);
 	};
 	pending_probe->timer.expires_after(tuning_.connect_timeout);
-	pending_probe->timer.async_wait([finish](const error_code&) { finish(false); });
-	pending_probe->socket.async_connect({ip, exited.replica->at.port},
+	pending_probe->timer.async_wait([finish](const error_code&) { finish(process_state::unknown); });
+	pending_probe->socket.async_connect({ip, target->at.port},
 		[finish](const error_code& connect_error)
-		{ finish(connect_error == asio::error::connection_refused); });
+		{
+			const bool is_refused = connect_error == asio::error::connection_refused;
+			const auto without_connection = is_refused ? process_state::exited : process_state::unknown;
+			finish(connect_error ? without_connection : process_state::running);
+		});
+}
+
+void replica_exit_detector::end_probe(quarantine::process_instance process, process_state found)
+{
+	const auto ended = probes_.extract(process);
+	for (const auto& hook : ended.mapped())
+	{
+		hook(found);
+	}
 }
 
 void replica_exit_detector::resolve(const replica_exit& exited, bool has_exited)
 {
+	presumed_processes_.erase(exited.process);
 	const bool is_new_exit = has_exited && runs_.record_exit(*exited.replica, steady_now());
 	if (!is_new_exit)
 	{
--- a/src/proxy/upstream_connection.cpp
+++ b/src/proxy/upstream_connection.cpp
@@ -133,7 +133,7 @@
 		return;
 	}
 	socket_.async_connect({ip, target_->at.port},
-		[self = shared_from_this()](const error_code& connect_error)
+		[self = shared_from_this(), began_at = steady_now()](const error_code& connect_error)
 		{
 			if (self->closed_)
 			{
@@ -146,6 +146,7 @@
 				return;
 			}
 			self->connected_ = true;
+			self->connect_time_ = steady_now() - began_at;
 			set_connection_options(self->socket_);
 			const auto callbacks = self->callbacks_;
 			callbacks->connection_opened();
--- a/src/rollout/version_evidence.cpp
+++ b/src/rollout/version_evidence.cpp
@@ -131,4 +131,17 @@
 		all.pre_trial.responses + all.old_version.sum().responses + all.new_version.sum().responses;
 	return responses + size_of(first_byte_by_model) + size_of(event_intervals_by_model);
 }
+
+std::uint64_t version_evidence::failures() const
+{
+	const auto all = all_routes();
+	return all.pre_trial.failed + all.old_version.sum().failed + all.new_version.sum().failed;
+}
+
+bool version_evidence::is_newer_than(const version_evidence& other) const
+{
+	const auto own_size = size();
+	const auto other_size = other.size();
+	return own_size > other_size || (own_size == other_size && failures() > other.failures());
+}
 } // namespace gingerdyke::rollout
--- a/src/rollout/version_shift_evidence.cpp
+++ b/src/rollout/version_shift_evidence.cpp
@@ -26,15 +26,50 @@
 	return latencies[latency_key(sample)];
 }
 
-void add_outcome(const response_sample& sample, response_counts& to)
+bool has_latency(const response_sample& sample)
 {
-	++to.responses;
-	to.failed += sample.failed ? 1 : 0;
+	return sample.kind != sample_kind::ending;
 }
 
-void record_outcome(route_evidence& to, bool is_new, cell_index cell, const response_sample& sample)
+response_counts& counts_of(route_evidence& seen, const counted_response& counted)
 {
-	add_outcome(sample, (is_new ? to.new_version : to.old_version)[cell]);
+	switch (counted.group)
+	{
+	case response_group::old_version:
+		return seen.old_version[counted.cell];
+	case response_group::new_version:
+		return seen.new_version[counted.cell];
+	case response_group::pre_trial:
+		break;
+	}
+	return seen.pre_trial;
+}
+
+/// Calls a function with all counts that a response is part of.
+template <typename Function>
+void for_counts_of(version_evidence& seen, const counted_response& counted, Function apply)
+{
+	apply(counts_of(seen.by_route[counted.route], counted));
+	if (counted.is_in_peak_load_phase)
+	{
+		apply(counts_of(seen.peak_load_phase, counted));
+	}
+}
+
+void add_outcome(version_evidence& to, const counted_response& counted, bool failed)
+{
+	for_counts_of(to, counted,
+		[failed](response_counts& counts)
+		{
+			++counts.responses;
+			counts.failed += failed ? 1 : 0;
+		});
+}
+
+void add_failure(version_evidence& to, const counted_response& counted)
+{
+	for_counts_of(to, counted,
+		[](response_counts& counts) { counts.failed = std::min(counts.failed + 1, counts.responses); });
 }
 } // namespace
 
@@ -68,7 +103,7 @@
 		return false;
 	}
 	auto& previous = state.by_reporter[reporter];
-	if (evidence.seen.size() <= previous.size())
+	if (!evidence.seen.is_newer_than(previous))
 	{
 		return false;
 	}
@@ -135,13 +170,13 @@
 	return all;
 }
 
-void version_shift::record_response(
+std::optional<counted_response> version_shift::record_response(
 	const service_id& service, const std::string& version, const response_sample& sample, instant now)
 {
 	const auto found = services_.find(service);
 	if (found == services_.end())
 	{
-		return;
+		return std::nullopt;
 	}
 	auto& state = found->second;
 	if (!is_running(state))
@@ -150,15 +185,43 @@
 		{
 			record_baseline(state, sample);
 		}
-		return;
+		return std::nullopt;
 	}
 	const bool is_new = version == state.plan->to_version;
-	record_sample(state, is_new, sample, now);
+	auto counted = record_sample(state, is_new, sample, now);
+	if (counted)
+	{
+		counted->service = service;
+	}
 	if (is_new)
 	{
 		state.unwritten.insert(std::string{});
 		evaluate_and_suspend(state, now);
 	}
+	return counted && !sample.failed ? counted : std::nullopt;
+}
+
+void version_shift::record_broken_response(const counted_response& counted, instant now)
+{
+	const auto found = services_.find(counted.service);
+	if (found == services_.end())
+	{
+		return;
+	}
+	auto& state = found->second;
+	if (!is_running(state) || state.plan->order != counted.order)
+	{
+		return;
+	}
+	for (auto* sum : {&state.own, &state.total, &state.to_write})
+	{
+		add_failure(*sum, counted);
+	}
+	if (counted.group == response_group::new_version)
+	{
+		state.unwritten.insert(std::string{});
+		evaluate_and_suspend(state, now);
+	}
 }
 
 void version_shift::record_baseline(service_state& state, const response_sample& sample)
@@ -171,11 +234,10 @@
 
 void version_shift::record_pre_trial(version_evidence& to, const response_sample& sample)
 {
-	if (sample.kind == sample_kind::first_byte)
+	if (has_latency(sample))
 	{
-		add_outcome(sample, to.by_route[sample.route].pre_trial);
+		latencies_of(to, sample).pre_trial.record(sample.relative_latency);
 	}
-	latencies_of(to, sample).pre_trial.record(sample.relative_latency);
 }
 
 bool version_shift::is_in_control_group(const service_state& state, std::uint64_t replica) const
@@ -186,45 +248,48 @@
 
 /// Latencies are compared during the trial only, and not in its peak-load phase: otherwise the engines of the
 /// two versions carry different loads.
-void version_shift::record_sample(
+///
+/// \returns Where the sample's outcome was counted; none if it has none, or is not compared.
+std::optional<counted_response> version_shift::record_sample(
 	service_state& state, bool is_new, const response_sample& sample, instant now) const
 {
 	const auto schedule = schedule_of(*state.plan);
 	const auto elapsed = elapsed_fraction(*state.plan, now);
-	const auto sums = {&state.own, &state.total, &state.to_write};
-	if (!is_new && elapsed < schedule.trial_starts_at())
+	const bool is_pre_trial = !is_new && elapsed < schedule.trial_starts_at();
+	if (!is_pre_trial && !is_new && !is_in_control_group(state, sample.replica))
 	{
-		for (auto* to : sums)
-		{
-			record_pre_trial(*to, sample);
-		}
-		return;
+		return std::nullopt;
 	}
-	if (!is_new && !is_in_control_group(state, sample.replica))
+	counted_response counted;
+	counted.order = state.plan->order;
+	counted.route = sample.route;
+	if (!is_pre_trial)
 	{
-		return;
+		const auto group = mix_hash(sample.replica, group_hash_seed) % replica_group_count;
+		counted.group = is_new ? response_group::new_version : response_group::old_version;
+		counted.cell = cell_of(group, random_below(random_, fold_count));
+		counted.is_in_peak_load_phase = schedule.is_peak_load_phase(elapsed);
 	}
-	const bool is_peak_load = carries_peak_load(state, now);
-	const bool is_peak_load_phase = schedule.is_peak_load_phase(elapsed);
 	const bool is_ramping_up = state.plan->promoted && elapsed >= schedule.trial_ends_at();
-	const auto group = mix_hash(sample.replica, group_hash_seed) % replica_group_count;
-	const auto cell = cell_of(group, random_below(random_, fold_count));
-	for (auto* to : sums)
+	const bool is_latency_compared = !is_ramping_up && !carries_peak_load(state, now);
+	for (auto* sum : {&state.own, &state.total, &state.to_write})
 	{
-		if (sample.kind == sample_kind::first_byte)
+		if (has_outcome(sample))
+		{
+			add_outcome(*sum, counted, sample.failed);
+		}
+		if (is_pre_trial)
 		{
-			record_outcome(to->by_route[sample.route], is_new, cell, sample);
-			if (is_peak_load_phase)
-			{
-				record_outcome(to->peak_load_phase, is_new, cell, sample);
-			}
+			record_pre_trial(*sum, sample);
 		}
-		if (!is_ramping_up && !is_peak_load)
+		else if (has_latency(sample) && is_latency_compared)
 		{
-			auto& latencies = latencies_of(*to, sample);
-			(is_new ? latencies.new_version : latencies.old_version)[cell].record(sample.relative_latency);
+			auto& latencies = latencies_of(*sum, sample);
+			(is_new ? latencies.new_version : latencies.old_version)[counted.cell].record(
+				sample.relative_latency);
 		}
 	}
+	return has_outcome(sample) ? std::optional{counted} : std::nullopt;
 }
 
 bool version_shift::has_evidence(const service_id& service) const
--- a/tests/proxy/replica_exit_detector.cpp
+++ b/tests/proxy/replica_exit_detector.cpp
@@ -106,3 +106,45 @@
 	CHECK(fixture.correlated == 3);
 	CHECK(was_called);
 }
+
+TEST_CASE("a probe tells whether a replica's process runs", "[evidence]")
+{
+	exit_detector_fixture fixture;
+	std::vector<proxy::process_state> states;
+	const auto record = [&](proxy::process_state found) { states.push_back(found); };
+	auto expected = proxy::process_state::running;
+	SECTION("it accepts connections") {}
+	SECTION("it has exited")
+	{
+		fixture.replicas[0]->crash();
+		expected = proxy::process_state::exited;
+	}
+	SECTION("its host can't be reached")
+	{
+		auto unreachable = *fixture.entries[0];
+		unreachable.at.ip = "no address";
+		fixture.entries[0] = std::make_shared<const routing::replica>(unreachable);
+		expected = proxy::process_state::unknown;
+	}
+	fixture.detector.when_state_known(fixture.entries[0], record);
+	fixture.detector.when_state_known(fixture.entries[0], record);
+	run_until(fixture.context, [&] { return states.size() == 2; });
+	CHECK(states == std::vector{expected, expected});
+	CHECK(fixture.presumed_count == 0);
+}
+
+TEST_CASE("a broken response during a probe is presumed to be an exit", "[evidence][quarantine]")
+{
+	exit_detector_fixture fixture;
+	fixture.replicas[0]->crash();
+	unsigned known_count = 0;
+	const auto record = [&](proxy::process_state) { ++known_count; };
+	fixture.detector.when_state_known(fixture.entries[0], record);
+	fixture.break_response(0);
+	fixture.detector.when_state_known(fixture.entries[0], record);
+	run_until(fixture.context, [&] { return known_count == 2; });
+	CHECK(fixture.resolved == std::vector{true});
+	fixture.detector.when_state_known(fixture.entries[0], record);
+	CHECK(known_count == 3);
+	CHECK(fixture.replicas[0]->accepted() == 0);
+}
--- a/tests/support/proxy_world.hpp
+++ b/tests/support/proxy_world.hpp
@@ -42,10 +42,10 @@
   public:
 	explicit proxy_world(std::optional<duration> revocation_time = {},
 		std::optional<duration> change_limit = {}, bool sheds_overload = false,
-		limits::memory_tuning memory = {})
+		limits::memory_tuning memory = {}, proxy::gateway_tuning tuning = {})
 		: log_(proxy::steady_now()),
 		  gateway_(context, test_names(), bounds(revocation_time, change_limit, sheds_overload, memory),
-			  failure_domain_id{"a"}, seeded_random{7}, log_),
+			  failure_domain_id{"a"}, seeded_random{7}, log_, tuning),
 		  callers_(context, host())
 	{
 		REQUIRE_FALSE(callers_.listen({"127.0.0.1", 0}));
