A forwarded request's model is looked up within the route's models

Cause: exchange::begin took the index as it came. Change: an index beyond the route's models stands for the largest one, which serves the caller as well as the configuration allows.

--- a/src/proxy/exchange_admission.cpp
+++ b/src/proxy/exchange_admission.cpp
@@ -31,6 +31,17 @@
 	}
 	return value->substr(scheme.size() + 1);
 }
+
+/// The model that a forwarding VM names. Its configuration may have more models on the route: one beyond
+/// them stands for the largest.
+routing::size_step known_step(const routing::route& on, routing::size_step named)
+{
+	if (named.index >= on.models.size())
+	{
+		return {on.models.empty() ? 0 : on.models.size() - 1, false};
+	}
+	return named;
+}
 } // namespace
 
 void exchange::start()
@@ -74,7 +85,7 @@
 	if (origin_)
 	{
 		attempt_count_ = origin_->attempts_made;
-		model_step_ = origin_->model_step;
+		model_step_ = known_step(*route_, origin_->model_step);
 	}
 	if (!has_room())
 	{
--- a/tests/proxy/held_response.cpp
+++ b/tests/proxy/held_response.cpp
@@ -447,15 +447,8 @@
 {
 	cascade fleet{1, [] { return whole_stream("small"); }, [] { return refusal(); }};
 	fleet.start();
-	auto from_vms = std::make_shared<proxy::caller_connection_callbacks>();
-	from_vms->handle = [&](proxy::request what, std::shared_ptr<proxy::response_sink> to)
-	{ return fleet.world.gateway().handle_forwarded(std::move(what), std::move(to)); };
-	from_vms->limits = [&] { return fleet.world.data.limits; };
-	from_vms->stopping = [] { return false; };
-	proxy::listener others{fleet.world.context, from_vms};
-	REQUIRE_FALSE(others.listen({"127.0.0.1", 0}));
 	const proxy::forwarding_terms terms{vm_id{"other"}, 0, 3, {}, 1};
-	fleet.caller.emplace(fleet.world.context, others.port());
+	fleet.caller.emplace(fleet.world.context, fleet.world.listen_for_vms());
 	fleet.caller->send(request_to("POST", "/stream/a", "p",
 		"Model: *\r\n" + std::string{proxy::forwarding_header} + ": " + proxy::write_terms(terms) + "\r\n"));
 	fleet.world.run_until([&] { return fleet.is_answered(); });
--- a/tests/support/proxy_world.hpp
+++ b/tests/support/proxy_world.hpp
@@ -99,6 +99,18 @@
 	[[nodiscard]] proxy::request_log& log() noexcept { return log_; }
 	[[nodiscard]] std::uint16_t port() const { return callers_.port(); }
 
+	/// \brief Listens for requests that other VMs forward.
+	/// \returns The port.
+	[[nodiscard]] std::uint16_t listen_for_vms()
+	{
+		auto made = std::make_shared<proxy::caller_connection_callbacks>(*host());
+		made->handle = [this](proxy::request what, std::shared_ptr<proxy::response_sink> to)
+		{ return gateway_.handle_forwarded(std::move(what), std::move(to)); };
+		vms_.emplace(context, std::move(made));
+		REQUIRE_FALSE(vms_->listen({"127.0.0.1", 0}));
+		return vms_->port();
+	}
+
 	void run_until(const std::function<bool()>& holds) { test::run_until(context, holds); }
 
 	/// \brief Sends a request and waits for its answer.
@@ -155,6 +167,7 @@
 	proxy::request_log log_;
 	proxy::gateway gateway_;
 	proxy::listener callers_;
+	std::optional<proxy::listener> vms_;
 };
 
 /// \brief A request with an id.
