A version that fails requests stays reported while it has few of them

Found reading the change: with fewer responses than a ratio needs, a version that failed counted as sound again, and its line came and went with the traffic. What is known stays until there are enough responses. The new test would find it; it was not run on the code before. Also: a comment that named a case that does not occur, a parameter by reference.

--- a/include/gingerdyke/rollout/version_shift.hpp
+++ b/include/gingerdyke/rollout/version_shift.hpp
@@ -90,8 +90,8 @@
 	no_response,
 	/// The second event of a stream arrived, or the stream was abandoned while waiting for it.
 	event_interval,
-	/// The request ended without a latency to count: the replica broke off before a response began, or the
-	/// response began after its latency had been counted as `no_response`.
+	/// The replica broke the request off before a response began, or was silent until its deadline: an
+	/// outcome without a latency.
 	ending,
 };
 
--- a/src/rollout/version_health.cpp
+++ b/src/rollout/version_health.cpp
@@ -37,7 +37,8 @@
 	state.recent.back().responses += counts;
 	const auto recent = recent_of(state, now);
 	const auto limit = tuning_.failing_ratio * (state.is_failing ? 0.5 : 1);
-	const bool is_failing = recent.responses >= tuning_.min_responses && recent.bad_ratio() >= limit;
+	const bool is_known = recent.responses >= tuning_.min_responses;
+	const bool is_failing = is_known ? recent.bad_ratio() >= limit : state.is_failing;
 	if (std::exchange(state.is_failing, is_failing) != is_failing)
 	{
 		change_callback_({service, version, is_failing, recent});
--- a/tests/proxy/version_evidence.cpp
+++ b/tests/proxy/version_evidence.cpp
@@ -22,7 +22,7 @@
 /// Replicas of one version while a shift of their service is running.
 struct shifted_version
 {
-	shifted_version(const char* service_name, std::size_t count, scripted_replica::script script,
+	shifted_version(const char* service_name, std::size_t count, const scripted_replica::script& script,
 		const char* version_name = "v2", double elapsed = in_trial, proxy::gateway_tuning tuning = {})
 		: service(service_name), version(version_name), world({}, {}, false, {}, tuning)
 	{
--- a/tests/rollout/version_health.cpp
+++ b/tests/rollout/version_health.cpp
@@ -12,7 +12,7 @@
 
 struct watched_service
 {
-	/// Responses, one in ten each second.
+	/// Responses within one second.
 	void see(unsigned responses, unsigned failed, const std::string& version = "v1")
 	{
 		for (unsigned i = 0; i < responses; ++i)
@@ -70,6 +70,21 @@
 	CHECK(totals.front().responses == rollout::response_counts{40, 20});
 }
 
+TEST_CASE("a version that fails requests is not taken for a sound one while it has few", "[version_health]")
+{
+	watched_service watched;
+	for (int i = 0; i < 10; ++i)
+	{
+		watched.see(10, 5);
+	}
+	REQUIRE(watched.changes.size() == 1);
+	for (int i = 0; i < 60; ++i)
+	{
+		watched.see(1, 0);
+	}
+	CHECK(watched.changes.size() == 1);
+}
+
 TEST_CASE("a few failures, or few responses, are not reported", "[version_health]")
 {
 	watched_service watched;
