A version that fails requests is reported by VMs that get few of them

Found reading the change: version_health needed 20 responses within 10 s at one VM. At 340 or 985 VMs a small service has a tenth of a request a second at each, so no VM would have written the line.

Change: the ratio is taken over the latest 50 to 100 responses, in whatever time they came. Less state is kept: two counts.

--- a/emulator/shift_emulator.hpp
+++ b/emulator/shift_emulator.hpp
@@ -121,7 +121,7 @@
 	std::uint64_t bad_responses{};
 	std::uint64_t late_requests{};
 
-	/// Time from that bad response to the last request to the new version; 0 if there was none.
+	/// Time from the start of that time limit to the last request to the new version; 0 if there was none.
 	duration exposed_for{};
 };
 
--- a/include/gingerdyke/proxy/attempt.hpp
+++ b/include/gingerdyke/proxy/attempt.hpp
@@ -43,7 +43,7 @@
 	/// A response began, which was recorded for its replica's version.
 	bool has_begun{};
 
-	/// Where that was counted as a success; none if it was not.
+	/// Where the response was counted as a success; none if it was not.
 	std::optional<rollout::counted_response> counted;
 
 	/// It was recorded that the replica broke the attempt off.
--- a/include/gingerdyke/proxy/gateway.hpp
+++ b/include/gingerdyke/proxy/gateway.hpp
@@ -356,7 +356,7 @@
 	/// at once, and a lost path or a planned stop says nothing about its version.
 	void record_broken_attempt(const routing::replica_ptr& from, const broken_attempt& ended);
 
-	/// \brief The same for a response that shows itself that the process runs.
+	/// \brief Records such an attempt at once, where what was received shows that the process runs.
 	void count_broken_attempt(const routing::replica& from, const broken_attempt& ended);
 
 	/// \brief Records a replica's statement that it is draining.
--- a/include/gingerdyke/rollout/version_health.hpp
+++ b/include/gingerdyke/rollout/version_health.hpp
@@ -2,7 +2,6 @@
 // Watches the responses of each version in use, also while no shift compares them.
 #pragma once
 
-#include <deque>
 #include <functional>
 #include <gingerdyke/base/ids.hpp>
 #include <gingerdyke/base/units.hpp>
@@ -16,13 +15,11 @@
 /// \brief Tuning of `version_health`.
 struct health_tuning
 {
-	/// Period that the failure ratio is taken over, as a number of intervals.
-	duration interval = std::chrono::seconds{2};
-	std::size_t intervals = 5;
+	/// The failure ratio is taken over the latest responses, from this many to twice as many: a period of
+	/// time would hold too few of them at each VM of a large deployment.
+	std::uint64_t min_responses = 50;
 
-	/// A version fails from this many responses and this failure ratio on, until the ratio is below half of
-	/// it.
-	std::uint64_t min_responses = 20;
+	/// A version fails from this failure ratio on, until the ratio is below half of it.
 	double failing_ratio = 0.2;
 
 	/// Number of versions that are kept for a service.
@@ -36,7 +33,7 @@
 	std::string version;
 	bool is_failing{};
 
-	/// Responses of the period.
+	/// The latest responses.
 	response_counts recent;
 };
 
@@ -66,16 +63,10 @@
 	[[nodiscard]] std::vector<version_totals> totals() const;
 
   private:
-	struct interval
-	{
-		instant started_at;
-		response_counts responses;
-	};
-
 	struct version_state
 	{
 		response_counts total;
-		std::deque<interval> recent;
+		response_counts recent;
 		instant last_seen;
 		bool is_failing{};
 	};
@@ -85,7 +76,7 @@
 	void add(
 		const service_id& service, const std::string& version, const response_counts& counts, instant now);
 	void drop_oldest_version(versions& of) const;
-	[[nodiscard]] response_counts recent_of(version_state& state, instant now) const;
+	[[nodiscard]] bool is_failing(const version_state& state) const;
 
 	change_callback change_callback_;
 	health_tuning tuning_;
--- a/src/rollout/version_health.cpp
+++ b/src/rollout/version_health.cpp
@@ -30,18 +30,15 @@
 	auto& state = of_service[version];
 	state.last_seen = now;
 	state.total += counts;
-	if (state.recent.empty() || now - state.recent.back().started_at >= tuning_.interval)
+	state.recent += counts;
+	const auto failing = is_failing(state);
+	if (std::exchange(state.is_failing, failing) != failing)
 	{
-		state.recent.push_back({now, {}});
+		change_callback_({service, version, failing, state.recent});
 	}
-	state.recent.back().responses += counts;
-	const auto recent = recent_of(state, now);
-	const auto limit = tuning_.failing_ratio * (state.is_failing ? 0.5 : 1);
-	const bool is_known = recent.responses >= tuning_.min_responses;
-	const bool is_failing = is_known ? recent.bad_ratio() >= limit : state.is_failing;
-	if (std::exchange(state.is_failing, is_failing) != is_failing)
+	if (state.recent.responses >= 2 * tuning_.min_responses)
 	{
-		change_callback_({service, version, is_failing, recent});
+		state.recent = {state.recent.responses / 2, state.recent.failed / 2};
 	}
 	if (of_service.size() > tuning_.max_versions)
 	{
@@ -56,19 +53,15 @@
 	of.erase(oldest);
 }
 
-response_counts version_health::recent_of(version_state& state, instant now) const
+/// What is known of a version stays until it has enough responses.
+bool version_health::is_failing(const version_state& state) const
 {
-	const auto period = tuning_.interval * static_cast<duration::rep>(tuning_.intervals);
-	while (now - state.recent.front().started_at >= period)
+	if (state.recent.responses < tuning_.min_responses)
 	{
-		state.recent.pop_front();
+		return state.is_failing;
 	}
-	response_counts sum;
-	for (const auto& part : state.recent)
-	{
-		sum += part.responses;
-	}
-	return sum;
+	const auto limit = state.is_failing ? tuning_.failing_ratio / 2 : tuning_.failing_ratio;
+	return state.recent.bad_ratio() >= limit;
 }
 
 std::vector<version_totals> version_health::totals() const
