A response without length that a reset cuts is no longer taken as complete

What callers saw: a replica answered a long upload at once with a 200 without length, sent a part of the body and reset the connection while the upload was still being written. The caller got the part as a complete, stamped answer; the same with 404, 500, HTTP/1.0, without a byte of the body, and for streams of events, which ended as whole.

Cause: the kernel reports a reset to one operation only. The event loop carries on a pending write before a pending read, so the write of the upload takes the error. The read that follows gets the bytes that came and then an end of file, as after an orderly close, and an end of file completes a response that has neither a length nor chunks.

Fix: at that end of file the state of the connection is read (TCP_INFO). CLOSE_WAIT means that the peer has sent its FIN; after a reset the connection is closed. This does not depend on which operation took the error or which handler runs first. If the state isn't CLOSE_WAIT, or can't be read, the attempt failed as cut, like any other: it is retried where the route allows it, and the connection is not reused. A replica that closes with a part of the upload unread makes the kernel send a reset; that can't be told from a cut, and counts as one.

--- a/include/gingerdyke/proxy/asio.hpp
+++ b/include/gingerdyke/proxy/asio.hpp
@@ -14,6 +14,7 @@
 #include <boost/beast/http/string_body.hpp>
 #include <gingerdyke/proxy/timer.hpp>
 #include <string>
+#include <tl/expected.hpp>
 
 namespace gingerdyke::proxy
 {
@@ -35,6 +36,12 @@
 /// \brief Sets it back to what `set_connection_options` set.
 void restore_unacknowledged_timeout(tcp::socket& socket);
 
+/// \brief Whether the peer has ended its sending side in order (FIN) and has not reset the connection since.
+/// The end of file that a read reports does not tell: the kernel reports a reset to one operation only, and
+/// after a write has failed with it, reads end as after an orderly close.
+/// \returns The error if the state of the connection can't be read.
+[[nodiscard]] tl::expected<bool, error_code> has_closed_in_order(tcp::socket& socket);
+
 /// \brief Opens an acceptor on an IPv4 address.
 /// \param backlog Maximum number of connections that wait to be accepted.
 /// \returns The error if it cannot listen; otherwise no error.
--- a/src/proxy/asio.cpp
+++ b/src/proxy/asio.cpp
@@ -1,5 +1,6 @@
 // SPDX-License-Identifier: MIT
 // Socket options.
+#include <cerrno>
 #include <gingerdyke/proxy/asio.hpp>
 #include <netinet/tcp.h>
 
@@ -49,6 +50,17 @@
 	set_tcp_option(socket, TCP_USER_TIMEOUT, unacknowledged_timeout_ms);
 }
 
+tl::expected<bool, error_code> has_closed_in_order(tcp::socket& socket)
+{
+	tcp_info info{};
+	socklen_t size = sizeof(info);
+	if (::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0)
+	{
+		return tl::make_unexpected(error_code{errno, boost::system::system_category()});
+	}
+	return info.tcpi_state == TCP_CLOSE_WAIT;
+}
+
 error_code open_acceptor(tcp::acceptor& acceptor, const std::string& ip, std::uint16_t port, int backlog)
 {
 	error_code error;
--- a/src/proxy/upstream_connection.cpp
+++ b/src/proxy/upstream_connection.cpp
@@ -2,6 +2,7 @@
 // An HTTP/1.1 connection to a replica.
 #include <array>
 #include <charconv>
+#include <gingerdyke/log/log.hpp>
 #include <gingerdyke/proxy/connection_guard.hpp>
 #include <gingerdyke/proxy/upstream_connection.hpp>
 #include <limits>
@@ -168,7 +169,8 @@
 	asio::async_write(socket_, buffers,
 		[self = shared_from_this(), head, body](const error_code& error, std::size_t)
 		{
-			// A write error is reported by the read: a response may have arrived before the connection broke.
+			// Not a failure yet: a response may have arrived before the connection broke. The read that
+			// follows it finds the end of the connection.
 			self->request_written_ = !error;
 		});
 }
@@ -361,7 +363,8 @@
 
 void upstream_connection::on_end_of_connection(const error_code& error)
 {
-	if (head_delivered_ && !skipping_stale_response_ && parser_->need_eof() && error == asio::error::eof)
+	const bool has_open_body = head_delivered_ && !skipping_stale_response_ && parser_->need_eof();
+	if (has_open_body && error == asio::error::eof && has_closed_in_order())
 	{
 		error_code ignored;
 		parser_->put_eof(ignored);
@@ -383,6 +386,20 @@
 													  : upstream_fault::no_response);
 }
 
+/// Whether the end of the connection completes a response without length. If that is not known, the response
+/// counts as cut.
+bool upstream_connection::has_closed_in_order()
+{
+	const auto is_in_order = proxy::has_closed_in_order(socket_);
+	if (!is_in_order)
+	{
+		log::write(log::level::warn, "state of a connection not known, response without length taken as cut",
+			{{"request", request_.id}, {"replica", target_->id.str()},
+				{"error", is_in_order.error().message()}});
+	}
+	return is_in_order.value_or(false);
+}
+
 void upstream_connection::finish()
 {
 	if (skipping_stale_response_)
--- a/tests/proxy/false_refusal.cpp
+++ b/tests/proxy/false_refusal.cpp
@@ -2,7 +2,7 @@
 // A refusal status of a replica that ran the request doesn't reach the caller, whom it would tell that
 // nothing ran.
 #include "../support/captured_log.hpp"
-#include "../support/proxy_world.hpp"
+#include "../support/lost_path.hpp"
 
 using namespace gingerdyke;
 using namespace gingerdyke::test;
@@ -44,14 +44,7 @@
 	explicit forwarding_world(const scripted_answer& answer)
 		: other_vm(world.context, [answer](const std::string&) { return answer; })
 	{
-		proxy::tcp::acceptor probe{world.context, {proxy::asio::ip::address_v4::loopback(), 0}};
-		const routing::address unreachable{"127.0.0.1", probe.local_endpoint().port()};
-		probe.close();
-		world.start_at({{"plain", unreachable}});
-		routing::forwarding_peer peer;
-		peer.vm = vm_id{"other"};
-		peer.at = other_vm.at();
-		world.gateway().peers().set_peers({peer});
+		start_without_path(world, "plain", other_vm.at());
 	}
 
 	proxy_world world;
@@ -60,10 +53,7 @@
 
 scripted_answer forwarded(const std::string& status, proxy::forwarding_outcome outcome)
 {
-	const proxy::forwarding_result result{outcome, 1, replica_id{"r9"}};
-	return {answer_with(status, "the ledger is away",
-		statements + std::string{proxy::forwarding_result_header} + ": " + proxy::write_result(result) +
-			"\r\n")};
+	return {answer_with(status, "the ledger is away", statements + forwarding_result_line(outcome))};
 }
 } // namespace
 
