A response with a status that is none of HTTP's ends its attempt at once

What callers saw: after a response with status 000 they got what the replica sent next, on the same connection, as the answer: a body that came in a segment of its own was read as a response. If nothing followed, they waited until their time was over in place of another replica's answer. A 101 did the same; statuses from 600 on were passed on as they were.

Cause: every status below 200 was taken as interim, so the parser was started anew on what follows the head; no status was too large. That the same bytes in one segment ended as a 502 was chance: the body had been parsed along with the head.

Fix: 100 and 102 to 199 are interim, 200 to 599 final.

--- a/include/gingerdyke/base/http_status.hpp
+++ b/include/gingerdyke/base/http_status.hpp
@@ -4,6 +4,7 @@
 
 namespace gingerdyke::http_status
 {
+inline constexpr int switching_protocols = 101;
 inline constexpr int ok = 200;
 inline constexpr int accepted = 202;
 inline constexpr int bad_request = 400;
@@ -22,4 +23,22 @@
 /// \brief First status code of any error, and first of a server error.
 inline constexpr int lowest_error = 400;
 inline constexpr int lowest_server_error = 500;
+
+/// \brief Range of the status codes of interim responses, and of all that a response may have (RFC 9110, 15).
+inline constexpr int lowest_interim = 100;
+inline constexpr int lowest_final = 200;
+inline constexpr int highest = 599;
+
+/// \brief Whether another response follows one with this status. A 101 is none of them: it accepts an
+/// upgrade, which no VM asks for.
+[[nodiscard]] constexpr bool is_interim(int status) noexcept
+{
+	return status >= lowest_interim && status < lowest_final && status != switching_protocols;
+}
+
+/// \brief Whether a response with this status may answer a request.
+[[nodiscard]] constexpr bool is_final(int status) noexcept
+{
+	return status >= lowest_final && status <= highest;
+}
 } // namespace gingerdyke::http_status
--- a/src/proxy/upstream_connection.cpp
+++ b/src/proxy/upstream_connection.cpp
@@ -2,6 +2,7 @@
 // An HTTP/1.1 connection to a replica.
 #include <array>
 #include <charconv>
+#include <gingerdyke/base/http_status.hpp>
 #include <gingerdyke/log/log.hpp>
 #include <gingerdyke/proxy/connection_guard.hpp>
 #include <gingerdyke/proxy/upstream_connection.hpp>
@@ -26,8 +27,6 @@
 /// Maximum size of late responses to other requests that are skipped before the one to the current request.
 constexpr std::uint64_t max_skipped_bytes = std::uint64_t{1} << 20U;
 
-constexpr int first_success = 200;
-
 template <typename Parser>
 response_head head_of(const Parser& parser)
 {
@@ -336,15 +335,20 @@
 	parser_->skip(request_.is_head);
 }
 
-/// \returns False if the head is not passed on: it was informational, or the connection was closed.
+/// \returns False if the head is not passed on: it was interim, or the connection was closed.
 bool upstream_connection::on_head()
 {
 	auto head = head_of(*parser_);
-	if (head.status < first_success)
+	if (http_status::is_interim(head.status))
 	{
 		start_parser();
 		return false;
 	}
+	if (!http_status::is_final(head.status))
+	{
+		fail(upstream_fault::invalid_response);
+		return false;
+	}
 	head_delivered_ = true;
 	const auto* id = head.find(id_field_);
 	if (id != nullptr && *id != request_.id)
