A response in a transfer coding other than chunks is not passed on

What callers saw: a replica that answered with `Transfer-Encoding: gzip`, alone or before `chunked`, had its encoded bytes passed on as the body, without a word of the coding.

Cause: the parser takes chunks off and leaves other codings to its user. The VM took no coding off and dropped the field, as it is one of the connection's. The head of a caller's request was checked for this, the head of a response wasn't.

Fix: a response whose Transfer-Encoding names anything but chunks is invalid, from replicas and from other VMs. The rule stands in one place for requests and responses; the request's check keeps its other parts, which judge raw lines and the host.

--- a/src/proxy/message.cpp
+++ b/src/proxy/message.cpp
@@ -83,6 +83,12 @@
 	return std::nullopt;
 }
 
+/// Whether the value of `Transfer-Encoding` names chunks and nothing else.
+bool is_plain_chunked(std::string_view value) noexcept
+{
+	return equals_ignore_case(trim(value), "chunked");
+}
+
 /// Counts of the fields that determine the length and the target host of a message.
 struct framing_fields
 {
@@ -107,7 +113,7 @@
 	if (equals_ignore_case(name, "Transfer-Encoding"))
 	{
 		++counts.encodings;
-		counts.is_plain_chunked = equals_ignore_case(trim(line.substr(colon + 1)), "chunked");
+		counts.is_plain_chunked = is_plain_chunked(line.substr(colon + 1));
 	}
 }
 
@@ -146,6 +152,13 @@
 	return found == fields.end() ? nullptr : &found->value;
 }
 
+bool has_unknown_transfer_coding(const header_fields& fields) noexcept
+{
+	return std::any_of(fields.begin(), fields.end(),
+		[](const header_field& field)
+		{ return equals_ignore_case(field.name, "Transfer-Encoding") && !is_plain_chunked(field.value); });
+}
+
 bool has_token(std::string_view list, std::string_view token) noexcept
 {
 	while (!list.empty())
--- a/src/proxy/upstream_connection.cpp
+++ b/src/proxy/upstream_connection.cpp
@@ -344,7 +344,7 @@
 		start_parser();
 		return false;
 	}
-	if (!http_status::is_final(head.status))
+	if (!http_status::is_final(head.status) || has_unknown_transfer_coding(head.fields))
 	{
 		fail(upstream_fault::invalid_response);
 		return false;
