--- a/include/gingerdyke/proxy/message.hpp
+++ b/include/gingerdyke/proxy/message.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <gingerdyke/base/finding.hpp>
+#include <gingerdyke/base/http_fields.hpp>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -20,8 +21,7 @@
 
 using header_fields = std::vector<header_field>;
 
-/// \brief Compares header names and tokens: ASCII, case-insensitive.
-[[nodiscard]] bool equals_ignore_case(std::string_view a, std::string_view b) noexcept;
+using http_fields::equals_ignore_case;
 
 /// \brief Value of the first field with a name; null if there is none.
 [[nodiscard]] const std::string* find_field(const header_fields& fields, std::string_view name) noexcept;
--- a/src/proxy/message.cpp
+++ b/src/proxy/message.cpp
@@ -19,21 +19,6 @@
 	"Proxy-Authenticate", "Proxy-Authorization", "TE", "Trailer", "Transfer-Encoding", "Upgrade",
 	"Content-Length"};
 
-char to_lower(char c) noexcept
-{
-	return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
-}
-
-std::string_view trim(std::string_view text) noexcept
-{
-	const auto first = text.find_first_not_of(" \t");
-	if (first == std::string_view::npos)
-	{
-		return {};
-	}
-	return text.substr(first, text.find_last_not_of(" \t") - first + 1);
-}
-
 bool is_hop_by_hop(std::string_view name) noexcept
 {
 	return std::any_of(hop_by_hop_fields.begin(), hop_by_hop_fields.end(),
@@ -83,12 +68,6 @@
 	return std::nullopt;
 }
 
-/// Whether the value of `Transfer-Encoding` names chunks and nothing else.
-bool is_plain_chunked(std::string_view value) noexcept
-{
-	return equals_ignore_case(trim(value), "chunked");
-}
-
 /// Counts of the fields that determine the length and the target host of a message.
 struct framing_fields
 {
@@ -113,7 +92,7 @@
 	if (equals_ignore_case(name, "Transfer-Encoding"))
 	{
 		++counts.encodings;
-		counts.is_plain_chunked = is_plain_chunked(line.substr(colon + 1));
+		counts.is_plain_chunked = !http_fields::is_unknown_transfer_coding(name, line.substr(colon + 1));
 	}
 }
 
@@ -139,12 +118,6 @@
 }
 } // namespace
 
-bool equals_ignore_case(std::string_view a, std::string_view b) noexcept
-{
-	return std::equal(
-		a.begin(), a.end(), b.begin(), b.end(), [](char x, char y) { return to_lower(x) == to_lower(y); });
-}
-
 const std::string* find_field(const header_fields& fields, std::string_view name) noexcept
 {
 	const auto found = std::find_if(fields.begin(), fields.end(),
@@ -156,7 +129,7 @@
 {
 	return std::any_of(fields.begin(), fields.end(),
 		[](const header_field& field)
-		{ return equals_ignore_case(field.name, "Transfer-Encoding") && !is_plain_chunked(field.value); });
+		{ return http_fields::is_unknown_transfer_coding(field.name, field.value); });
 }
 
 bool has_token(std::string_view list, std::string_view token) noexcept
@@ -164,7 +137,7 @@
 	while (!list.empty())
 	{
 		const auto comma = list.find(',');
-		if (equals_ignore_case(trim(list.substr(0, comma)), token))
+		if (equals_ignore_case(http_fields::trim(list.substr(0, comma)), token))
 		{
 			return true;
 		}
