Upstream code of `serve`: invalid responses are no answers

What callers saw: with `gingerdyke serve` a response with status 000, 099 or 101, with a blank or control byte in the name of a field (Content-Length and Transfer-Encoding among them), or in a transfer coding other than chunks counted as the whole answer, and its connection was used again.

Cause: the HTTP library passes all of these on, and only statuses from 500 on were looked at.

Fix: status, names and coding are checked before anything else is read of a response, for whole answers, streams and services; an invalid one counts as a failure of the upstream, is logged with what is wrong, and its connection is not kept.

--- a/include/gingerdyke/node/request.hpp
+++ b/include/gingerdyke/node/request.hpp
@@ -81,7 +81,7 @@
 	busy,
 	/// The upstream said that it did not take the work: it leaves.
 	leaving,
-	/// The upstream answered that it failed.
+	/// The upstream answered that it failed, or sent no valid response.
 	failed,
 	/// The connection broke, or time ran out, after bytes were sent.
 	lost,
--- a/src/http/upstream.cpp
+++ b/src/http/upstream.cpp
@@ -2,9 +2,11 @@
 // Calls to upstreams. What an engine's answers mean is in docs/API.md, "Towards engines".
 #include <chrono>
 #include <gingerdyke/base/boot_clock.hpp>
+#include <gingerdyke/base/http_fields.hpp>
 #include <gingerdyke/base/http_status.hpp>
 #include <gingerdyke/http/sse_reader.hpp>
 #include <gingerdyke/http/upstream.hpp>
+#include <gingerdyke/log/log.hpp>
 
 namespace gingerdyke::http
 {
@@ -34,6 +36,40 @@
 	return unsent ? attempt_end::not_sent : attempt_end::lost;
 }
 
+/// What makes a response none of HTTP's; null if it is valid. The library passes all of these on.
+const char* find_response_fault(const httplib::Response& response)
+{
+	if (!http_status::is_final(response.status))
+	{
+		return "status that is not a final one";
+	}
+	for (const auto& [name, value] : response.headers)
+	{
+		if (!http_fields::is_valid_name(name))
+		{
+			return "invalid name of a field";
+		}
+		if (http_fields::is_unknown_transfer_coding(name, value))
+		{
+			return "transfer coding other than chunked";
+		}
+	}
+	return nullptr;
+}
+
+/// Logs an invalid response, which is no answer to the request.
+bool is_valid(const httplib::Response& response, const request_id& id, const node::dispatch_order& order)
+{
+	const auto* fault = find_response_fault(response);
+	if (fault != nullptr)
+	{
+		log::write(log::level::warn, "invalid response of an upstream",
+			{{"request", id.str()}, {"upstream", order.upstream}, {"address", order.address},
+				{"status", response.status}, {"fault", fault}});
+	}
+	return fault == nullptr;
+}
+
 /// What can be told from an engine's status; complete where its body counts.
 attempt_end end_of(const httplib::Response& response, const chat_attempt& attempt)
 {
@@ -245,7 +281,8 @@
 	{
 		report.status = response.status;
 		report.load = number_in(response, "Engine-Load");
-		const auto end = end_of(response, attempt);
+		const auto end =
+			is_valid(response, attempt.id, attempt.order) ? end_of(response, attempt) : attempt_end::failed;
 		if (end != attempt_end::complete || response.status >= http_status::lowest_error)
 		{
 			refused = end;
@@ -301,6 +338,11 @@
 		return report;
 	}
 	report.status = result->status;
+	if (!is_valid(*result, attempt.id, attempt.order))
+	{
+		report.end = attempt_end::failed;
+		return report;
+	}
 	report.load = number_in(*result, "Engine-Load");
 	report.confidence = number_in(*result, "Engine-Confidence");
 	report.end = end_of(*result, attempt);
@@ -342,6 +384,11 @@
 		return report;
 	}
 	report.status = result->status;
+	if (!is_valid(*result, call.id, order))
+	{
+		report.end = attempt_end::failed;
+		return report;
+	}
 	const bool echoes = result->has_header("Service-Request-Id");
 	if (echoes && result->get_header_value("Service-Request-Id") != call.id.str())
 	{
