--- a/src/proxy/upstream_connection.cpp
+++ b/src/proxy/upstream_connection.cpp
@@ -19,7 +19,7 @@
 /// Maximum size of a response head in bytes; the deployments' replicas send a few hundred.
 constexpr std::uint32_t max_head_bytes = 65536;
 
-/// Maximum size of what comes with a response beside its body: heads, informational ones included, and the
+/// Maximum size of what comes with a response beside its body: heads, interim ones included, and the
 /// framing of chunks. Sound replicas frame each byte with a few others at most.
 constexpr std::uint64_t max_framing_bytes = 2 * max_head_bytes;
 constexpr std::uint64_t max_framing_bytes_per_body_byte = 8;
