--- a/tests/proxy/version_evidence.cpp
+++ b/tests/proxy/version_evidence.cpp
@@ -2,6 +2,7 @@
 // Each attempt that reached a replica counts once for its version, by how it ended. A version that broke off
 // half of its responses was completed: the heads counted as successes, and nothing else counted.
 #include "../support/proxy_world.hpp"
+#include "../support/upload_server.hpp"
 #include <algorithm>
 
 using namespace gingerdyke;
@@ -179,6 +180,29 @@
 	trial.check_counts(1, 1);
 }
 
+// Guards against a reset that the write of the upload takes: the part counted as a success.
+TEST_CASE("a response that is reset during the upload counts as one failure", "[evidence][shift][upload]")
+{
+	constexpr std::size_t upload_bytes = std::size_t{16} << 20U;
+	shifted_version trial{"plain", 0, silent()};
+	const upload_server replica{trial.world.context,
+		[](const std::string&)
+		{ return std::string{"HTTP/1.1 200 OK\r\nRequest-Id: q1\r\nSignature: s\r\n\r\nhalf"}; },
+		upload_ending::reset, upload_bytes};
+	trial.world.data.limits.body_bytes = upload_bytes;
+	routing::replica entry;
+	entry.id = replica_id{"r0"};
+	entry.service = trial.service;
+	entry.at = replica.at();
+	entry.version = trial.version;
+	trial.world.gateway().set_replicas({entry}, proxy::steady_now());
+	scripted_caller caller{trial.world.context, trial.world.port()};
+	caller.send_while_running(request_to("POST", "/unsafe/a", std::string(upload_bytes, 'u')));
+	trial.world.run_until([&] { return caller.has_answer() || caller.ended(); });
+	CHECK(caller.received().starts_with("HTTP/1.1 502 "));
+	trial.check_counts(1, 1);
+}
+
 TEST_CASE("the old version's broken responses count before the trial as well", "[evidence][shift]")
 {
 	shifted_version old{"plain", 1,
