--- a/tests/platform/invalid_responses.cpp
+++ b/tests/platform/invalid_responses.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: MIT
-// Responses of the registry that are none, cut, or interim. Guards against a response that is taken for the
+// Invalid, cut and interim responses of the registry. Guards against a response that is taken for the
 // one to the call after it, as the connection was used again behind a status that is not final.
+#include "../support/endless_server.hpp"
 #include "../support/proxy_world.hpp"
 #include "../support/upload_server.hpp"
 #include <gingerdyke/base/json_source.hpp>
@@ -86,6 +87,21 @@
 	CHECK((*got)->rows.front().key == "new");
 }
 
+TEST_CASE("interim responses of the registry without end fail the call", "[platform][endless]")
+{
+	constexpr std::uint64_t max_read_bytes = 8U << 20U;
+	proxy::asio::io_context context{1};
+	const std::string interim = "HTTP/1.1 103 Early Hints\r\n\r\n";
+	endless_server server{context, interim, interim};
+	platform::registry_client client{context, server.at()};
+	std::optional<store_result<row_batch>> got;
+	client.read_all("op", [&](store_result<row_batch> result) { got = std::move(result); });
+	test::run_until(context, [&] { return got.has_value(); });
+	REQUIRE_FALSE(*got);
+	CHECK(got->error() == store_error::bad_response);
+	CHECK(server.sent_bytes() < max_read_bytes);
+}
+
 TEST_CASE("a response of the registry in an unknown transfer coding is not read", "[platform][coding]")
 {
 	const auto coding = GENERATE(as<std::string>{}, "gzip", "gzip, chunked", "identity");
