Unrequested bytes on an idle registry connection are not read as a response

What the VM saw: a response that came behind a complete one, while its connection was idle, was read as the response to the next call: a page that nobody asked for stood for the table's rows.

Cause: nothing looks at an idle connection to the registry before it is used again.

Sound idle connections are still used again (a test of its own). Bytes that come between the call and its response can't be told from it: the registry's responses name no request.

--- a/tests/platform/invalid_responses.cpp
+++ b/tests/platform/invalid_responses.cpp
@@ -102,6 +102,28 @@
 	CHECK(server.sent_bytes() < max_read_bytes);
 }
 
+// Guards against a page that nobody asked for, which comes behind a complete one and is read as newer rows.
+TEST_CASE("bytes on an idle connection are not read as the next response", "[platform]")
+{
+	scripted_registry registry{[count = 0](const std::string&) mutable
+		{ return scripted_answer{answer_with("200 OK", page_with(++count == 1 ? "first" : "second"))}; }};
+	REQUIRE(registry.read());
+	registry.server.send_more(answer_with("200 OK", page_with("unrequested")));
+	const auto second = registry.read();
+	REQUIRE(second);
+	CHECK(second->rows.front().key == "second");
+	CHECK(registry.server.accepted() == 2);
+}
+
+TEST_CASE("an idle connection to the registry is used again", "[platform]")
+{
+	scripted_registry registry{
+		[](const std::string&) { return scripted_answer{answer_with("200 OK", page_with("a"))}; }};
+	REQUIRE(registry.read());
+	REQUIRE(registry.read());
+	CHECK(registry.server.accepted() == 1);
+}
+
 TEST_CASE("a response of the registry in an unknown transfer coding is not read", "[platform][coding]")
 {
 	const auto coding = GENERATE(as<std::string>{}, "gzip", "gzip, chunked", "identity");
