`serve`: a response with a control byte in a value is no answer

What callers saw: with `gingerdyke serve` a control byte in a value of a response's field was accepted, and reached callers in Content-Type. The data path rejects such a response.

Fix: values are checked too, by the function that also checks the lines of callers' requests. The check of responses moves to a file of its own, http/response_check, for the other readers that use the HTTP library.

Evidence: tests/http/invalid_responses.cpp, "a response of an upstream with a control byte in a value is no answer": without the fix all five lines counted as the whole answer, for services and engines.

--- a/include/gingerdyke/base/http_fields.hpp
+++ b/include/gingerdyke/base/http_fields.hpp
@@ -15,7 +15,10 @@
 /// \brief Whether a name is a token (RFC 9110, 5.6.2), as the name of every field must be.
 [[nodiscard]] bool is_valid_name(std::string_view name) noexcept;
 
-/// \brief Whether a field says that the body is in a transfer coding other than `chunked` alone. Only chunks
-/// are taken off a body.
+/// \brief Whether a text holds a control byte other than a tab, as no value of a field may.
+[[nodiscard]] bool has_control_byte(std::string_view text) noexcept;
+
+/// \brief Whether a field says that the body is in a transfer coding other than `chunked` alone, the
+/// only one that is decoded.
 [[nodiscard]] bool is_unknown_transfer_coding(std::string_view name, std::string_view value) noexcept;
 } // namespace gingerdyke::http_fields
--- a/include/gingerdyke/proxy/message.hpp
+++ b/include/gingerdyke/proxy/message.hpp
@@ -26,8 +26,8 @@
 /// \brief Value of the first field with a name; null if there is none.
 [[nodiscard]] const std::string* find_field(const header_fields& fields, std::string_view name) noexcept;
 
-/// \brief Whether a body is in a transfer coding other than `chunked` alone. Only chunks are taken off, and
-/// the field that names the coding is not passed on.
+/// \brief Whether a body is in a transfer coding that is not decoded. The field that names it is not passed
+/// on.
 [[nodiscard]] bool has_unknown_transfer_coding(const header_fields& fields) noexcept;
 
 /// \brief Whether a comma-separated list contains a token.
--- a/src/base/http_fields.cpp
+++ b/src/base/http_fields.cpp
@@ -42,6 +42,17 @@
 	return !name.empty() && std::all_of(name.begin(), name.end(), is_token_character);
 }
 
+bool has_control_byte(std::string_view text) noexcept
+{
+	constexpr unsigned char delete_byte = 0x7f;
+	return std::any_of(text.begin(), text.end(),
+		[](char c)
+		{
+			const auto byte = static_cast<unsigned char>(c);
+			return (byte < ' ' && c != '\t') || byte == delete_byte;
+		});
+}
+
 bool is_unknown_transfer_coding(std::string_view name, std::string_view value) noexcept
 {
 	return equals_ignore_case(name, "Transfer-Encoding") && !equals_ignore_case(trim(value), "chunked");
--- a/src/http/upstream.cpp
+++ b/src/http/upstream.cpp
@@ -2,8 +2,8 @@
 // Calls to upstreams. What an engine's answers mean is in docs/API.md, "Towards engines".
 #include <chrono>
 #include <gingerdyke/base/boot_clock.hpp>
-#include <gingerdyke/base/http_fields.hpp>
 #include <gingerdyke/base/http_status.hpp>
+#include <gingerdyke/http/response_check.hpp>
 #include <gingerdyke/http/sse_reader.hpp>
 #include <gingerdyke/http/upstream.hpp>
 #include <gingerdyke/log/log.hpp>
@@ -36,28 +36,7 @@
 	return unsent ? attempt_end::not_sent : attempt_end::lost;
 }
 
-/// What makes a response none of HTTP's; null if it is valid. The library passes all of these on.
-const char* find_response_fault(const httplib::Response& response)
-{
-	if (!http_status::is_final(response.status))
-	{
-		return "status that is not a final one";
-	}
-	for (const auto& [name, value] : response.headers)
-	{
-		if (!http_fields::is_valid_name(name))
-		{
-			return "invalid name of a field";
-		}
-		if (http_fields::is_unknown_transfer_coding(name, value))
-		{
-			return "transfer coding other than chunked";
-		}
-	}
-	return nullptr;
-}
-
-/// Logs an invalid response, which is no answer to the request.
+/// Whether a response may be an answer to the request; logs what is wrong if it may not.
 bool is_valid(const httplib::Response& response, const request_id& id, const node::dispatch_order& order)
 {
 	const auto* fault = find_response_fault(response);
--- a/src/proxy/message.cpp
+++ b/src/proxy/message.cpp
@@ -39,12 +39,7 @@
 /// What is wrong with one line of a header block, without its line end. The first line is the request line.
 std::optional<std::string> find_line_fault(std::string_view line, bool is_first)
 {
-	const auto is_control_byte = [](char c)
-	{
-		const auto byte = static_cast<unsigned char>(c);
-		return (byte < ' ' && c != '\t') || byte == 0x7f;
-	};
-	if (std::any_of(line.begin(), line.end(), is_control_byte))
+	if (http_fields::has_control_byte(line))
 	{
 		return "control byte in the header";
 	}
--- a/tests/http/invalid_responses.cpp
+++ b/tests/http/invalid_responses.cpp
@@ -1,10 +1,10 @@
 // SPDX-License-Identifier: MIT
 // Responses of upstreams that are none, or cut. Guards against such a response that counts as the whole
 // answer to a request.
+#include "../support/loop_thread.hpp"
 #include "../support/proxy_world.hpp"
 #include "../support/upload_server.hpp"
 #include <gingerdyke/http/upstream.hpp>
-#include <thread>
 
 using namespace gingerdyke;
 using namespace gingerdyke::test;
@@ -26,31 +26,6 @@
 		   "\r\n\r\n" + body;
 }
 
-/// Runs an event loop in a thread of its own, as the calls to it wait for their answers.
-class loop_thread
-{
-  public:
-	explicit loop_thread(proxy::asio::io_context& context)
-		: context_(context), work_(proxy::asio::make_work_guard(context)),
-		  thread_([&context] { context.run(); })
-	{
-	}
-	~loop_thread()
-	{
-		context_.stop();
-		thread_.join();
-	}
-	loop_thread(const loop_thread&) = delete;
-	loop_thread& operator=(const loop_thread&) = delete;
-	loop_thread(loop_thread&&) = delete;
-	loop_thread& operator=(loop_thread&&) = delete;
-
-  private:
-	proxy::asio::io_context& context_;
-	proxy::asio::executor_work_guard<proxy::asio::io_context::executor_type> work_;
-	std::thread thread_;
-};
-
 /// Calls an upstream at an address.
 struct calling_node
 {
@@ -127,6 +102,14 @@
 	check_is_no_answer(response_with("200 OK", chat_answer, line + "\r\n"));
 }
 
+TEST_CASE("a response of an upstream with a control byte in a value is no answer", "[http][fields]")
+{
+	const auto line = GENERATE(as<std::string>{}, "Name: a\x01z", "Name: a\x7fz", "Name: a\rz",
+		std::string("Name: a\0z", 9), "Content-Type: a\x01z");
+	CAPTURE(line);
+	check_is_no_answer(response_with("200 OK", chat_answer, line + "\r\n"));
+}
+
 TEST_CASE("a response of an upstream in an unknown transfer coding is no answer", "[http][coding]")
 {
 	const auto coding = GENERATE(as<std::string>{}, "gzip", "identity", "gzip, chunked");
