`serve`: a response with two lengths, or a length and chunks, is no answer

What callers saw: with `gingerdyke serve` a response that names two ends of its body counted as the whole answer, by the end that the HTTP library happened to take. The data path rejects such a response.

Fix: more than one length or transfer coding makes a response invalid.

Evidence: tests/http/invalid_responses.cpp, "a response of an upstream whose body has two ends is no answer": without the fix both forms counted as the answer.

--- a/src/http/response_check.cpp
+++ b/src/http/response_check.cpp
@@ -39,6 +39,8 @@
 			return fault;
 		}
 	}
-	return nullptr;
+	const auto lengths = response.get_header_value_count("Content-Length");
+	const auto codings = response.get_header_value_count("Transfer-Encoding");
+	return lengths + codings > 1 ? "more than one length or transfer coding" : nullptr;
 }
 } // namespace gingerdyke::http
--- a/tests/http/invalid_responses.cpp
+++ b/tests/http/invalid_responses.cpp
@@ -110,6 +110,22 @@
 	check_is_no_answer(response_with("200 OK", chat_answer, line + "\r\n"));
 }
 
+TEST_CASE("a response of an upstream whose body has two ends is no answer", "[http][fields]")
+{
+	const std::string chunked = "Transfer-Encoding: chunked\r\n";
+	const auto chunks = proxy::write_chunk(chat_answer) + "0\r\n\r\n";
+	const auto length = "Content-Length: " + std::to_string(chat_answer.size()) + "\r\n";
+	const auto head = "HTTP/1.1 200 OK\r\n" + match;
+	SECTION("two lengths")
+	{
+		check_is_no_answer(head + length + "Content-Length: 2\r\n\r\n" + chat_answer);
+	}
+	SECTION("a length and chunks")
+	{
+		check_is_no_answer(head + length + chunked + "\r\n" + chunks);
+	}
+}
+
 TEST_CASE("a response of an upstream in an unknown transfer coding is no answer", "[http][coding]")
 {
 	const auto coding = GENERATE(as<std::string>{}, "gzip", "identity", "gzip, chunked");
