Platform clients of `serve`: invalid responses are not read

What the VM saw: with `gingerdyke serve` a response of the store, the list of VMs or the rating service with a blank or control byte in a field, or in an unknown transfer coding, was read: a transaction counted as committed, a list and a rating as told.

Cause: these clients looked at the status and the JSON only; the HTTP library accepts the rest.

Fix: they use the check of upstreams' responses. An invalid one is logged, tells nothing (the transaction may have been applied), and its connection is closed.

--- a/include/gingerdyke/platform/clients.hpp
+++ b/include/gingerdyke/platform/clients.hpp
@@ -11,7 +11,8 @@
 namespace httplib
 {
 class Client;
-}
+struct Response;
+} // namespace httplib
 
 namespace gingerdyke::platform
 {
@@ -53,6 +54,11 @@
 	std::unique_ptr<httplib::Client> client_;
 };
 
+/// \brief Whether a response of the platform is valid. If it isn't, its fault is logged and the connection,
+/// on which the rest of it may follow, closed. \param call Path of the call, for the log.
+[[nodiscard]] bool accept_response(
+	httplib::Client& client, const httplib::Response& response, const char* call);
+
 /// \brief A list of VMs on the wire.
 [[nodiscard]] json to_json(const membership::member_list& list);
 
--- a/src/platform/clients.cpp
+++ b/src/platform/clients.cpp
@@ -3,8 +3,9 @@
 #include <algorithm>
 #include <array>
 #include <gingerdyke/base/http_status.hpp>
+#include <gingerdyke/http/response_check.hpp>
+#include <gingerdyke/log/log.hpp>
 #include <gingerdyke/platform/clients.hpp>
-#include <httplib.h>
 
 namespace gingerdyke::platform
 {
@@ -26,20 +27,36 @@
 }
 } // namespace
 
+bool accept_response(httplib::Client& client, const httplib::Response& response, const char* call)
+{
+	const auto* fault = http::find_response_fault(response);
+	if (fault != nullptr)
+	{
+		log::write(log::level::warn, "invalid response of a platform service",
+			{{"call", call}, {"status", response.status}, {"fault", fault}});
+		client.stop();
+	}
+	return fault == nullptr;
+}
+
 store_client::store_client(const node::endpoint& at) : client_(make_client(at)) {}
 
 store_client::~store_client() = default;
 
 store::answer store_client::run(const store::transaction& transaction)
 {
-	const auto result =
-		client_->Post("/v1/transactions", store::to_json(transaction).dump(), "application/json");
+	constexpr const char* call = "/v1/transactions";
+	const auto result = client_->Post(call, store::to_json(transaction).dump(), "application/json");
 	if (!result)
 	{
 		const bool unsent = result.error() == httplib::Error::Connection ||
 							result.error() == httplib::Error::ConnectionTimeout;
 		return {unsent ? store::verdict::refused : store::verdict::no_answer, 0, {}};
 	}
+	if (!accept_response(*client_, *result, call))
+	{
+		return {};
+	}
 	if (result->status == http_status::too_many_requests || result->status == http_status::unavailable)
 	{
 		return {store::verdict::refused, 0, {}};
@@ -57,8 +74,9 @@
 
 std::optional<membership::member_list> member_client::fetch()
 {
-	const auto result = client_->Get("/v1/vms");
-	if (!result || result->status != http_status::ok)
+	constexpr const char* call = "/v1/vms";
+	const auto result = client_->Get(call);
+	if (!result || !accept_response(*client_, *result, call) || result->status != http_status::ok)
 	{
 		return std::nullopt;
 	}
--- a/src/platform/rater.cpp
+++ b/src/platform/rater.cpp
@@ -2,6 +2,7 @@
 // Sends answers to the rating service in the background.
 #include <chrono>
 #include <gingerdyke/base/http_status.hpp>
+#include <gingerdyke/platform/clients.hpp>
 #include <gingerdyke/platform/rater.hpp>
 #include <httplib.h>
 
@@ -18,8 +19,9 @@
 /// Asks for one rating; nothing where there was none.
 std::optional<bool> ask(httplib::Client& client, const std::string& answer)
 {
-	const auto result = client.Post("/v1/ratings", answer, "application/json");
-	if (!result || result->status != http_status::ok)
+	constexpr const char* call = "/v1/ratings";
+	const auto result = client.Post(call, answer, "application/json");
+	if (!result || !accept_response(client, *result, call) || result->status != http_status::ok)
 	{
 		return std::nullopt;
 	}
