The log tells what is invalid in the head of a response

A request that failed with `bad answer` left no trace of what the replica had sent: a status, or a coding. Comments and one name are clearer on a second reading: a connection's end "ends the response", so that the socket's state alone is "closed in order".

tests/proxy/invalid_status.cpp checks the line, which did not exist before.

--- a/include/gingerdyke/base/http_status.hpp
+++ b/include/gingerdyke/base/http_status.hpp
@@ -29,8 +29,8 @@
 inline constexpr int lowest_final = 200;
 inline constexpr int highest = 599;
 
-/// \brief Whether another response follows one with this status. A 101 is none of them: it accepts an
-/// upgrade, which no VM asks for.
+/// \brief Whether a response with this status is followed by the final one. A 101 isn't: it accepts an
+/// upgrade, and none is ever requested.
 [[nodiscard]] constexpr bool is_interim(int status) noexcept
 {
 	return status >= lowest_interim && status < lowest_final && status != switching_protocols;
--- a/include/gingerdyke/proxy/upstream_connection.hpp
+++ b/include/gingerdyke/proxy/upstream_connection.hpp
@@ -144,7 +144,7 @@
 	void start_parser();
 	bool on_head();
 	void on_end_of_connection(const error_code& error);
-	[[nodiscard]] bool has_closed_in_order();
+	[[nodiscard]] bool ends_response();
 	void finish();
 	void fail(upstream_fault fault);
 	void read_keep_alive(const header_fields& fields);
--- a/src/proxy/upstream_connection.cpp
+++ b/src/proxy/upstream_connection.cpp
@@ -168,8 +168,8 @@
 	asio::async_write(socket_, buffers,
 		[self = shared_from_this(), head, body](const error_code& error, std::size_t)
 		{
-			// Not a failure yet: a response may have arrived before the connection broke. The read that
-			// follows it finds the end of the connection.
+			// The attempt goes on after an error: a response may have arrived before the connection broke,
+			// and reads fail or end behind it.
 			self->request_written_ = !error;
 		});
 }
@@ -344,8 +344,13 @@
 		start_parser();
 		return false;
 	}
-	if (!http_status::is_final(head.status) || has_unknown_transfer_coding(head.fields))
+	const bool is_final = http_status::is_final(head.status);
+	if (!is_final || has_unknown_transfer_coding(head.fields))
 	{
+		log::write(log::level::warn, "invalid head of a response",
+			{{"request", request_.id}, {"from", target_->id.str()}, {"status", head.status},
+				{"fault",
+					is_final ? "transfer coding other than chunked" : "status that is not a final one"}});
 		fail(upstream_fault::invalid_response);
 		return false;
 	}
@@ -368,7 +373,7 @@
 void upstream_connection::on_end_of_connection(const error_code& error)
 {
 	const bool has_open_body = head_delivered_ && !skipping_stale_response_ && parser_->need_eof();
-	if (has_open_body && error == asio::error::eof && has_closed_in_order())
+	if (has_open_body && error == asio::error::eof && ends_response())
 	{
 		error_code ignored;
 		parser_->put_eof(ignored);
@@ -392,13 +397,13 @@
 
 /// Whether the end of the connection completes a response without length. If that is not known, the response
 /// counts as cut.
-bool upstream_connection::has_closed_in_order()
+bool upstream_connection::ends_response()
 {
 	const auto is_in_order = proxy::has_closed_in_order(socket_);
 	if (!is_in_order)
 	{
 		log::write(log::level::warn, "state of a connection not known, response without length taken as cut",
-			{{"request", request_.id}, {"replica", target_->id.str()},
+			{{"request", request_.id}, {"from", target_->id.str()},
 				{"error", is_in_order.error().message()}});
 	}
 	return is_in_order.value_or(false);
--- a/tests/proxy/invalid_status.cpp
+++ b/tests/proxy/invalid_status.cpp
@@ -146,7 +146,7 @@
 	CHECK(response.ends_with("well"));
 }
 
-TEST_CASE("the line of a request tells an invalid response", "[exchange][status]")
+TEST_CASE("the log tells what is invalid in a response", "[exchange][status]")
 {
 	proxy_world world;
 	scripted_replica replica{
@@ -158,5 +158,8 @@
 		static_cast<void>(world.ask(request_to("POST", "/unsafe/a", "b")));
 		lines = log.text();
 	}
+	CHECK(contains(lines, "\"invalid head of a response\""));
+	CHECK(contains(lines, "\"from\":\"r0\""));
+	CHECK(contains(lines, "\"status\":0"));
 	CHECK(contains(lines, proxy::name_of(proxy::upstream_fault::invalid_response)));
 }
--- a/tests/proxy/reset_during_upload.cpp
+++ b/tests/proxy/reset_during_upload.cpp
@@ -50,7 +50,7 @@
 		std::vector<std::pair<std::string, routing::address>> replicas{{service, replica.at()}};
 		if (!sound_answer.empty())
 		{
-			// The order in which the replica that answers early is chosen first.
+			// With the world's random numbers the first entry of "engine" and the last of "plain" is chosen.
 			const bool is_last = service == std::string{"engine"};
 			replicas.insert(is_last ? replicas.end() : replicas.begin(), {service, sound->at()});
 		}
@@ -88,7 +88,6 @@
 	std::optional<scripted_replica> sound;
 	std::optional<scripted_caller> caller;
 };
-
 } // namespace
 
 TEST_CASE("an answer that is reset during the upload is not passed on as complete", "[exchange][upload]")
--- a/tests/proxy/transfer_coding.cpp
+++ b/tests/proxy/transfer_coding.cpp
@@ -16,7 +16,7 @@
 		"Transfer-Encoding: xchunked", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked");
 }
 
-/// A response whose body is "other", by chunks for one who takes the coding for chunks alone.
+/// A response whose body is "other", in chunks, as a parser reads it that ignores other codings.
 std::string response_with_coding(const std::string& line, const std::string& more = {})
 {
 	return "HTTP/1.1 200 OK\r\nRequest-Id: q1\r\nSignature: s\r\n" + more + line +
